--- /dev/null
+++ b/packages/agent/src/agent.ts
@@ -0,0 +1,330 @@
+import { create } from "@bufbuild/protobuf";
+import {
+  type Clock,
+  createSystemClock,
+  type Sleep,
+  sleep as systemSleep,
+} from "@banyanspool/types";
+import { DecisionLog } from "@banyanspool/audit";
+import {
+  addPeerService,
+  FleetMember,
+  type MetricsServer,
+  startMetricsServer,
+} from "@banyanspool/fleet";
+import { createLog } from "@banyanspool/logger";
+import { createCollectorRanking } from "@banyanspool/membership";
+import { Metrics } from "@banyanspool/metrics";
+import { createHttpPlatform, type Platform } from "@banyanspool/platform";
+import {
+  type AgentSettings,
+  type EngineSettings,
+  splitAddress,
+} from "@banyanspool/settings";
+import { Supervisor } from "@banyanspool/supervisor";
+import {
+  type InternalServer,
+  type LedgerStatus,
+  LedgerStatusSchema,
+  PeerPool,
+  startInternalServer,
+  toWireReport,
+} from "@banyanspool/wire";
+import { addAgentService, type EngineParts } from "./agent_service.ts";
+import { Attempts } from "./attempts.ts";
+import { EngineClient } from "./engine_client.ts";
+import { EngineKeeper } from "./engine_keeper.ts";
+import { EngineRunner } from "./engine_runner.ts";
+import { ReportSource } from "./reports.ts";
+
+const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+const AUDIT_INTERVAL_MS = 10_000;
+const MAX_PENDING_DECISIONS = 5000;
+const DRAIN_POLL_MS = 50;
+const PIN_TIMEOUT_MS = 1000;
+
+const log = createLog("agent");
+
+/** Options of {@link Agent.create}. */
+export interface AgentOptions {
+  /** Settings of the process. */
+  readonly cfg: AgentSettings;
+  /** Time source; the system's by default. */
+  readonly clock?: Clock;
+  /** Waits; the system's by default. */
+  readonly sleep?: Sleep;
+  /** The platform's services; by HTTP by default. */
+  readonly platform?: Platform;
+}
+
+interface Engine extends EngineParts {
+  readonly slots: number;
+  readonly memoryMib: number;
+}
+
+interface Shared {
+  readonly cfg: AgentSettings;
+  readonly clock: Clock;
+  readonly sleep: Sleep;
+  readonly incarnation: number;
+  readonly pool: PeerPool;
+  readonly metrics: Metrics;
+  readonly decisions: DecisionLog;
+  readonly member: () => FleetMember;
+}
+
+/** One agent: all its parts and the tree that supervises them. */
+export class Agent {
+  readonly #shared: Shared;
+  readonly #member: FleetMember;
+  readonly #engines: ReadonlyMap<string, Engine>;
+  readonly #reports: ReportSource;
+  readonly #attempts: Attempts;
+  readonly #supervisor: Supervisor;
+  readonly #state: { isLeaving: boolean };
+  #servers: { internal: InternalServer; metrics: MetricsServer } | undefined;
+
+  private constructor(
+    shared: Shared,
+    parts: {
+      member: FleetMember;
+      engines: ReadonlyMap<string, Engine>;
+      reports: ReportSource;
+      attempts: Attempts;
+      state: { isLeaving: boolean };
+    },
+  ) {
+    this.#shared = shared;
+    this.#member = parts.member;
+    this.#engines = parts.engines;
+    this.#reports = parts.reports;
+    this.#attempts = parts.attempts;
+    this.#state = parts.state;
+    const { sleep } = shared;
+    this.#supervisor = Supervisor.create({ name: "agent", sleep });
+  }
+
+  /** Builds an agent from its settings; {@link start} runs it. */
+  static async create(options: AgentOptions): Promise<Agent> {
+    const { cfg } = options;
+    const clock = options.clock ?? createSystemClock();
+    const sleep = options.sleep ?? systemSleep;
+    const platform = options.platform ??
+      createHttpPlatform({ url: cfg.platform_url });
+    const incarnation = clock.wall();
+    const metrics = Metrics.create();
+    const state = { isLeaving: false };
+    const identity = {
+      instance: cfg.instance,
+      incarnation,
+      role: "agent" as const,
+      dataCentre: cfg.data_centre,
+      address: cfg.internal_listen,
+    };
+    const shared: Shared = {
+      cfg,
+      clock,
+      sleep,
+      incarnation,
+      metrics,
+      member: () => member,
+      pool: PeerPool.create({
+        secret: cfg.fleet_secret,
+        instance: cfg.instance,
+        wall: clock.wall,
+        maxMessageBytes: MAX_MESSAGE_BYTES,
+      }),
+      decisions: DecisionLog.create({
+        objects: platform.objects,
+        clock,
+        sleep,
+        instance: cfg.instance,
+        incarnation,
+        flushIntervalMs: AUDIT_INTERVAL_MS,
+        maxPending: MAX_PENDING_DECISIONS,
+        count: (outcome, records) =>
+          metrics.decisions.inc({ outcome }, records),
+      }),
+    };
+    const engines = new Map(
+      cfg.engines.map((engine) => [
+        engine.replica,
+        createEngine(shared, engine),
+      ]),
+    );
+    const reports = ReportSource.create({
+      fixed: {
+        instance: cfg.instance,
+        agentIncarnation: incarnation,
+        address: cfg.internal_listen,
+        dataCentre: cfg.data_centre,
+        services: Object.keys(cfg.services),
+      },
+      engines,
+      isLeaving: () => state.isLeaving,
+    });
+    const member: FleetMember = FleetMember.create({
+      identity,
+      clock,
+      sleep,
+      platform,
+      pool: shared.pool,
+      ranking: await createCollectorRanking(),
+      local: { reports: () => reports.read(), demand: () => [] },
+      onConfig: () => {},
+      onReport: () => {},
+      onGone: () => {},
+    });
+    const attempts = Attempts.create({
+      clock,
+      sleep,
+      runnerOf: (replica) => engines.get(replica)?.runner,
+      services: cfg.services,
+      isLeaving: () => state.isLeaving,
+    });
+    return new Agent(shared, { member, engines, reports, attempts, state });
+  }
+
+  /** Ports that the agent listens on, once it has started. */
+  get ports(): { internal: number; metrics: number } {
+    const { internal, metrics } = this.#servers!;
+    return { internal: internal.port, metrics: metrics.port };
+  }
+
+  /** Starts the listeners and the tasks. */
+  async start(): Promise<void> {
+    const { cfg, clock, metrics, decisions } = this.#shared;
+    this.#servers = {
+      internal: await startInternalServer({
+        ...splitAddress(cfg.internal_listen),
+        secret: cfg.fleet_secret,
+        wall: clock.wall,
+        maxMessageBytes: MAX_MESSAGE_BYTES,
+        routes: (router) => this.#addServices(router),
+      }),
+      metrics: await startMetricsServer({
+        ...splitAddress(cfg.metrics_listen),
+        metrics,
+        refresh: () => this.#refreshGauges(),
+      }),
+    };
+    await this.#member.readList();
+    await this.#member.readStore();
+    // Stopped in reverse order: decisions are written last.
+    const start = (name: string, run: (signal: AbortSignal) => Promise<void>) =>
+      this.#supervisor.start({ name, restart: "always", run });
+    start("decisions", (signal) => decisions.run(signal));
+    start("list", (signal) => this.#member.runList(signal));
+    start("sync", (signal) => this.#member.runSync(signal));
+    for (const [replica, { keeper, runner }] of this.#engines) {
+      start(`inventory ${replica}`, (signal) => keeper.run(signal));
+      start(`queue ${replica}`, (signal) => runner.run(signal));
+    }
+    log(`Agent "${cfg.instance}" listens on ${cfg.internal_listen}`);
+  }
+
+  /** Stops without cutting off a request. */
+  async stop(): Promise<void> {
+    const { cfg, sleep, pool } = this.#shared;
+    const servers = this.#servers;
+    if (!servers) return;
+    log(`Agent "${cfg.instance}" drains`);
+    this.#state.isLeaving = true;
+    for (const { runner } of this.#engines.values()) runner.leave();
+    await this.#member.leave();
+    await sleep(cfg.drain_ms);
+    while (this.#attempts.running > 0) await sleep(DRAIN_POLL_MS);
+    await this.#supervisor.stop();
+    servers.metrics.close();
+    await servers.internal.close();
+    pool.close();
+    log(`Agent "${cfg.instance}" has stopped`);
+  }
+
+  #addServices(router: Parameters<typeof addAgentService>[0]): void {
+    const { clock, sleep, incarnation } = this.#shared;
+    addAgentService(router, {
+      incarnation,
+      attempts: this.#attempts,
+      engines: this.#engines,
+      sleep,
+      now: clock.now,
+    });
+    addPeerService(router, {
+      member: this.#member,
+      lend: () => 0,
+      closeLoan: () => {},
+      status: () => ({
+        shares: [],
+        ledgers: this.#readLedgers(),
+        reports: this.#reports.read().map(toWireReport),
+        runningRequests: this.#attempts.running,
+        duties: [],
+      }),
+    });
+  }
+
+  #readLedgers(): LedgerStatus[] {
+    return [...this.#engines].map(([replica, { keeper, memoryMib }]) =>
+      create(LedgerStatusSchema, {
+        replica,
+        weightsMib: Math.ceil(keeper.ledger.weightsMib),
+        kvMib: Math.ceil(keeper.ledger.kvMib),
+        memoryMib,
+        settled: keeper.ledger.settled,
+      })
+    );
+  }
+
+  #refreshGauges(): void {
+    const { metrics } = this.#shared;
+    metrics.configVersion.set(this.#member.config.version);
+    metrics.configAge.set(this.#member.config.confirmedAgeMs / 1000);
+    for (const [replica, { runner }] of this.#engines) {
+      metrics.queueLength.set({ replica }, runner.queueLength);
+    }
+  }
+}
+
+function createEngine(shared: Shared, engine: EngineSettings): Engine {
+  const { clock, sleep, cfg, pool, metrics, decisions, incarnation } = shared;
+  const document = () => shared.member().config.current?.document;
+  const client = EngineClient.create({ url: engine.url });
+  const keeper: EngineKeeper = EngineKeeper.create({
+    engine,
+    client,
+    clock,
+    sleep,
+    incarnation,
+    orderLifetimeMs: cfg.order_lifetime_ms,
+    document,
+    activeOf: (model) => runner.activeOf(model),
+    decisions,
+    metrics,
+    onInventory: () => {
+      for (const id of keeper.ledger.orphans()) void client.cancel(id);
+    },
+    pin: async ({ source, model, holder, forMs }) => {
+      const [address = "", replica = ""] = source.split("/");
+      try {
+        const options = { timeoutMs: PIN_TIMEOUT_MS };
+        const request = { model, holder, forMs, replica };
+        return (await pool.agent(address).pin(request, options)).pinned;
+      } catch (error) {
+        log(`Pin at "${address}" failed: ${(error as Error).message}`);
+        return false;
+      }
+    },
+  });
+  const runner = EngineRunner.create({
+    keeper,
+    client,
+    clock,
+    sleep,
+    slots: engine.slots,
+    weightOf: (organisation) =>
+      document()?.organisations[organisation]?.weight ?? 1,
+  });
+  const { slots, memory_mib: memoryMib } = engine;
+  return { keeper, runner, slots, memoryMib };
+}
--- /dev/null
+++ b/packages/agent/src/agent_service.ts
@@ -0,0 +1,243 @@
+import { create } from "@bufbuild/protobuf";
+import type { ConnectRouter } from "@connectrpc/connect";
+import { type Refusal, refuse, type Sleep } from "@banyanspool/types";
+import {
+  type AdviseRequest,
+  AgentService,
+  type AttemptId,
+  fromWireAttempt,
+  HeartbeatSchema,
+  type PinRequest,
+  type RunFrame,
+  RunFrameSchema,
+  type Started,
+  StartedSchema,
+} from "@banyanspool/wire";
+import type { Attempts, LiveAttempt } from "./attempts.ts";
+import type { AttemptBuffer, AttemptEnd } from "./attempt_buffer.ts";
+import type { EngineKeeper } from "./engine_keeper.ts";
+import type { EngineRunner } from "./engine_runner.ts";
+
+const HEARTBEAT_MS = 500;
+
+/** One engine of the agent. */
+export interface EngineParts {
+  /** Orders and memory. */
+  readonly keeper: EngineKeeper;
+  /** Queue. */
+  readonly runner: EngineRunner;
+}
+
+/** Options of {@link addAgentService}. */
+export interface AgentServiceOptions {
+  /** Incarnation of the agent. */
+  readonly incarnation: number;
+  /** Attempts. */
+  readonly attempts: Attempts;
+  /** Engines by replica name. */
+  readonly engines: ReadonlyMap<string, EngineParts>;
+  /** Measures heartbeats. */
+  readonly sleep: Sleep;
+  /** Time source. */
+  readonly now: () => number;
+}
+
+/** Adds the service that entries and other agents call. */
+export function addAgentService(
+  router: ConnectRouter,
+  options: AgentServiceOptions,
+): void {
+  const { attempts, incarnation } = options;
+  router.service(AgentService, {
+    async *run(req, ctx) {
+      if (Number(req.agentIncarnation) !== incarnation) {
+        yield createRefusal(req.attempt, otherIncarnation());
+        return;
+      }
+      const begun = attempts.begin(req);
+      if ("code" in begun) {
+        yield createRefusal(req.attempt, begun);
+        return;
+      }
+      yield* readAttempt(options, {
+        id: req.attempt,
+        attempt: begun,
+        offset: 0,
+        signal: ctx.signal,
+      });
+    },
+    async *resume(req, ctx) {
+      const key = fromWireAttempt(req.attempt);
+      const attempt = attempts.find(key);
+      if (Number(req.agentIncarnation) !== incarnation || !attempt) {
+        yield createRefusal(req.attempt, forgotten());
+        return;
+      }
+      yield* readAttempt(options, {
+        id: req.attempt,
+        attempt,
+        offset: Number(req.offset),
+        signal: ctx.signal,
+      });
+    },
+    ask: (req) => {
+      const isMeant = Number(req.agentIncarnation) === incarnation;
+      const key = fromWireAttempt(req.attempt);
+      return { state: isMeant ? attempts.ask(key) : "unknown" };
+    },
+    cancel: (req) => {
+      const isMeant = Number(req.agentIncarnation) === incarnation;
+      if (isMeant) attempts.cancel(fromWireAttempt(req.attempt));
+      return {};
+    },
+    pin: (req) => answerPin(options, req),
+    advise: (req) => ({ accepted: takeAdvice(options, req) }),
+  });
+}
+
+/** Yields an attempt's frames from an offset on, with heartbeats between. */
+async function* readAttempt(
+  { sleep, now, engines }: AgentServiceOptions,
+  { id, attempt, offset, signal }: {
+    id: AttemptId | undefined;
+    attempt: LiveAttempt;
+    offset: number;
+    signal: AbortSignal;
+  },
+): AsyncIterable<RunFrame> {
+  const { buffer } = attempt;
+  const frame = (kind: RunFrame["kind"], at: number, tokens = 0) =>
+    create(RunFrameSchema, {
+      attempt: id,
+      offset: BigInt(at),
+      kind,
+      tokens,
+      queuedTokens: countQueued(engines),
+    });
+  attempt.readers += 1;
+  let sentHead = false;
+  let position = offset;
+  try {
+    while (!signal.aborted) {
+      if (buffer.head && !sentHead) {
+        sentHead = true;
+        yield frame({ case: "started", value: toStarted(buffer) }, position);
+      }
+      for (const chunk of buffer.chunksFrom(position)) {
+        const data = { case: "data" as const, value: chunk.bytes };
+        yield frame(data, chunk.offset, chunk.tokens);
+        position = chunk.offset + chunk.bytes.length;
+        buffer.markRead(position);
+      }
+      if (buffer.end && position >= buffer.length) {
+        yield frame(toFinalKind(buffer.end), position);
+        return;
+      }
+      const beat = await waitForChange(buffer, { sleep, signal, position });
+      if (beat) {
+        const value = create(HeartbeatSchema);
+        yield frame({ case: "heartbeat", value }, position);
+      }
+    }
+  } finally {
+    attempt.readers -= 1;
+    attempt.unreadSince = now();
+  }
+}
+
+/** Returns true if nothing changed for the time of a heartbeat. */
+async function waitForChange(
+  buffer: AttemptBuffer,
+  { sleep, signal, position }: {
+    sleep: Sleep;
+    signal: AbortSignal;
+    position: number;
+  },
+): Promise<boolean> {
+  if (buffer.length > position) return false;
+  const stop = new AbortController();
+  const both = AbortSignal.any([stop.signal, signal]);
+  try {
+    return await Promise.race([
+      buffer.changed(both).then(() => false),
+      sleep(HEARTBEAT_MS, both).then(() => true, () => false),
+    ]);
+  } finally {
+    stop.abort();
+  }
+}
+
+function countQueued(engines: ReadonlyMap<string, EngineParts>): number {
+  let tokens = 0;
+  for (const { runner } of engines.values()) tokens += runner.queuedTokens;
+  return tokens;
+}
+
+function toStarted(buffer: AttemptBuffer): Started {
+  const { status, contentType } = buffer.head!;
+  return create(StartedSchema, { status, contentType });
+}
+
+function toFinalKind(end: AttemptEnd): RunFrame["kind"] {
+  if (end.kind === "finished") {
+    return create(RunFrameSchema, {
+      kind: { case: "finished", value: end.usage },
+    }).kind;
+  }
+  return createRefusal(undefined, end.refusal).kind;
+}
+
+function createRefusal(
+  attempt: AttemptId | undefined,
+  refusal: Refusal,
+): RunFrame {
+  const { code, message, ran, retryAfterMs } = refusal;
+  return create(RunFrameSchema, {
+    attempt,
+    kind: {
+      case: "refused",
+      value: { code, message, ran, retryAfterMs: retryAfterMs ?? 0 },
+    },
+  });
+}
+
+function otherIncarnation(): Refusal {
+  return refuse("incarnation_changed", "The agent has been restarted");
+}
+
+function forgotten(): Refusal {
+  const message = "The agent no longer knows the attempt";
+  return refuse("outcome_unknown", message, { ran: "unknown" });
+}
+
+function answerPin(
+  { engines }: AgentServiceOptions,
+  { model, holder, forMs, replica }: PinRequest,
+): { pinned: boolean; reason: string } {
+  const keeper = engines.get(replica)?.keeper;
+  if (!keeper) return { pinned: false, reason: "notReady" };
+  const ready = keeper.isReady(model);
+  const answer = keeper.pins.pin(model, { holder, forMs, ready });
+  return { pinned: answer === "pinned", reason: answer };
+}
+
+/** Starts the loads that the agent agrees to; returns how many. */
+function takeAdvice(
+  { engines }: AgentServiceOptions,
+  { moves }: AdviseRequest,
+): number {
+  let accepted = 0;
+  for (const move of moves) {
+    const keeper = engines.get(move.replica)?.keeper;
+    if (!keeper) continue;
+    accepted += 1;
+    const pinSources = new Map(
+      move.pinSources.map(({ model, addresses }) => [model, addresses]),
+    );
+    void keeper.loadModel(move.loadModel, {
+      unload: move.unloadModels,
+      pinSources,
+    });
+  }
+  return accepted;
+}
--- /dev/null
+++ b/packages/agent/src/attempt_buffer.ts
@@ -0,0 +1,152 @@
+import type { Refusal } from "@banyanspool/types";
+
+/** Tokens and texts of an answer's end. */
+export interface AttemptUsage {
+  /** Prompt tokens that the engine counted. */
+  readonly promptTokens: number;
+  /** Tokens that it generated. */
+  readonly generatedTokens: number;
+  /** Prompt tokens that came from its prefix cache. */
+  readonly cachedTokens: number;
+}
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  | { readonly kind: "finished"; readonly usage: AttemptUsage }
+  | { readonly kind: "refused"; readonly refusal: Refusal };
+
+/** Head of an answer. */
+export interface AnswerHead {
+  /** HTTP status. */
+  readonly status: number;
+  /** Content type. */
+  readonly contentType: string;
+}
+
+/** Bytes of an answer with the number of tokens that they hold. */
+export interface BufferedChunk {
+  /** Bytes before this chunk. */
+  readonly offset: number;
+  /** Bytes. */
+  readonly bytes: Uint8Array;
+  /** Generated tokens. */
+  readonly tokens: number;
+}
+
+/** Options of {@link AttemptBuffer.create}. */
+export interface AttemptBufferOptions {
+  /** Bytes that may wait for the reader before the writer must wait. */
+  readonly maxUnreadBytes: number;
+}
+
+/**
+ * Answer of one attempt, kept whole until it is forgotten, so that a reader
+ * can resume at any offset after its connection was lost.
+ */
+export class AttemptBuffer {
+  readonly #options: AttemptBufferOptions;
+  readonly #chunks: BufferedChunk[] = [];
+  #head: AnswerHead | undefined;
+  #end: AttemptEnd | undefined;
+  #length = 0;
+  #readUpTo = 0;
+  #waiters: (() => void)[] = [];
+
+  private constructor(options: AttemptBufferOptions) {
+    this.#options = options;
+  }
+
+  /** Creates an empty buffer. */
+  static create(options: AttemptBufferOptions): AttemptBuffer {
+    return new AttemptBuffer(options);
+  }
+
+  /** Head of the answer, once it is there. */
+  get head(): AnswerHead | undefined {
+    return this.#head;
+  }
+
+  /** End of the answer, once it is there. */
+  get end(): AttemptEnd | undefined {
+    return this.#end;
+  }
+
+  /** Bytes written so far. */
+  get length(): number {
+    return this.#length;
+  }
+
+  /** Writes the head. */
+  start(head: AnswerHead): void {
+    this.#head = head;
+    this.#wake();
+  }
+
+  /** Writes bytes. */
+  append(bytes: Uint8Array, tokens: number): void {
+    if (this.#end) return;
+    this.#chunks.push({ offset: this.#length, bytes, tokens });
+    this.#length += bytes.length;
+    this.#wake();
+  }
+
+  /** Ends the answer; the first end stays. */
+  finish(end: AttemptEnd): void {
+    if (this.#end) return;
+    this.#end = end;
+    this.#wake();
+  }
+
+  /** Chunks that hold bytes from an offset on. */
+  chunksFrom(offset: number): readonly BufferedChunk[] {
+    const index = this.#findChunk(offset);
+    return this.#chunks.slice(index);
+  }
+
+  /** Marks bytes as read, so that the writer may go on. */
+  markRead(offset: number): void {
+    this.#readUpTo = Math.max(this.#readUpTo, offset);
+    this.#wake();
+  }
+
+  /** Resolves when there is room for the writer. */
+  async waitForRoom(signal: AbortSignal): Promise<void> {
+    const { maxUnreadBytes } = this.#options;
+    while (this.#length - this.#readUpTo > maxUnreadBytes) {
+      if (signal.aborted || this.#end) return;
+      await this.changed(signal);
+    }
+  }
+
+  /** Resolves after the next change, or when the signal is aborted. */
+  changed(signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal.aborted) {
+        resolve();
+        return;
+      }
+      const wake = () => {
+        signal.removeEventListener("abort", wake);
+        resolve();
+      };
+      signal.addEventListener("abort", wake, { once: true });
+      this.#waiters.push(wake);
+    });
+  }
+
+  #findChunk(offset: number): number {
+    let index = this.#chunks.length;
+    while (index > 0) {
+      const chunk = this.#chunks[index - 1]!;
+      if (chunk.offset + chunk.bytes.length <= offset) break;
+      index -= 1;
+    }
+    return index;
+  }
+
+  #wake(): void {
+    const waiters = this.#waiters;
+    this.#waiters = [];
+    for (const wake of waiters) wake();
+  }
+}
--- /dev/null
+++ b/packages/agent/src/service_runner.ts
@@ -0,0 +1,74 @@
+import { type Refusal, refuse } from "@banyanspool/types";
+import type { RunRequest } from "@banyanspool/wire";
+import type { AttemptBuffer } from "./attempt_buffer.ts";
+import { openStream, toEngineError } from "./engine_client.ts";
+
+/** Options of {@link runServiceCall}. */
+export interface ServiceCallOptions {
+  /** Base URL of the service. */
+  readonly url: string;
+  /** The call. */
+  readonly request: RunRequest;
+  /** Where the answer goes. */
+  readonly buffer: AttemptBuffer;
+  /** Aborted when the attempt is cancelled. */
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Makes one call to a plain service, once. It counts as not run only if no
+ * connection was there.
+ */
+export async function runServiceCall(
+  { url, request, buffer, signal }: ServiceCallOptions,
+): Promise<void> {
+  const opened = await openStream(url, {
+    method: request.method,
+    path: request.path,
+    headers: createHeaders(request),
+    body: request.body.length === 0 ? undefined : request.body,
+    signal,
+  });
+  if (!opened.ok) {
+    const isUnreachable = opened.error.kind === "unreachable";
+    const refusal = isUnreachable
+      ? refuse("engine_failed", `Service "${request.adapter}" can't be reached`)
+      : unknownOutcome(request, opened.error.detail);
+    buffer.finish({ kind: "refused", refusal });
+    return;
+  }
+  const { status, contentType, chunks, abandon } = opened.value;
+  buffer.start({ status, contentType });
+  try {
+    for await (const chunk of chunks) {
+      buffer.append(Uint8Array.from(chunk), 0);
+      await buffer.waitForRoom(signal);
+    }
+    const usage = { promptTokens: 0, generatedTokens: 0, cachedTokens: 0 };
+    buffer.finish({ kind: "finished", usage });
+  } catch (error) {
+    const { detail } = toEngineError(error);
+    const refusal = unknownOutcome(request, detail);
+    buffer.finish({ kind: "refused", refusal });
+  } finally {
+    abandon();
+  }
+}
+
+function createHeaders(request: RunRequest): Record<string, string> {
+  const headers: Record<string, string> = {
+    ...request.headers,
+    "x-request-id": request.requestId,
+    "x-organisation": request.organisation,
+  };
+  if (request.contentType !== "") {
+    headers["content-type"] = request.contentType;
+  }
+  return headers;
+}
+
+function unknownOutcome(request: RunRequest, detail: string): Refusal {
+  const code = request.idempotent ? "engine_failed" : "outcome_unknown";
+  const message = `Service "${request.adapter}" gave no answer: ${detail}`;
+  return refuse(code, message, { ran: "unknown" });
+}
--- /dev/null
+++ b/packages/audit/src/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * Decision log: records, hash chain, batches and queries.
+ *
+ * @module
+ */
+export { DecisionLog } from "./decision_log.ts";
+export type { DecisionLogOptions } from "./decision_log.ts";
+export type { Batch, Decision, DecisionKind } from "./records.ts";
+export { hashBatch } from "./records.ts";
+export { readDecisions, verifyChains } from "./read.ts";
+export type {
+  ChainFault,
+  ChainReport,
+  DecisionFilter,
+  ReadOutcome,
+} from "./read.ts";
--- /dev/null
+++ b/packages/config/src/accept.ts
@@ -0,0 +1,213 @@
+import { err, ok, type Result } from "@banyanspool/types";
+import type { Row, StoreError, TableStore } from "@banyanspool/platform";
+import {
+  type ConfigFault,
+  EMPTY_SECTIONS,
+  parseDocument,
+  type SectionTexts,
+} from "./parse.ts";
+import { SECTION_NAMES, type SectionName } from "./schema.ts";
+
+const HEAD_KEY = "config/head";
+const SECTION_PREFIX = "config/section/";
+const HISTORY_PREFIX = "config/history/";
+const MAX_CONFLICTS = 5;
+
+interface Head {
+  readonly version: number;
+}
+
+interface StoredSection {
+  readonly text: string;
+  readonly version: number;
+}
+
+/** The document as the table holds it. */
+export interface StoredDocument {
+  /** Version of the whole document; rises with each acceptance. */
+  readonly version: number;
+  /** Texts of the sections. */
+  readonly texts: SectionTexts;
+  /** Document version at which each section last changed. */
+  readonly sectionVersions: Readonly<Record<SectionName, number>>;
+}
+
+/** What an operator asks to be accepted. */
+export interface AcceptRequest {
+  /** Section that changes. */
+  readonly section: SectionName;
+  /** New text of the section. */
+  readonly text: string;
+  /** Section version that the operator edited. */
+  readonly baseVersion: number;
+  /** Same for each retry of one acceptance, so that it happens once. */
+  readonly acceptId: string;
+  /** Who accepts. */
+  readonly operator: string;
+  /** Wall clock, for the history. */
+  readonly at: number;
+}
+
+/** A successful acceptance. */
+export interface AcceptOutcome {
+  /** Version that holds the change. */
+  readonly version: number;
+  /** True if an earlier try with the same id had already taken effect. */
+  readonly repeated: boolean;
+}
+
+/** Why a section was not accepted. */
+export type AcceptError =
+  | { readonly kind: "store"; readonly error: StoreError }
+  | { readonly kind: "faults"; readonly faults: readonly ConfigFault[] }
+  | {
+    readonly kind: "changedMeanwhile";
+    readonly currentText: string;
+    readonly currentVersion: number;
+  }
+  | { readonly kind: "busy" };
+
+/** One acceptance, as the history keeps it. */
+export interface HistoryEntry {
+  /** Document version. */
+  readonly version: number;
+  /** Section that changed. */
+  readonly section: SectionName;
+  /** Who accepted it. */
+  readonly operator: string;
+  /** Id of the acceptance. */
+  readonly acceptId: string;
+  /** Wall clock of the operator's client. */
+  readonly at: number;
+  /** Text of the section from then on. */
+  readonly text: string;
+}
+
+/** Reads the version of the document in force; zero before the first. */
+export async function readHead(
+  table: TableStore,
+): Promise<Result<number, StoreError>> {
+  const res = await table.get(HEAD_KEY);
+  if (!res.ok) return res;
+  return ok(res.value ? parseHead(res.value).version : 0);
+}
+
+/** Reads the whole document from one scan, so that it is consistent. */
+export async function readDocument(
+  table: TableStore,
+): Promise<Result<StoredDocument, StoreError>> {
+  const res = await table.scan("config/");
+  if (!res.ok) return res;
+  return ok(assembleDocument(res.value));
+}
+
+/** Reads the history, oldest first. */
+export async function readHistory(
+  table: TableStore,
+): Promise<Result<readonly HistoryEntry[], StoreError>> {
+  const res = await table.scan(HISTORY_PREFIX);
+  if (!res.ok) return res;
+  return ok(res.value.map((row) => JSON.parse(row.value) as HistoryEntry));
+}
+
+/**
+ * Accepts a section in one transaction: the section still has the version
+ * that was edited, and the document with the new text has no faults.
+ */
+export async function acceptSection(
+  table: TableStore,
+  request: AcceptRequest,
+): Promise<Result<AcceptOutcome, AcceptError>> {
+  for (let conflict = 0; conflict < MAX_CONFLICTS; conflict += 1) {
+    const read = await table.scan("config/");
+    if (!read.ok) return err({ kind: "store", error: read.error });
+    const earlier = findAcceptance(read.value, request.acceptId);
+    if (earlier) return ok({ version: earlier.version, repeated: true });
+    const stored = assembleDocument(read.value);
+    const currentVersion = stored.sectionVersions[request.section];
+    if (currentVersion !== request.baseVersion) {
+      const currentText = stored.texts[request.section];
+      return err({ kind: "changedMeanwhile", currentText, currentVersion });
+    }
+    const texts = { ...stored.texts, [request.section]: request.text };
+    const checked = parseDocument(texts);
+    if (!checked.ok) return err({ kind: "faults", faults: checked.error });
+    const committed = await commitSection(table, read.value, request);
+    if (!committed.ok) return err({ kind: "store", error: committed.error });
+    if (committed.value !== undefined) {
+      return ok({ version: committed.value, repeated: false });
+    }
+  }
+  return err({ kind: "busy" });
+}
+
+/** Returns the new version, or undefined after a conflict. */
+async function commitSection(
+  table: TableStore,
+  rows: readonly Row[],
+  request: AcceptRequest,
+): Promise<Result<number | undefined, StoreError>> {
+  const head = rows.find((row) => row.key === HEAD_KEY);
+  const version = (head ? parseHead(head).version : 0) + 1;
+  const section: StoredSection = { text: request.text, version };
+  const history: HistoryEntry = {
+    version,
+    section: request.section,
+    operator: request.operator,
+    acceptId: request.acceptId,
+    at: request.at,
+    text: request.text,
+  };
+  const historyKey = HISTORY_PREFIX + String(version).padStart(12, "0");
+  const res = await table.commit({
+    checks: [{ key: HEAD_KEY, version: head?.version ?? 0 }],
+    puts: [
+      { key: HEAD_KEY, value: JSON.stringify({ version }) },
+      {
+        key: SECTION_PREFIX + request.section,
+        value: JSON.stringify(section),
+      },
+      { key: historyKey, value: JSON.stringify(history) },
+    ],
+  });
+  if (!res.ok) return res;
+  return ok(res.value.kind === "committed" ? version : undefined);
+}
+
+function findAcceptance(
+  rows: readonly Row[],
+  acceptId: string,
+): HistoryEntry | undefined {
+  for (const row of rows) {
+    if (!row.key.startsWith(HISTORY_PREFIX)) continue;
+    const entry = JSON.parse(row.value) as HistoryEntry;
+    if (entry.acceptId === acceptId) return entry;
+  }
+  return undefined;
+}
+
+function assembleDocument(rows: readonly Row[]): StoredDocument {
+  const texts: Record<SectionName, string> = { ...EMPTY_SECTIONS };
+  const sectionVersions: Record<SectionName, number> = {
+    models: 0,
+    organisations: 0,
+    limits: 0,
+    instances: 0,
+    routes: 0,
+  };
+  let version = 0;
+  for (const row of rows) {
+    if (row.key === HEAD_KEY) version = parseHead(row).version;
+    if (!row.key.startsWith(SECTION_PREFIX)) continue;
+    const name = row.key.slice(SECTION_PREFIX.length) as SectionName;
+    if (!SECTION_NAMES.includes(name)) continue;
+    const section = JSON.parse(row.value) as StoredSection;
+    texts[name] = section.text;
+    sectionVersions[name] = section.version;
+  }
+  return { version, texts, sectionVersions };
+}
+
+function parseHead(row: Row): Head {
+  return JSON.parse(row.value) as Head;
+}
--- /dev/null
+++ b/packages/config/src/mod.ts
@@ -0,0 +1,35 @@
+/**
+ * The operators' configuration document: schema, checks, differences and
+ * acceptance.
+ *
+ * @module
+ */
+export type {
+  Document,
+  InstanceEntry,
+  KeyEntry,
+  LimitEntry,
+  ModelEntry,
+  OrganisationEntry,
+  RouteEntry,
+  SectionName,
+} from "./schema.ts";
+export { SECTION_NAMES } from "./schema.ts";
+export type { ConfigFault, ParsedDocument, SectionTexts } from "./parse.ts";
+export { describeFault, EMPTY_SECTIONS, parseDocument } from "./parse.ts";
+export { addKey, removeKey, withoutKeys } from "./key_text.ts";
+export { diffLines } from "./diff.ts";
+export type { DiffLine } from "./diff.ts";
+export {
+  acceptSection,
+  readDocument,
+  readHead,
+  readHistory,
+} from "./accept.ts";
+export type {
+  AcceptError,
+  AcceptOutcome,
+  AcceptRequest,
+  HistoryEntry,
+  StoredDocument,
+} from "./accept.ts";
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,17 @@
+#!/usr/bin/env node
+import { Builtins, Cli } from "clipanion";
+import { AgentCommand } from "./agent_command.ts";
+import { EntryCommand } from "./entry_command.ts";
+
+const cli = new Cli({
+  binaryLabel: "banyanspoold",
+  binaryName: "banyanspoold",
+  binaryVersion: "0.1.0",
+});
+cli.register(EntryCommand);
+cli.register(AgentCommand);
+cli.register(Builtins.HelpCommand);
+cli.register(Builtins.VersionCommand);
+await cli.runExit(process.argv.slice(2));
+// Timers that only forget old records must not delay the end.
+process.exit();
--- /dev/null
+++ b/packages/daemon/src/run_until_stopped.ts
@@ -0,0 +1,46 @@
+import type { BaseContext } from "clipanion";
+import { enableLogs } from "@banyanspool/logger";
+import { SettingsError } from "@banyanspool/settings";
+
+/** A daemon that can be started and stopped. */
+export interface Startable {
+  /** Starts listeners and tasks. */
+  start(): Promise<void>;
+  /** Stops without cutting off a request. */
+  stop(): Promise<void>;
+}
+
+/** Options of {@link runUntilStopped}. */
+export interface RunOptions<C> {
+  /** Reads the settings; may throw a {@link SettingsError}. */
+  readonly read: () => C;
+  /** Builds the daemon. */
+  readonly build: (cfg: C) => Promise<Startable>;
+  /** Streams of the command. */
+  readonly context: BaseContext;
+}
+
+/** Runs a daemon until SIGTERM or SIGINT. Returns the exit code. */
+export async function runUntilStopped<
+  C extends { log: string; instance: string },
+>({ read, build, context }: RunOptions<C>): Promise<number> {
+  let cfg: C;
+  try {
+    cfg = read();
+  } catch (error) {
+    if (!(error instanceof SettingsError)) throw error;
+    context.stderr.write(`${error.message}\n`);
+    return 2;
+  }
+  enableLogs(process.env.DEBUG ?? cfg.log);
+  const daemon = await build(cfg);
+  const stopped = new Promise<void>((resolve) => {
+    process.once("SIGTERM", () => resolve());
+    process.once("SIGINT", () => resolve());
+  });
+  await daemon.start();
+  context.stdout.write(`ready ${cfg.instance}\n`);
+  await stopped;
+  await daemon.stop();
+  return 0;
+}
--- /dev/null
+++ b/packages/demo/src/main.ts
@@ -0,0 +1,7 @@
+import { runDemo } from "./demo.ts";
+
+const stay = process.argv.includes("--stay");
+process.exitCode = await runDemo({
+  stay,
+  write: (line) => process.stdout.write(`${line}\n`),
+});
--- /dev/null
+++ b/packages/demo/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * One command that runs the whole path on stand-ins.
+ *
+ * @module
+ */
+export { createDemoTrace, runDemo } from "./demo.ts";
+export type { DemoOptions, TraceCall } from "./demo.ts";
--- /dev/null
+++ b/packages/entry/src/authenticate.ts
@@ -0,0 +1,46 @@
+import type { IncomingMessage } from "node:http";
+import { err, ok, type Refusal, refuse, type Result } from "@banyanspool/types";
+import { hashKey, type KeyOwner } from "@banyanspool/keys";
+import type { EntryContext } from "./context.ts";
+
+const RETRY_AFTER_MS = 2000;
+const KEY_PATTERN = /bsk-[A-Za-z0-9_-]{43}/;
+
+/** A caller whose key was checked. */
+export interface Caller extends KeyOwner {
+  /** Hash of the key. */
+  readonly sha256: string;
+}
+
+/** Checks the caller's key against the configuration in force. */
+export function authenticate(
+  ctx: EntryContext,
+  req: IncomingMessage,
+): Result<Caller, Refusal> {
+  const { freshness } = ctx.member;
+  if (freshness === "cutOff" || freshness === "empty") {
+    const message = "This entry can't confirm its configuration";
+    const retryAfterMs = RETRY_AFTER_MS;
+    return err(refuse("configuration_stale", message, { retryAfterMs }));
+  }
+  const header = req.headers.authorization;
+  if (header === undefined) {
+    return err(
+      refuse("key_missing", "The request has no Authorization header"),
+    );
+  }
+  const key = /^Bearer (\S+)$/i.exec(header)?.[1];
+  if (key === undefined) {
+    const message = 'The Authorization header must be "Bearer" and a key';
+    return err(refuse("key_invalid", message));
+  }
+  const sha256 = hashKey(key);
+  const owner = ctx.keys.find(sha256);
+  if (!owner) return err(refuse("key_invalid", "The key is not granted"));
+  return ok({ ...owner, sha256 });
+}
+
+/** Whether a text that a backend server would see contains a key. */
+export function containsKey(text: string): boolean {
+  return KEY_PATTERN.test(text);
+}
--- /dev/null
+++ b/packages/entry/src/key_watch.ts
@@ -0,0 +1,51 @@
+import { type Refusal, refuse } from "@banyanspool/types";
+import { KeyIndex, type KeyOwner } from "@banyanspool/keys";
+import type { Document } from "@banyanspool/config";
+
+/** A running request that a withdrawn key ends. */
+export interface KeyedRequest {
+  /** Hash of the key that came with the request. */
+  readonly sha256: string;
+  /** Gives the request up. */
+  readonly giveUp: (refusal: Refusal) => void;
+}
+
+/** Knows the granted keys and the requests that run on each. */
+export class KeyWatch {
+  #index: KeyIndex = KeyIndex.create({ organisations: {} });
+  readonly #running: Set<KeyedRequest> = new Set();
+
+  private constructor() {}
+
+  /** Creates a watch that knows no key. */
+  static create(): KeyWatch {
+    return new KeyWatch();
+  }
+
+  /** Owner of a granted key, by its hash. */
+  find(sha256: string): KeyOwner | undefined {
+    return this.#index.find(sha256);
+  }
+
+  /** Registers a request. Returns the function that ends the registration. */
+  watch(request: KeyedRequest): () => void {
+    this.#running.add(request);
+    return () => this.#running.delete(request);
+  }
+
+  /** Takes in a new document and ends requests of withdrawn keys. */
+  update(document: Document): void {
+    this.#index = KeyIndex.create({ organisations: document.organisations });
+    for (const request of [...this.#running]) {
+      if (this.#index.find(request.sha256)) continue;
+      request.giveUp(refuse("key_withdrawn", "The key was withdrawn", {
+        ran: "unknown",
+      }));
+    }
+  }
+
+  /** Ends all keyed requests, because keys can't be checked any more. */
+  endAll(refusal: Refusal): void {
+    for (const request of [...this.#running]) request.giveUp(refusal);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/placement_models.ts
@@ -0,0 +1,22 @@
+import type { ModelDemand } from "@banyanspool/types";
+import type { Document } from "@banyanspool/config";
+import type { PlacementModel } from "@banyanspool/placement";
+
+const KIB_PER_MIB = 1024;
+
+/** Lists the document's models with the demand for each. */
+export function listPlacementModels(
+  document: Document,
+  demand: ReadonlyMap<string, ModelDemand>,
+): PlacementModel[] {
+  return Object.entries(document.models).map(([name, entry]) => ({
+    name,
+    weightsMib: entry.weights_mib,
+    contextKvMib: Math.ceil(
+      entry.kv_kib_per_token * entry.context_tokens / KIB_PER_MIB,
+    ),
+    minReplicas: entry.min_replicas,
+    fastTokensPerS: demand.get(name)?.fastTokensPerS ?? 0,
+    slowTokensPerS: demand.get(name)?.slowTokensPerS ?? 0,
+  }));
+}
--- /dev/null
+++ b/packages/fleet/src/metrics_server.ts
@@ -0,0 +1,49 @@
+import { createServer } from "node:http";
+import type { Metrics } from "@banyanspool/metrics";
+
+/** Options of {@link startMetricsServer}. */
+export interface MetricsServerOptions {
+  /** IP number to listen on. */
+  readonly host: string;
+  /** Port to listen on; 0 picks one. */
+  readonly port: number;
+  /** Metrics to serve. */
+  readonly metrics: Metrics;
+  /** Brings gauges up to date before they are read. */
+  readonly refresh: () => void;
+}
+
+/** A running metrics port. */
+export interface MetricsServer {
+  /** Port that it listens on. */
+  readonly port: number;
+  /** Stops it. */
+  readonly close: () => void;
+}
+
+/** Serves metrics at `/metrics`. */
+export async function startMetricsServer(
+  { host, port, metrics, refresh }: MetricsServerOptions,
+): Promise<MetricsServer> {
+  const server = createServer(async (req, res) => {
+    if (req.url !== "/metrics") {
+      res.writeHead(404).end();
+      return;
+    }
+    refresh();
+    res.writeHead(200, { "content-type": metrics.registry.contentType });
+    res.end(await metrics.format());
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, resolve);
+  });
+  const address = server.address();
+  return {
+    port: typeof address === "object" && address ? address.port : 0,
+    close: () => {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/fleet/src/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Keeps one daemon in step with the fleet: configuration, live list,
+ * collectors and reports.
+ *
+ * @module
+ */
+export { ConfigHolder } from "./config_holder.ts";
+export type { ConfigHolderOptions, ConfigInForce } from "./config_holder.ts";
+export { FleetMember } from "./fleet_member.ts";
+export type { FleetMemberOptions, LocalState } from "./fleet_member.ts";
+export { addPeerService } from "./peer_service.ts";
+export type { PeerServiceOptions } from "./peer_service.ts";
+export { startMetricsServer } from "./metrics_server.ts";
+export type { MetricsServer, MetricsServerOptions } from "./metrics_server.ts";
--- /dev/null
+++ b/packages/fleet/src/peer_service.ts
@@ -0,0 +1,129 @@
+import { create } from "@bufbuild/protobuf";
+import type { ConnectRouter } from "@connectrpc/connect";
+import {
+  fromWireDaemon,
+  fromWireDemand,
+  fromWireReport,
+  goneReport,
+  type LedgerStatus,
+  PeerService,
+  type ShareStatus,
+  type StatusResponse,
+  StatusResponseSchema,
+  type SyncRequest,
+  type SyncResponse,
+  SyncResponseSchema,
+  toWireDaemon,
+  toWireReport,
+} from "@banyanspool/wire";
+import { withoutKeys } from "@banyanspool/config";
+import type { FleetMember } from "./fleet_member.ts";
+
+/** Options of {@link addPeerService}. */
+export interface PeerServiceOptions {
+  /** This daemon's part in the fleet. */
+  readonly member: FleetMember;
+  /** Lends tokens; an agent lends none. */
+  readonly lend: (
+    organisation: string,
+    request: { loanId: string; tokens: number; forMs: number },
+  ) => number;
+  /** Closes a loan. */
+  readonly closeLoan: (
+    organisation: string,
+    loanId: string,
+    unused: number,
+  ) => void;
+  /** Shares and ledgers for operators. */
+  readonly status: () => {
+    shares: ShareStatus[];
+    ledgers: LedgerStatus[];
+    reports: StatusResponse["replicas"];
+    runningRequests: number;
+    duties: string[];
+  };
+}
+
+/** Adds the service that all daemons offer each other. */
+export function addPeerService(
+  router: ConnectRouter,
+  options: PeerServiceOptions,
+): void {
+  const { member } = options;
+  router.service(PeerService, {
+    sync: (req) => answerSync(member, req),
+    borrow: ({ organisation, loanId, tokens, forMs }) => ({
+      granted: options.lend(organisation, { loanId, tokens, forMs }),
+    }),
+    settle: ({ organisation, loanId, unused }) => {
+      options.closeLoan(organisation, loanId, unused);
+      return {};
+    },
+    status: () => createStatus(options),
+  });
+}
+
+function answerSync(member: FleetMember, req: SyncRequest): SyncResponse {
+  const { collector, config } = member;
+  if (req.sender && !req.directOnly) {
+    collector.recordDaemon(fromWireDaemon(req.sender), {
+      configVersion: Number(req.configVersion),
+      demand: req.demand.map(fromWireDemand),
+    });
+  }
+  for (const report of req.reports) {
+    collector.recordReport(fromWireReport(report), true);
+  }
+  const isKnown = Number(req.cursorIncarnation) === collector.incarnation;
+  const cursor = isKnown ? Number(req.cursor) : 0;
+  const changes = req.wantsReports
+    ? collector.changesSince(cursor, req.directOnly)
+    : { reports: [], gone: [], cursor: 0 };
+  const reached = req.directOnly
+    ? collector.daemons().length
+    : member.reached();
+  return create(SyncResponseSchema, {
+    incarnation: BigInt(collector.incarnation),
+    configVersion: BigInt(config.version),
+    confirmedAgeMs: toWireAge(config.confirmedAgeMs),
+    configDocument: pickDocument(member, req),
+    reports: [
+      ...changes.reports.map(toWireReport),
+      ...changes.gone.map(goneReport),
+    ],
+    cursor: BigInt(changes.cursor),
+    daemonsReached: reached,
+    daemonsKnown: member.live.listed.length,
+  });
+}
+
+/** An agent holds no key hashes, so an entry reads the store instead. */
+function pickDocument(member: FleetMember, req: SyncRequest): string {
+  const { current } = member.config;
+  if (!current || current.version <= Number(req.configVersion)) return "";
+  if (req.sender?.role !== "entry") {
+    return JSON.stringify(withoutKeys(current.texts));
+  }
+  if (member.identity.role !== "entry") return "";
+  return JSON.stringify(current.texts);
+}
+
+function createStatus(options: PeerServiceOptions): StatusResponse {
+  const { member } = options;
+  const status = options.status();
+  return create(StatusResponseSchema, {
+    daemon: toWireDaemon(member.identity),
+    configVersion: BigInt(member.config.version),
+    confirmedAgeMs: toWireAge(member.config.confirmedAgeMs),
+    freshness: member.freshness,
+    replicas: status.reports,
+    shares: status.shares,
+    ledgers: status.ledgers,
+    runningRequests: status.runningRequests,
+    duties: status.duties,
+  });
+}
+
+function toWireAge(ageMs: number): bigint {
+  return Number.isFinite(ageMs) ? BigInt(Math.ceil(ageMs)) : -1n;
+}
--- /dev/null
+++ b/packages/ledger/src/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * Accelerator memory that is or may be in use.
+ *
+ * @module
+ */
+export { MemoryLedger } from "./memory_ledger.ts";
+export type {
+  Inventory,
+  InventoryItem,
+  InventorySequence,
+  LedgerState,
+  MemoryLedgerOptions,
+} from "./memory_ledger.ts";
+export { PinBoard } from "./pin_board.ts";
+export type { PinAnswer, PinBoardOptions } from "./pin_board.ts";
--- /dev/null
+++ b/packages/limits/src/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * Rate and burst of an organisation, shared strictly between entries.
+ *
+ * @module
+ */
+export { TokenShare } from "./token_share.ts";
+export type { Loan, Reservation, TokenShareOptions } from "./token_share.ts";
+export { ShareKeeper, WHOLE_PARTS } from "./share_keeper.ts";
+export type { ShareKeeperOptions } from "./share_keeper.ts";
+export { Limits } from "./limits.ts";
+export type {
+  Admission,
+  BorrowCall,
+  LimitsOptions,
+  RateRefusal,
+  SettleCall,
+} from "./limits.ts";
--- /dev/null
+++ b/packages/membership/src/freshness.ts
@@ -0,0 +1,35 @@
+/** What a daemon knows about the age of its configuration. */
+export interface FreshnessFacts {
+  /** Ms since the version was last confirmed by the store, at any daemon heard. */
+  readonly confirmedAgeMs: number;
+  /** Daemons known from the list, this one included. */
+  readonly known: number;
+  /** Daemons in contact in the last seconds, this one included. */
+  readonly reached: number;
+  /** Whether a configuration has been read at all. */
+  readonly hasDocument: boolean;
+}
+
+/** Options of {@link decideFreshness}. */
+export interface FreshnessOptions {
+  /** Age up to which a confirmation counts as fresh, in ms. */
+  readonly freshForMs: number;
+}
+
+/**
+ * Whether keyed requests may be admitted: `fresh`; `storeDown`, when most of
+ * the fleet is in contact and none of it reaches the store, so that nothing
+ * can be accepted; `cutOff` otherwise; `empty` before the first document.
+ */
+export type Freshness = "fresh" | "storeDown" | "cutOff" | "empty";
+
+/** Decides by the table in docs/decisions/configuration.md. */
+export function decideFreshness(
+  facts: FreshnessFacts,
+  { freshForMs }: FreshnessOptions,
+): Freshness {
+  if (!facts.hasDocument) return "empty";
+  if (facts.confirmedAgeMs <= freshForMs) return "fresh";
+  if (facts.reached * 2 > facts.known) return "storeDown";
+  return "cutOff";
+}
--- /dev/null
+++ b/packages/membership/src/mod.ts
@@ -0,0 +1,21 @@
+/**
+ * Live daemons, collectors, heartbeats and freshness.
+ *
+ * @module
+ */
+export { createCollectorRanking } from "./rendezvous.ts";
+export type { CollectorRanking } from "./rendezvous.ts";
+export { Collector } from "./collector.ts";
+export type {
+  CollectorOptions,
+  ReportChanges,
+  SyncedDaemon,
+} from "./collector.ts";
+export { decideFreshness } from "./freshness.ts";
+export type {
+  Freshness,
+  FreshnessFacts,
+  FreshnessOptions,
+} from "./freshness.ts";
+export { LiveList } from "./live_list.ts";
+export type { LiveListOptions } from "./live_list.ts";
--- /dev/null
+++ b/packages/platform/src/lease.ts
@@ -0,0 +1,100 @@
+import type { Clock } from "@banyanspool/types";
+import type { TableStore } from "./platform.ts";
+
+/** Options of {@link Lease.create}. */
+export interface LeaseOptions {
+  /** Table that holds the lease's row. */
+  readonly table: TableStore;
+  /** Row key. */
+  readonly key: string;
+  /** Who wants the lease: instance and incarnation. */
+  readonly holder: string;
+  /** Time that a renewal lasts, in ms. */
+  readonly durationMs: number;
+  /** Time source. */
+  readonly clock: Clock;
+}
+
+interface LeaseRow {
+  readonly holder: string;
+  readonly fencingToken: number;
+  readonly renewal: number;
+}
+
+/**
+ * A lease in a table row. No clocks are compared between processes: a holder
+ * counts from before it asked for the renewal, and a rival takes over only
+ * after it has itself seen the row unchanged for twice the duration.
+ */
+export class Lease {
+  readonly #options: LeaseOptions;
+  #heldSince: number | undefined;
+  #fencingToken = 0;
+  #seenVersion = -1;
+  #seenAt = 0;
+
+  private constructor(options: LeaseOptions) {
+    this.#options = options;
+  }
+
+  /** Creates a lease that is not yet held. */
+  static create(options: LeaseOptions): Lease {
+    return new Lease(options);
+  }
+
+  /** Whether the lease is held now, by this process's own clock. */
+  get held(): boolean {
+    if (this.#heldSince === undefined) return false;
+    const age = this.#options.clock.now() - this.#heldSince;
+    return age < this.#options.durationMs;
+  }
+
+  /** Rises with each change of holder; zero before the first hold. */
+  get fencingToken(): number {
+    return this.#fencingToken;
+  }
+
+  /** Renews or takes the lease. Returns whether it is held. */
+  async renew(): Promise<boolean> {
+    const { table, key, holder, clock, durationMs } = this.#options;
+    const askedAt = clock.now();
+    const read = await table.get(key);
+    if (!read.ok) return this.held;
+    const row = read.value;
+    const current = row && JSON.parse(row.value) as LeaseRow;
+    if (row && current?.holder !== holder) {
+      this.#heldSince = undefined;
+      if (!this.#isAbandoned(row.version, durationMs * 2)) return false;
+    }
+    const fencingToken = current?.holder === holder
+      ? current.fencingToken
+      : (current?.fencingToken ?? 0) + 1;
+    const next: LeaseRow = {
+      holder,
+      fencingToken,
+      renewal: (current?.renewal ?? 0) + 1,
+    };
+    const result = await table.commit({
+      checks: [{ key, version: row?.version ?? 0 }],
+      puts: [{ key, value: JSON.stringify(next) }],
+    });
+    if (!result.ok) return this.held;
+    if (result.value.kind === "conflict") {
+      this.#heldSince = undefined;
+      return false;
+    }
+    this.#heldSince = askedAt;
+    this.#fencingToken = fencingToken;
+    return this.held;
+  }
+
+  #isAbandoned(version: number, afterMs: number): boolean {
+    const now = this.#options.clock.now();
+    if (version !== this.#seenVersion) {
+      this.#seenVersion = version;
+      this.#seenAt = now;
+      return false;
+    }
+    return now - this.#seenAt >= afterMs;
+  }
+}
--- /dev/null
+++ b/packages/platform/src/platform.ts
@@ -0,0 +1,77 @@
+import type { LiveInstance, Result } from "@banyanspool/types";
+import type { StoreError } from "./errors.ts";
+
+/** A row of the table service. */
+export interface Row {
+  /** Row key. */
+  readonly key: string;
+  /** Rises with each write of the row. */
+  readonly version: number;
+  /** JSON text. */
+  readonly value: string;
+}
+
+/** Condition of a transaction: the row still has this version, 0 for none. */
+export interface RowCheck {
+  /** Row key. */
+  readonly key: string;
+  /** Expected version. */
+  readonly version: number;
+}
+
+/** A write of a transaction; null deletes the row. */
+export interface RowPut {
+  /** Row key. */
+  readonly key: string;
+  /** JSON text, or null to delete. */
+  readonly value: string | null;
+}
+
+/** A transaction: all checks hold and all puts happen, or nothing does. */
+export interface CommitRequest {
+  /** Conditions. */
+  readonly checks: readonly RowCheck[];
+  /** Writes. */
+  readonly puts: readonly RowPut[];
+}
+
+/** Outcome of a transaction. */
+export type CommitResult =
+  | { readonly kind: "committed" }
+  | { readonly kind: "conflict"; readonly key: string };
+
+/** The platform's transactional table service. */
+export interface TableStore {
+  /** Reads one row. */
+  get(key: string): Promise<Result<Row | undefined, StoreError>>;
+  /** Reads all rows whose key starts with the prefix, in key order. */
+  scan(prefix: string): Promise<Result<readonly Row[], StoreError>>;
+  /** Commits a transaction. */
+  commit(request: CommitRequest): Promise<Result<CommitResult, StoreError>>;
+}
+
+/** The platform's object store. */
+export interface ObjectStore {
+  /** Writes an object. */
+  put(name: string, body: string): Promise<Result<void, StoreError>>;
+  /** Reads an object. */
+  get(name: string): Promise<Result<string | undefined, StoreError>>;
+  /** Lists object names with the prefix, in order. */
+  list(prefix: string): Promise<Result<readonly string[], StoreError>>;
+}
+
+/** The platform's lagging list of instances. */
+export interface InstanceList {
+  /** Reads the list. */
+  list(): Promise<Result<readonly LiveInstance[], StoreError>>;
+}
+
+/** What the platform gives to a daemon. */
+export interface Platform {
+  /** Table service. */
+  readonly table: TableStore;
+  /** Object store. */
+  readonly objects: ObjectStore;
+  /** Instance list. */
+  readonly instances: InstanceList;
+}
--- /dev/null
+++ b/packages/queue/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Fair queue of one replica, by organisation and deadline.
+ *
+ * @module
+ */
+export { FairQueue } from "./fair_queue.ts";
+export type { FairQueueOptions, QueueItem, QueuePolicy } from "./fair_queue.ts";
--- /dev/null
+++ b/packages/retry/src/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Backoff, retry budgets and attempt records.
+ *
+ * @module
+ */
+export { computeBackoffMs, RetryBudget } from "./budget.ts";
+export type { BackoffOptions, RetryBudgetOptions } from "./budget.ts";
+export { AttemptLog } from "./attempt_log.ts";
+export type { AttemptLogOptions, AttemptState, Claim } from "./attempt_log.ts";
--- /dev/null
+++ b/packages/routing/src/router.ts
@@ -0,0 +1,240 @@
+import type { Clock, Random, ReplicaReport } from "@banyanspool/types";
+import { predictFirstTokenMs, type Prediction } from "./predict.ts";
+import { PrefixHistory } from "./prefix_history.ts";
+
+const ADAPTER_LOAD_MS = 10;
+const DEFAULT_SLOT_TIME_MS = 2000;
+const SLOT_TIME_SMOOTHING = 0.05;
+const MAX_PREFIX_BLOCKS = 100_000;
+const EPSILON_MS = 5;
+
+/** Options of {@link Router.create}. */
+export interface RouterOptions {
+  /** Time source. */
+  readonly clock: Clock;
+  /** Source of the sampling. */
+  readonly random: Random;
+  /** Round trip to a data centre, in ms. */
+  readonly rttMs: (dataCentre: string) => number;
+  /** Delay between a replica's state and its report's arrival, in ms. */
+  readonly reportLagMs: number;
+  /** Candidates compared for one request. */
+  readonly sampleSize: number;
+}
+
+/** What the router needs to know of a request. */
+export interface RouteRequest {
+  /** Base model. */
+  readonly model: string;
+  /** Adapter, or empty. */
+  readonly adapter: string;
+  /** Prompt length. */
+  readonly promptTokens: number;
+  /** Hashes of the leading blocks. */
+  readonly prefixes: readonly string[];
+  /** Prompt tokens of one block. */
+  readonly blockTokens: number;
+  /** Replicas that must not be chosen again. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** One request sent to a replica. */
+export interface Dispatch {
+  /** Chosen replica. */
+  readonly report: ReplicaReport;
+  /** What was predicted. */
+  readonly prediction: Prediction;
+  /** Marks that the replica has begun to answer. */
+  readonly started: () => void;
+  /** Marks the end, with the time that a slot was used, in ms. */
+  readonly finished: (slotTimeMs?: number) => void;
+}
+
+interface Known {
+  report: ReplicaReport;
+  receivedAt: number;
+  readonly sent: Set<{ readonly at: number; readonly tokens: number }>;
+}
+
+/**
+ * Chooses replicas. Reports lag, so that what this process has itself sent
+ * since counts on top, and only a few sampled candidates are compared, so
+ * that many entries don't all rush to the one that looked idle. Source of the
+ * sampling: Mitzenmacher, "The Power of Two Choices in Randomized Load
+ * Balancing".
+ */
+export class Router {
+  readonly #options: RouterOptions;
+  readonly #replicas: Map<string, Known> = new Map();
+  readonly #prefixes: PrefixHistory = PrefixHistory.create({
+    maxBlocks: MAX_PREFIX_BLOCKS,
+  });
+  #slotTimeMs = DEFAULT_SLOT_TIME_MS;
+
+  private constructor(options: RouterOptions) {
+    this.#options = options;
+  }
+
+  /** Creates a router that knows no replica. */
+  static create(options: RouterOptions): Router {
+    return new Router(options);
+  }
+
+  /** Takes in a newer report. */
+  update(report: ReplicaReport): void {
+    const receivedAt = this.#options.clock.now();
+    const known = this.#replicas.get(report.replica);
+    if (known) {
+      known.report = report;
+      known.receivedAt = receivedAt;
+      return;
+    }
+    const sent = new Set<{ at: number; tokens: number }>();
+    this.#replicas.set(report.replica, { report, receivedAt, sent });
+  }
+
+  /** Takes in the queue length that came with an answer. */
+  updateQueue(replica: string, queuedTokens: number): void {
+    const known = this.#replicas.get(replica);
+    if (!known) return;
+    known.report = { ...known.report, queuedTokens };
+  }
+
+  /** Forgets a replica. */
+  remove(replica: string): void {
+    this.#replicas.delete(replica);
+  }
+
+  /** Reports of all known replicas. */
+  reports(): readonly ReplicaReport[] {
+    return [...this.#replicas.values()].map(({ report }) => report);
+  }
+
+  /** Replicas that can run a model now. */
+  ready(model: string): readonly ReplicaReport[] {
+    return this.reports().filter((report) =>
+      !report.leaving && report.readyModels.includes(model)
+    );
+  }
+
+  /** Chooses a replica and counts the request as sent; undefined if none. */
+  dispatch(request: RouteRequest): Dispatch | undefined {
+    const candidates = this.ready(request.model)
+      .filter((report) => !request.excluded.has(report.replica));
+    const sample = this.#sample(candidates, request);
+    const best = this.#pickBest(sample, request);
+    if (best === undefined) return undefined;
+    return this.#record(best.report, best.prediction, request);
+  }
+
+  #sample(
+    candidates: readonly ReplicaReport[],
+    request: RouteRequest,
+  ): readonly ReplicaReport[] {
+    const { sampleSize, random } = this.#options;
+    if (candidates.length <= sampleSize) return candidates;
+    const rest = [...candidates];
+    const sample: ReplicaReport[] = [];
+    const cached = this.#findCached(candidates, request);
+    if (cached) sample.push(cached);
+    while (sample.length < sampleSize) {
+      const [picked] = rest.splice(Math.floor(random() * rest.length), 1);
+      if (picked && picked !== cached) sample.push(picked);
+    }
+    return sample;
+  }
+
+  /** The candidate with the longest cached prefix, if any has one. */
+  #findCached(
+    candidates: readonly ReplicaReport[],
+    request: RouteRequest,
+  ): ReplicaReport | undefined {
+    let best: ReplicaReport | undefined;
+    let most = 0;
+    for (const report of candidates) {
+      const blocks = this.#countBlocks(report, request);
+      if (blocks <= most) continue;
+      most = blocks;
+      best = report;
+    }
+    return best;
+  }
+
+  #pickBest(
+    sample: readonly ReplicaReport[],
+    request: RouteRequest,
+  ): { report: ReplicaReport; prediction: Prediction } | undefined {
+    let best: { report: ReplicaReport; prediction: Prediction } | undefined;
+    let equals = 0;
+    for (const report of sample) {
+      const prediction = this.#predict(report, request);
+      const gapMs = prediction.totalMs - (best?.prediction.totalMs ?? Infinity);
+      if (gapMs > EPSILON_MS) continue;
+      equals = gapMs < -EPSILON_MS ? 1 : equals + 1;
+      // Equal candidates are drawn evenly.
+      if (equals > 1 && this.#options.random() * equals >= 1) continue;
+      best = { report, prediction };
+    }
+    return best;
+  }
+
+  #predict(report: ReplicaReport, request: RouteRequest): Prediction {
+    const known = this.#replicas.get(report.replica)!;
+    const since = known.receivedAt - this.#options.reportLagMs;
+    let sentTokens = 0;
+    let sentRequests = 0;
+    for (const { at, tokens } of known.sent) {
+      if (at < since) continue;
+      sentTokens += tokens;
+      sentRequests += 1;
+    }
+    const needsAdapter = request.adapter !== "" &&
+      !report.readyAdapters.includes(request.adapter);
+    const blocks = this.#countBlocks(report, request);
+    return predictFirstTokenMs({
+      report,
+      rttMs: this.#options.rttMs(report.dataCentre),
+      sentTokens,
+      sentRequests,
+      promptTokens: request.promptTokens,
+      cachedTokens: blocks * request.blockTokens,
+      adapterLoadMs: needsAdapter ? ADAPTER_LOAD_MS : 0,
+      slotTimeMs: this.#slotTimeMs,
+    });
+  }
+
+  #countBlocks(report: ReplicaReport, request: RouteRequest): number {
+    const { model, prefixes } = request;
+    return this.#prefixes.countBlocks(model, prefixes, report.replica);
+  }
+
+  #record(
+    report: ReplicaReport,
+    prediction: Prediction,
+    request: RouteRequest,
+  ): Dispatch {
+    const known = this.#replicas.get(report.replica)!;
+    const sent = {
+      at: this.#options.clock.now(),
+      tokens: request.promptTokens,
+    };
+    known.sent.add(sent);
+    this.#prefixes.record(request.model, request.prefixes, report.replica);
+    return {
+      report,
+      prediction,
+      started: () => {
+        known.sent.delete(sent);
+      },
+      finished: (slotTimeMs) => {
+        known.sent.delete(sent);
+        if (slotTimeMs !== undefined) this.#learnSlotTime(slotTimeMs);
+      },
+    };
+  }
+
+  #learnSlotTime(slotTimeMs: number): void {
+    const difference = slotTimeMs - this.#slotTimeMs;
+    this.#slotTimeMs += SLOT_TIME_SMOOTHING * difference;
+  }
+}
--- /dev/null
+++ b/packages/settings/src/mod.ts
@@ -0,0 +1,122 @@
+/**
+ * The TOML settings of one process, checked at the start.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { parse, TomlError } from "smol-toml";
+import { z } from "zod";
+
+const address = z.string().regex(
+  /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
+  "must be an IP number and a port, such as 127.0.0.1:7000",
+);
+const url = z.url();
+
+const tlsSchema = z.strictObject({
+  certificate_file: z.string(),
+  key_file: z.string(),
+});
+
+const processSchema = z.strictObject({
+  instance: z.string().min(1),
+  data_centre: z.string().min(1),
+  internal_listen: address,
+  metrics_listen: address,
+  platform_url: url,
+  fleet_secret: z.string().min(16, "must have at least 16 characters"),
+  log: z.string().default("banyanspool:*"),
+});
+
+const entrySchema = processSchema.extend({
+  public_listen: address,
+  public_tls: tlsSchema.optional(),
+  max_body_bytes: z.number().int().positive().default(4 * 1024 * 1024),
+  max_connections: z.number().int().positive().default(10_000),
+  header_timeout_ms: z.number().int().positive().default(10_000),
+  body_timeout_ms: z.number().int().positive().default(30_000),
+  drain_ms: z.number().int().nonnegative().default(2000),
+});
+
+const engineSchema = z.strictObject({
+  replica: z.string().min(1),
+  url,
+  memory_mib: z.number().int().positive(),
+  checks_fencing: z.boolean().default(false),
+  slots: z.number().int().positive().default(16),
+});
+
+const agentSchema = processSchema.extend({
+  engines: z.array(engineSchema).default([]),
+  services: z.record(z.string(), url).default({}),
+  order_lifetime_ms: z.number().int().positive().default(5000),
+  drain_ms: z.number().int().nonnegative().default(2000),
+});
+
+const clientSchema = z.strictObject({
+  platform_url: url,
+  operator: z.string().min(1),
+  fleet_secret: z.string().min(16, "must have at least 16 characters"),
+});
+
+/** Settings of an entry. */
+export type EntrySettings = z.infer<typeof entrySchema>;
+/** Settings of an agent. */
+export type AgentSettings = z.infer<typeof agentSchema>;
+/** Settings of one engine beside an agent. */
+export type EngineSettings = z.infer<typeof engineSchema>;
+/** Settings of the operators' client. */
+export type ClientSettings = z.infer<typeof clientSchema>;
+
+/** Settings that can't be used, with all faults. */
+export class SettingsError extends Error {
+  /** One sentence for each fault. */
+  readonly faults: readonly string[];
+
+  /** Creates the error of one file. */
+  constructor(file: string, faults: readonly string[]) {
+    super(`Cannot use settings "${file}":\n  ${faults.join("\n  ")}`);
+    this.name = "SettingsError";
+    this.faults = faults;
+  }
+}
+
+/** Reads and checks the settings of an entry. */
+export function readEntrySettings(file: string): EntrySettings {
+  return readSettings(file, entrySchema);
+}
+
+/** Reads and checks the settings of an agent. */
+export function readAgentSettings(file: string): AgentSettings {
+  return readSettings(file, agentSchema);
+}
+
+/** Reads and checks the settings of the operators' client. */
+export function readClientSettings(file: string): ClientSettings {
+  return readSettings(file, clientSchema);
+}
+
+/** Splits an address into IP number and port. */
+export function splitAddress(text: string): { host: string; port: number } {
+  const [host = "", port = ""] = text.split(":");
+  return { host, port: Number(port) };
+}
+
+function readSettings<T>(file: string, schema: z.ZodType<T>): T {
+  let raw: unknown;
+  try {
+    raw = parse(readFileSync(file, "utf8"));
+  } catch (error) {
+    const detail = error instanceof TomlError
+      ? `line ${error.line}: ${error.message.split("\n")[0]}`
+      : String((error as Error).message);
+    throw new SettingsError(file, [detail]);
+  }
+  const result = schema.safeParse(raw);
+  if (result.success) return result.data;
+  const faults = result.error.issues.map((issue) => {
+    const key = issue.path.join(".") || "(top)";
+    return `${key}: ${issue.message}`;
+  });
+  throw new SettingsError(file, faults);
+}
--- /dev/null
+++ b/packages/standins/src/mod.ts
@@ -0,0 +1,20 @@
+/**
+ * Small model engine, plain service and platform for tests.
+ *
+ * @module
+ */
+export { EngineModel } from "./engine_model.ts";
+export type {
+  EngineModelOptions,
+  EngineSequence,
+  Schedule,
+} from "./engine_model.ts";
+export { startEngineServer } from "./engine_server.ts";
+export type { EngineServer, EngineServerOptions } from "./engine_server.ts";
+export { startPlatformServer } from "./platform_server.ts";
+export type { PlatformServer } from "./platform_server.ts";
+export { startServiceServer } from "./service_server.ts";
+export type { ServiceServer } from "./service_server.ts";
+export { startSwallowProxy } from "./swallow_proxy.ts";
+export type { SwallowProxy } from "./swallow_proxy.ts";
+export { pickPorts } from "./ports.ts";
--- /dev/null
+++ b/packages/testbed/src/deployment.ts
@@ -0,0 +1,437 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { stringify } from "smol-toml";
+import { request } from "undici";
+import type { LiveInstance } from "@banyanspool/types";
+import { acceptSection, type SectionName } from "@banyanspool/config";
+import { createKey } from "@banyanspool/keys";
+import { createHttpPlatform, type Platform } from "@banyanspool/platform";
+import { pickPorts } from "@banyanspool/standins";
+import { callChat } from "./calls.ts";
+import { ChildProcess } from "./child_process.ts";
+import { waitUntil } from "./wait_until.ts";
+
+const FLEET_SECRET = "demo-secret-of-the-fleet";
+const DRAIN_MS = 300;
+
+/** Sizes and contents of a deployment. */
+export interface DeploymentOptions {
+  /** Data centre of each entry. */
+  readonly entries: readonly string[];
+  /** Data centre of each agent, each with one engine and one service. */
+  readonly agents: readonly string[];
+  /** Models by name; defaults apply to absent fields. */
+  readonly models: Readonly<Record<string, Record<string, unknown>>>;
+  /** Rate and burst of each organisation, in tokens. */
+  readonly organisations: Readonly<
+    Record<string, { rate: number; burst: number; weight?: number }>
+  >;
+  /** Accelerator memory of each engine, in MiB. */
+  readonly memoryMib: number;
+  /** Time between two tokens, in ms. */
+  readonly decodeMs?: number;
+  /** Whether the engines check fencing tokens. */
+  readonly checksFencing?: boolean;
+  /** Port by which an entry reaches an agent, in place of the agent's own. */
+  readonly agentPort?: (port: number, index: number) => Promise<number>;
+  /** Port by which an agent reaches its engine, in place of its own. */
+  readonly enginePort?: (port: number, index: number) => Promise<number>;
+  /** Pattern of the daemons' logs; none by default. */
+  readonly logs?: string;
+}
+
+/** A running entry. */
+export interface EntryHandle {
+  /** Instance name. */
+  readonly instance: string;
+  /** Base URL for callers. */
+  readonly url: string;
+  /** Base URL of its metrics. */
+  readonly metricsUrl: string;
+  /** Its settings file. */
+  readonly settings: string;
+  /** Its process. */
+  child: ChildProcess;
+}
+
+/** A running agent with its engine and service. */
+export interface AgentHandle {
+  /** Instance name. */
+  readonly instance: string;
+  /** Internal port of the agent itself. */
+  readonly port: number;
+  /** Base URL of its metrics. */
+  readonly metricsUrl: string;
+  /** Its settings file. */
+  readonly settings: string;
+  /** Base URL of its engine. */
+  readonly engineUrl: string;
+  /** Base URL of its plain service. */
+  readonly serviceUrl: string;
+  /** Process of the engine. */
+  readonly engine: ChildProcess;
+  /** Its process. */
+  child: ChildProcess;
+}
+
+/** A platform, entries, agents, engines and services, each its own process. */
+export class Deployment {
+  /** Entries. */
+  readonly entries: EntryHandle[] = [];
+  /** Agents. */
+  readonly agents: AgentHandle[] = [];
+  /** A key of each organisation. */
+  readonly keys: Map<string, string> = new Map();
+  /** Client of the platform. */
+  readonly platform: Platform;
+  /** Settings file of the operators' client. */
+  readonly clientSettings: string;
+  /** Base URL of the platform. */
+  readonly platformUrl: string;
+  readonly #options: DeploymentOptions;
+  readonly #folder: string;
+  readonly #children: ChildProcess[] = [];
+  #listed: LiveInstance[] = [];
+
+  private constructor(
+    options: DeploymentOptions,
+    { folder, platformUrl }: { folder: string; platformUrl: string },
+  ) {
+    this.#options = options;
+    this.#folder = folder;
+    this.platformUrl = platformUrl;
+    this.platform = createHttpPlatform({ url: platformUrl });
+    this.clientSettings = this.#writeSettings("client", {
+      platform_url: platformUrl,
+      operator: "demo",
+      fleet_secret: FLEET_SECRET,
+    });
+  }
+
+  /** Starts all processes and waits until every model answers. */
+  static async start(options: DeploymentOptions): Promise<Deployment> {
+    const folder = mkdtempSync(join(tmpdir(), "banyanspool-"));
+    const [port] = await pickPorts(1);
+    const platformUrl = `http://127.0.0.1:${port}`;
+    const deployment = new Deployment(options, { folder, platformUrl });
+    try {
+      await deployment.#startStandIn("platform", { port });
+      await deployment.#startDaemons();
+      return deployment;
+    } catch (error) {
+      await deployment.close();
+      throw error;
+    }
+  }
+
+  /** Waits until every model and service can be reached from every entry. */
+  async waitUntilReachable(): Promise<void> {
+    const [organisation] = this.keys.keys();
+    const key = this.keys.get(organisation!)!;
+    for (const { url, instance } of this.entries) {
+      for (const model of Object.keys(this.#options.models)) {
+        await waitUntil(`${model} answers at ${instance}`, async () => {
+          const answer = await callChat({
+            url,
+            key,
+            model,
+            prompt: "ready?",
+            maxTokens: 1,
+            stream: false,
+          });
+          return answer.isWhole;
+        });
+      }
+      await waitUntil(`services answer at ${instance}`, async () => {
+        const res = await request(`${url}/notices`);
+        await res.body.text();
+        return res.statusCode === 200;
+      });
+    }
+  }
+
+  /** Rows of the platform's list. */
+  get listed(): readonly LiveInstance[] {
+    return this.#listed;
+  }
+
+  /** Replaces the platform's list. */
+  async list(instances: readonly LiveInstance[]): Promise<void> {
+    await post(`${this.platformUrl}/instances/set`, { instances });
+  }
+
+  /** Sets the platform's fault: `none`, `down` or `loseAnswers`. */
+  async setPlatformFault(fault: string, delayMs: number = 0): Promise<void> {
+    await post(`${this.platformUrl}/faults`, { fault, delayMs });
+  }
+
+  /** Accepts a section's text as its newest version. */
+  async accept(section: SectionName, text: string): Promise<number> {
+    const { table } = this.platform;
+    const row = await table.get(`config/section/${section}`);
+    const baseVersion = row.ok && row.value
+      ? (JSON.parse(row.value.value) as { version: number }).version
+      : 0;
+    const res = await acceptSection(table, {
+      section,
+      text,
+      baseVersion,
+      acceptId: `${section}-${Date.now()}-${Math.random()}`,
+      operator: "demo",
+      at: Date.now(),
+    });
+    if (!res.ok) throw new Error(JSON.stringify(res.error));
+    return res.value.version;
+  }
+
+  /** Waits until an entry knows a ready replica and a service. */
+  async waitUntilReady(entry: EntryHandle): Promise<void> {
+    await waitUntil(`${entry.instance} is ready`, async () => {
+      try {
+        const res = await request(`${entry.url}/readyz`);
+        await res.body.text();
+        return res.statusCode === 200;
+      } catch {
+        return false;
+      }
+    });
+  }
+
+  /** Starts an agent's process again after it has ended. */
+  async restartAgent(agent: AgentHandle): Promise<void> {
+    agent.child = await this.#startDaemon("agent", agent);
+  }
+
+  /** Starts an entry's process again after it has ended. */
+  async restartEntry(entry: EntryHandle): Promise<void> {
+    entry.child = await this.#startDaemon("entry", entry);
+  }
+
+  /** Ends all processes and removes their settings. */
+  async close(): Promise<void> {
+    for (const child of this.#children) child.signal("SIGCONT");
+    await Promise.all(this.#children.map((child) => child.kill()));
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  /** Stops the daemons gracefully, then ends the stand-ins. */
+  async stop(): Promise<void> {
+    await Promise.all(this.entries.map(({ child }) => child.stop()));
+    await Promise.all(this.agents.map(({ child }) => child.stop()));
+    await this.close();
+  }
+
+  async #startDaemons(): Promise<void> {
+    const { agents, entries } = this.#options;
+    await this.#acceptDocument();
+    await Promise.all(
+      agents.map((dataCentre, index) => this.#startAgent(index, dataCentre)),
+    );
+    await Promise.all(
+      entries.map((dataCentre, index) => this.#startEntry(index, dataCentre)),
+    );
+    this.agents.sort((a, b) => (a.instance < b.instance ? -1 : 1));
+    this.entries.sort((a, b) => (a.instance < b.instance ? -1 : 1));
+    await this.list(this.#listed);
+    await Promise.all(this.entries.map((entry) => this.waitUntilReady(entry)));
+    await this.waitUntilReachable();
+  }
+
+  async #acceptDocument(): Promise<void> {
+    const { models, organisations, agents, entries, memoryMib } = this.#options;
+    const instances: Record<string, unknown> = {};
+    for (const [index, dataCentre] of agents.entries()) {
+      instances[`agent-${index + 1}`] = {
+        role: "agent",
+        data_centre: dataCentre,
+        accelerator_memory_mib: [memoryMib],
+        services: ["orders"],
+      };
+    }
+    for (const [index, dataCentre] of entries.entries()) {
+      const instance = `entry-${index + 1}`;
+      instances[instance] = { role: "entry", data_centre: dataCentre };
+    }
+    const owners: Record<string, unknown> = {};
+    const limits: Record<string, unknown> = {};
+    for (
+      const [name, { rate, burst, weight }] of Object.entries(organisations)
+    ) {
+      const { key, sha256 } = createKey();
+      this.keys.set(name, key);
+      owners[name] = { weight: weight ?? 1, keys: [{ id: "first", sha256 }] };
+      limits[name] = { rate_tokens_per_s: rate, burst_tokens: burst };
+    }
+    // Each section must fit those accepted before it.
+    await this.#acceptAll(owners, limits);
+    await this.accept("instances", stringify(instances));
+    await this.accept("models", stringify(models));
+    await this.accept("routes", stringify(ROUTES));
+  }
+
+  /** Organisations and limits refer to each other, so limits come second. */
+  async #acceptAll(
+    owners: Record<string, unknown>,
+    limits: Record<string, unknown>,
+  ): Promise<void> {
+    await this.accept("organisations", stringify(owners));
+    await this.accept("limits", stringify(limits));
+  }
+
+  async #startAgent(index: number, dataCentre: string): Promise<void> {
+    const instance = `agent-${index + 1}`;
+    const { memoryMib, decodeMs, checksFencing } = this.#options;
+    const [internal, metrics, engine, service] = await pickPorts(4);
+    const engineChild = await this.#startStandIn("engine", {
+      port: engine,
+      memoryMib,
+      slots: 16,
+      prefillTokensPerS: 20_000,
+      decodeMs: decodeMs ?? 5,
+      modelLoadMs: 200,
+      reportLagMs: 300,
+      checksFencing: checksFencing ?? true,
+      seed: index + 1,
+    });
+    await this.#startStandIn("service", { port: service });
+    const enginePort = await this.#options.enginePort?.(engine!, index) ??
+      engine!;
+    const agentPort = await this.#options.agentPort?.(internal!, index) ??
+      internal!;
+    const settings = this.#writeSettings(instance, {
+      ...this.#createDaemonSettings(instance, dataCentre),
+      internal_listen: `127.0.0.1:${internal}`,
+      metrics_listen: `127.0.0.1:${metrics}`,
+      services: { orders: `http://127.0.0.1:${service}` },
+      engines: [{
+        replica: `replica-${index + 1}`,
+        url: `http://127.0.0.1:${enginePort}`,
+        memory_mib: memoryMib,
+        slots: 16,
+        checks_fencing: checksFencing ?? true,
+      }],
+    });
+    const address = `127.0.0.1:${agentPort}`;
+    this.#listed.push({
+      instance,
+      role: "agent",
+      dataCentre,
+      address,
+      leaving: false,
+    });
+    this.agents.push({
+      instance,
+      port: internal!,
+      settings,
+      metricsUrl: `http://127.0.0.1:${metrics}/metrics`,
+      engineUrl: `http://127.0.0.1:${engine}`,
+      serviceUrl: `http://127.0.0.1:${service}`,
+      engine: engineChild,
+      child: await this.#startDaemon("agent", { instance, settings }),
+    });
+  }
+
+  async #startEntry(index: number, dataCentre: string): Promise<void> {
+    const instance = `entry-${index + 1}`;
+    const [publicPort, internal, metrics] = await pickPorts(3);
+    const settings = this.#writeSettings(instance, {
+      ...this.#createDaemonSettings(instance, dataCentre),
+      public_listen: `127.0.0.1:${publicPort}`,
+      internal_listen: `127.0.0.1:${internal}`,
+      metrics_listen: `127.0.0.1:${metrics}`,
+    });
+    this.#listed.push({
+      instance,
+      role: "entry",
+      dataCentre,
+      address: `127.0.0.1:${internal}`,
+      leaving: false,
+    });
+    this.entries.push({
+      instance,
+      settings,
+      url: `http://127.0.0.1:${publicPort}`,
+      metricsUrl: `http://127.0.0.1:${metrics}/metrics`,
+      child: await this.#startDaemon("entry", { instance, settings }),
+    });
+  }
+
+  #createDaemonSettings(
+    instance: string,
+    dataCentre: string,
+  ): Record<string, unknown> {
+    return {
+      instance,
+      data_centre: dataCentre,
+      platform_url: this.platformUrl,
+      fleet_secret: FLEET_SECRET,
+      drain_ms: DRAIN_MS,
+      log: this.#options.logs ?? "",
+    };
+  }
+
+  async #startDaemon(
+    role: "entry" | "agent",
+    { instance, settings }: { instance: string; settings: string },
+  ): Promise<ChildProcess> {
+    const child = await ChildProcess.start({
+      name: instance,
+      file: resolveFile("../../daemon/dist/main.js"),
+      args: [role, "--settings", settings],
+    });
+    this.#children.push(child);
+    return child;
+  }
+
+  async #startStandIn(kind: string, options: unknown): Promise<ChildProcess> {
+    const child = await ChildProcess.start({
+      name: kind,
+      file: resolveFile("../../standins/dist/main.js"),
+      args: [kind, JSON.stringify(options)],
+    });
+    this.#children.push(child);
+    return child;
+  }
+
+  #writeSettings(name: string, settings: Record<string, unknown>): string {
+    const file = join(this.#folder, `${name}.toml`);
+    writeFileSync(file, stringify(settings));
+    return file;
+  }
+}
+
+const ROUTES = {
+  orders: {
+    path: "/orders",
+    methods: ["POST"],
+    service: "orders",
+    idempotent: false,
+  },
+  stock: {
+    path: "/stock",
+    methods: ["GET", "POST"],
+    service: "orders",
+    idempotent: true,
+  },
+  notices: {
+    path: "/notices",
+    methods: ["GET"],
+    service: "orders",
+    idempotent: true,
+    open: true,
+  },
+};
+
+function resolveFile(path: string): string {
+  return fileURLToPath(new URL(path, import.meta.url));
+}
+
+async function post(url: string, body: unknown): Promise<void> {
+  const res = await request(url, {
+    method: "POST",
+    body: JSON.stringify(body),
+  });
+  await res.body.text();
+}
--- /dev/null
+++ b/packages/testbed/src/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * A whole deployment as separate processes, for the demo and the system tests.
+ *
+ * @module
+ */
+export { Deployment } from "./deployment.ts";
+export type {
+  AgentHandle,
+  DeploymentOptions,
+  EntryHandle,
+} from "./deployment.ts";
+export { ChildProcess } from "./child_process.ts";
+export type { ChildOptions } from "./child_process.ts";
+export { callChat, readEvents } from "./calls.ts";
+export type { ChatAnswer, ChatCall } from "./calls.ts";
+export { waitUntil } from "./wait_until.ts";
--- /dev/null
+++ b/packages/types/src/mod.ts
@@ -0,0 +1,26 @@
+/**
+ * Shared types of requests, reports and decisions.
+ *
+ * @module
+ */
+export type { Clock, Milliseconds, Random, Sleep, Timestamp } from "./time.ts";
+export { createSystemClock, sleep } from "./time.ts";
+export type { AttemptKey, Ran, Refusal, RefusalCode } from "./refusal.ts";
+export {
+  formatAttemptKey,
+  HTTP_STATUS_BY_CODE,
+  parseAttemptKey,
+  refuse,
+  RetryableCodes,
+} from "./refusal.ts";
+export type {
+  DaemonIdentity,
+  DaemonRole,
+  LiveInstance,
+  ModelDemand,
+  ReplicaReport,
+  RequestClass,
+} from "./fleet.ts";
+export { REQUEST_CLASSES } from "./fleet.ts";
+export { err, ok } from "./result.ts";
+export type { Err, Ok, Result } from "./result.ts";
--- /dev/null
+++ b/packages/types/src/refusal.ts
@@ -0,0 +1,129 @@
+/** Whether a refused request has run: surely not, or nobody can tell. */
+export type Ran = "no" | "unknown";
+
+/** Reason codes of refusals, as callers and counters see them. */
+export type RefusalCode =
+  | "bad_request"
+  | "body_too_large"
+  | "cancelled"
+  | "configuration_stale"
+  | "deadline_passed"
+  | "draining"
+  | "duplicate_in_progress"
+  | "engine_failed"
+  | "incarnation_changed"
+  | "key_invalid"
+  | "key_missing"
+  | "key_withdrawn"
+  | "method_not_allowed"
+  | "model_forbidden"
+  | "model_loading"
+  | "model_not_found"
+  | "no_replica"
+  | "not_ready"
+  | "outcome_unknown"
+  | "overloaded"
+  | "prompt_too_long"
+  | "rate_exceeded"
+  | "retry_budget_spent"
+  | "route_not_found"
+  | "store_unavailable"
+  | "tombstoned";
+
+/** A final answer that a request gets instead of its result. */
+export interface Refusal {
+  /** Reason code. */
+  readonly code: RefusalCode;
+  /** One sentence that names the value at fault. */
+  readonly message: string;
+  /** Whether the request has run. */
+  readonly ran: Ran;
+  /** When to come back, in ms; absent where a retry can't help. */
+  readonly retryAfterMs?: number;
+}
+
+/** Options of {@link refuse}. */
+export interface RefuseOptions {
+  /** Whether the request has run; "no" by default. */
+  readonly ran?: Ran;
+  /** When to come back, in ms. */
+  readonly retryAfterMs?: number;
+}
+
+/** Builds a refusal. */
+export function refuse(
+  code: RefusalCode,
+  message: string,
+  { ran = "no", retryAfterMs }: RefuseOptions = {},
+): Refusal {
+  if (retryAfterMs === undefined) return { code, message, ran };
+  return { code, message, ran, retryAfterMs: Math.ceil(retryAfterMs) };
+}
+
+/** HTTP status that callers get with each reason code. */
+export const HTTP_STATUS_BY_CODE: Readonly<Record<RefusalCode, number>> = {
+  bad_request: 400,
+  body_too_large: 413,
+  cancelled: 499,
+  configuration_stale: 503,
+  deadline_passed: 503,
+  draining: 503,
+  duplicate_in_progress: 409,
+  engine_failed: 502,
+  incarnation_changed: 503,
+  key_invalid: 401,
+  key_missing: 401,
+  key_withdrawn: 401,
+  method_not_allowed: 405,
+  model_forbidden: 403,
+  model_loading: 503,
+  model_not_found: 404,
+  no_replica: 503,
+  not_ready: 503,
+  outcome_unknown: 502,
+  overloaded: 503,
+  prompt_too_long: 400,
+  rate_exceeded: 429,
+  retry_budget_spent: 503,
+  route_not_found: 404,
+  store_unavailable: 503,
+  tombstoned: 503,
+};
+
+/** Codes after which another replica may be tried at once. */
+export const RetryableCodes: ReadonlySet<RefusalCode> = new Set<RefusalCode>([
+  "draining",
+  "engine_failed",
+  "incarnation_changed",
+  "model_loading",
+  "no_replica",
+  "not_ready",
+  "tombstoned",
+]);
+
+/** Identity of one attempt of a request. */
+export interface AttemptKey {
+  /** Entry instance that sent the attempt. */
+  readonly entry: string;
+  /** Incarnation of that entry. */
+  readonly incarnation: number;
+  /** Rises by one with each attempt of the incarnation. */
+  readonly sequence: number;
+}
+
+/** Formats an attempt's identity as `entry/incarnation/sequence`. */
+export function formatAttemptKey(key: AttemptKey): string {
+  return `${key.entry}/${key.incarnation}/${key.sequence}`;
+}
+
+/** Reads what {@link formatAttemptKey} wrote; undefined where it can't be read. */
+export function parseAttemptKey(text: string): AttemptKey | undefined {
+  const match = /^(.+)\/(\d+)\/(\d+)$/.exec(text);
+  if (match === null) return undefined;
+  const [, entry = "", incarnation, sequence] = match;
+  return {
+    entry,
+    incarnation: Number(incarnation),
+    sequence: Number(sequence),
+  };
+}
--- /dev/null
+++ b/packages/wire/src/mod.ts
@@ -0,0 +1,69 @@
+/**
+ * Messages and services between daemons.
+ *
+ * @module
+ */
+export {
+  AdviseRequestSchema,
+  AgentService,
+  AskRequestSchema,
+  CancelRequestSchema,
+  HeartbeatSchema,
+  PinRequestSchema,
+  ResumeRequestSchema,
+  RunFrameSchema,
+  RunRequestSchema,
+  StartedSchema,
+} from "./gen/banyanspool/v1/agent_pb.ts";
+export type {
+  AdviseRequest,
+  AskRequest,
+  AttemptId,
+  CancelRequest,
+  Move,
+  PinRequest,
+  ResumeRequest,
+  RunFrame,
+  RunRequest,
+  Started,
+} from "./gen/banyanspool/v1/agent_pb.ts";
+export {
+  LedgerStatusSchema,
+  PeerService,
+  ShareStatusSchema,
+  StatusResponseSchema,
+  SyncRequestSchema,
+  SyncResponseSchema,
+} from "./gen/banyanspool/v1/peer_pb.ts";
+export type {
+  BorrowRequest,
+  LedgerStatus,
+  SettleRequest,
+  ShareStatus,
+  StatusResponse,
+  SyncRequest,
+  SyncResponse,
+} from "./gen/banyanspool/v1/peer_pb.ts";
+export {
+  fromWireAttempt,
+  fromWireDaemon,
+  fromWireDemand,
+  fromWireReport,
+  goneReport,
+  toWireAttempt,
+  toWireDaemon,
+  toWireDemand,
+  toWireReport,
+} from "./convert.ts";
+export {
+  createCredentialInterceptor,
+  createCredentialVerifier,
+} from "./credential.ts";
+export type { CredentialOptions } from "./credential.ts";
+export { PeerPool } from "./peer_pool.ts";
+export type { AgentClient, PeerClient, PeerPoolOptions } from "./peer_pool.ts";
+export { startInternalServer } from "./internal_server.ts";
+export type {
+  InternalServer,
+  InternalServerOptions,
+} from "./internal_server.ts";
