Test a share's giving write that arrives late

Ruled out: that the mechanism is not needed; with the entry's demand raised between the two writes the overspend is 331 tokens at a burst of 1000. Change: the test lets the giver refill before the taker takes, and an entry weighs its own demand as it is now instead of as its row had it, without which the giver would always have given again. Before: passes with the mechanism switched off. After: fails with it switched off (level -331), passes with it. Conclusion: the mechanism is now held by a test.

--- a/packages/limits/src/limits_test.ts
+++ b/packages/limits/src/limits_test.ts
@@ -263,6 +263,10 @@
   await fleet.admit(0, 400);
   await fleet.tick(0);
   await fleet.deliverLate();
+  fleet.settle(0);
+  fleet.settle(0);
+  fleet.advance(5000);
+  await fleet.tick(1);
   await fleet.admit(1, 400);
   await fleet.tick(1);
   await spendAll(fleet);
--- a/packages/limits/src/share_keeper.ts
+++ b/packages/limits/src/share_keeper.ts
@@ -261,20 +261,14 @@
   }
 
   #targetParts(organisation: string, rows: readonly Row[]): number {
-    let own = 0;
-    let sum = 0;
+    const asked = this.#demand.get(organisation);
+    const own = asked === undefined ? 0 : asked + DEMAND_FLOOR_TOKENS_PER_S;
+    let sum = own;
     for (const row of rows) {
       if (!row.key.startsWith(HOLDER_PREFIX)) continue;
-      const { demand } = parseHolder(row);
-      const asked = demand[organisation];
-      if (asked === undefined) continue;
-      const weight = asked + DEMAND_FLOOR_TOKENS_PER_S;
-      sum += weight;
-      if (row.key === HOLDER_PREFIX + this.#options.holder) own = weight;
-    }
-    if (own === 0 && this.#demand.has(organisation)) {
-      own = this.#demand.get(organisation)! + DEMAND_FLOOR_TOKENS_PER_S;
-      sum += own;
+      if (row.key === HOLDER_PREFIX + this.#options.holder) continue;
+      const theirs = parseHolder(row).demand[organisation];
+      if (theirs !== undefined) sum += theirs + DEMAND_FLOOR_TOKENS_PER_S;
     }
     return sum === 0 ? 0 : Math.floor(WHOLE_PARTS * own / sum);
   }
