--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -304,12 +304,12 @@
     onInventory: () => {
       for (const id of keeper.ledger.orphans()) void client.cancel(id);
     },
-    pin: async ({ source, model, holder, forMs }) => {
+    pin: async ({ source, model }) => {
       const [address = "", replica = ""] = source.split("/");
       try {
         const options = { timeoutMs: PIN_TIMEOUT_MS };
-        const request = { model, holder, forMs, replica };
-        return (await pool.agent(address).pin(request, options)).pinned;
+        const client = pool.agent(address);
+        return (await client.pin({ model, replica }, options)).pinned;
       } catch (error) {
         log(`Pin at "${address}" failed: ${(error as Error).message}`);
         return false;
--- a/packages/agent/src/agent_service.ts
+++ b/packages/agent/src/agent_service.ts
@@ -212,12 +212,11 @@
 
 function answerPin(
   { engines }: AgentServiceOptions,
-  { model, holder, forMs, replica }: PinRequest,
+  { model, replica }: PinRequest,
 ): { pinned: boolean; reason: string } {
   const keeper = engines.get(replica)?.keeper;
   if (!keeper) return { pinned: false, reason: "notReady" };
-  const ready = keeper.isReady(model);
-  const answer = keeper.pins.pin(model, { holder, forMs, ready });
+  const answer = keeper.pins.pin(model, keeper.isReady(model));
   return { pinned: answer === "pinned", reason: answer };
 }
 
--- a/packages/agent/src/engine_keeper.ts
+++ b/packages/agent/src/engine_keeper.ts
@@ -19,7 +19,6 @@
 } from "./engine_client.ts";
 
 const INVENTORY_INTERVAL_MS = 250;
-const PIN_MS = 60_000;
 const UNLOAD_PATIENCE_MS = 30_000;
 const LOAD_PATIENCE_MS = 60_000;
 const ORDER_AGAIN_MS = 2000;
@@ -32,8 +31,6 @@
 export type PinCall = (request: {
   source: string;
   model: string;
-  holder: string;
-  forMs: number;
 }) => Promise<boolean>;
 
 /** Options of {@link EngineKeeper.create}. */
@@ -86,12 +83,11 @@
   private constructor(options: EngineKeeperOptions) {
     const { clock, engine, orderLifetimeMs } = options;
     this.#options = options;
-    this.pins = PinBoard.create({ clock });
+    this.pins = PinBoard.create();
     this.ledger = MemoryLedger.create({
       clock,
       memoryMib: engine.memory_mib,
       orderLifetimeMs,
-      checksFencing: engine.checks_fencing,
     });
   }
 
@@ -347,11 +343,8 @@
     model: string,
     sources: readonly string[],
   ): Promise<boolean> {
-    const holder = this.replica;
     for (const source of sources) {
-      if (await this.#options.pin({ source, model, holder, forMs: PIN_MS })) {
-        return true;
-      }
+      if (await this.#options.pin({ source, model })) return true;
     }
     log(`Nobody else keeps model "${model}", so it stays`);
     return false;
--- a/packages/ledger/src/memory_ledger.ts
+++ b/packages/ledger/src/memory_ledger.ts
@@ -34,8 +34,6 @@
   readonly memoryMib: number;
   /** Time after which an order that was sent can't arrive any more, in ms. */
   readonly orderLifetimeMs: number;
-  /** Whether the engine refuses orders of earlier incarnations. */
-  readonly checksFencing: boolean;
 }
 
 /** What the ledger says of an item. */
@@ -72,22 +70,15 @@
   }
 
   /**
-   * Whether every order of an earlier incarnation has arrived or is void.
-   * Before that nothing may be loaded.
+   * Whether every order and request of an earlier incarnation has arrived or
+   * is void. Before that nothing may be loaded or run: fencing tokens would
+   * stop a late order, but not a late request, which needs KV memory too.
    */
   get settled(): boolean {
     if (this.#askedAt === undefined) return false;
-    if (this.#options.checksFencing) return true;
     return this.#askedAt > this.#startedAt + this.#options.orderLifetimeMs;
   }
 
-  /** Milliseconds until {@link settled} can become true. */
-  get settlesInMs(): number {
-    if (this.settled || this.#options.checksFencing) return 0;
-    const settlesAt = this.#startedAt + this.#options.orderLifetimeMs;
-    return Math.max(0, settlesAt - this.#options.clock.now());
-  }
-
   /** Memory that nothing claims, in MiB. */
   get freeMib(): number {
     return this.#options.memoryMib - this.weightsMib - this.kvMib;
@@ -160,7 +151,7 @@
 
   /** Claims KV memory for a sequence. */
   reserveKv(id: string, mib: number): boolean {
-    if (mib > this.freeMib) return false;
+    if (!this.settled || mib > this.freeMib) return false;
     this.#kv.set(id, mib);
     return true;
   }
--- a/packages/ledger/src/mod.ts
+++ b/packages/ledger/src/mod.ts
@@ -12,4 +12,4 @@
   MemoryLedgerOptions,
 } from "./memory_ledger.ts";
 export { PinBoard } from "./pin_board.ts";
-export type { PinAnswer, PinBoardOptions } from "./pin_board.ts";
+export type { PinAnswer } from "./pin_board.ts";
--- a/packages/testbed/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -15,6 +15,7 @@
 
 const FLEET_SECRET = "demo-secret-of-the-fleet";
 const DRAIN_MS = 300;
+const ORDER_LIFETIME_MS = 1000;
 
 /** Sizes and contents of a deployment. */
 export interface DeploymentOptions {
@@ -304,6 +305,7 @@
       ...this.#createDaemonSettings(instance, dataCentre),
       internal_listen: `127.0.0.1:${internal}`,
       metrics_listen: `127.0.0.1:${metrics}`,
+      order_lifetime_ms: ORDER_LIFETIME_MS,
       services: { orders: `http://127.0.0.1:${service}` },
       engines: [{
         replica: `replica-${index + 1}`,
