--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -225,7 +225,7 @@
 
   /** Stops without cutting off a request. */
   async stop(): Promise<void> {
-    const { cfg, sleep, pool } = this.#shared;
+    const { cfg, sleep } = this.#shared;
     const servers = this.#servers;
     if (!servers) return;
     log(`Agent "${cfg.instance}" drains`);
@@ -237,7 +237,6 @@
     await this.#supervisor.stop();
     servers.metrics.close();
     await servers.internal.close();
-    pool.close();
     log(`Agent "${cfg.instance}" has stopped`);
   }
 
@@ -308,7 +307,7 @@
       const [address = "", replica = ""] = source.split("/");
       try {
         const options = { timeoutMs: PIN_TIMEOUT_MS };
-        const client = pool.agent(address);
+        const client = pool.at(address).agent;
         return (await client.pin({ model, replica }, options)).pinned;
       } catch (error) {
         log(`Pin at "${address}" failed: ${(error as Error).message}`);
--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -22,8 +22,6 @@
   readonly platform: Platform;
   /** Asks all listed daemons for their status. */
   readonly askAll: () => Promise<readonly DaemonAnswer[]>;
-  /** Drops all connections. */
-  readonly close: () => void;
 }
 
 /** Creates the client from its settings. */
@@ -36,12 +34,13 @@
     maxMessageBytes: MAX_MESSAGE_BYTES,
   });
   const ask = async (row: LiveInstance): Promise<DaemonAnswer> => {
+    const connection = pool.at(row.address);
     try {
       const options = { timeoutMs: STATUS_TIMEOUT_MS };
-      const status = await pool.peer(row.address).status({}, options);
+      const status = await connection.peer.status({}, options);
       return { row, status };
     } catch {
-      pool.abandon(row.address);
+      connection.abandon();
       return { row };
     }
   };
@@ -53,6 +52,5 @@
       if (!list.ok) return [];
       return await Promise.all(list.value.map(ask));
     },
-    close: () => pool.close(),
   };
 }
--- a/packages/cli/src/client_command.ts
+++ b/packages/cli/src/client_command.ts
@@ -40,11 +40,7 @@
       this.fail(error.message);
       return EXIT_CODES.badUsage;
     }
-    try {
-      return await this.run(client);
-    } finally {
-      client.close();
-    }
+    return await this.run(client);
   }
 
   /** Prints a line of text, unless JSON was asked for. */
--- a/packages/config/src/schema.ts
+++ b/packages/config/src/schema.ts
@@ -33,6 +33,7 @@
   min_replicas: positive.default(1),
   class: z.enum(["chat", "reading"]).default("chat"),
   first_token_within_ms: positive.default(830),
+  give_up_after_ms: positive.default(5000),
   organisations: z.array(name).optional(),
   adapters: z.record(name, adapterSchema).default({}),
 });
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -11,6 +11,7 @@
   AskRequestSchema,
   CancelRequestSchema,
   fromWireAttempt,
+  type PeerConnection,
   type PeerPool,
   ResumeRequestSchema,
   type RunFrame,
@@ -77,10 +78,10 @@
   options: AttemptOptions,
 ): Promise<AttemptOutcome> {
   const { pool, address, request, signal } = options;
-  const client = pool.agent(address);
   const progress = { offset: 0 };
+  let connection = pool.at(address);
   let end = await readStream(
-    (streamSignal) => client.run(request, { signal: streamSignal }),
+    (streamSignal) => connection.agent.run(request, { signal: streamSignal }),
     { options, progress },
   );
   for (let resumes = 0; end.kind === "interrupted"; resumes += 1) {
@@ -91,7 +92,7 @@
     if (resumes >= MAX_RESUMES) {
       return { kind: "lost", detail: "the stream broke too often" };
     }
-    pool.abandon(address);
+    connection.abandon();
     const state = await askAgent(options);
     if (state === "not_run") {
       return { kind: "refused", refusal: notBegun(request.replica) };
@@ -99,7 +100,8 @@
     if (state === "unknown") {
       return { kind: "lost", detail: describeError(end.error) };
     }
-    end = await resumeStream(options, progress);
+    connection = pool.at(address);
+    end = await resumeStream(options, { progress, connection });
   }
   if (signal.aborted) {
     await cancelAttempt(options);
@@ -112,9 +114,12 @@
 
 async function resumeStream(
   options: AttemptOptions,
-  progress: { offset: number },
+  { progress, connection }: {
+    progress: { offset: number };
+    connection: PeerConnection;
+  },
 ): Promise<StreamEnd> {
-  const { pool, address, request } = options;
+  const { request } = options;
   const req = create(ResumeRequestSchema, {
     attempt: request.attempt,
     agentIncarnation: request.agentIncarnation,
@@ -122,7 +127,7 @@
   });
   log(`Attempt resumes at offset ${progress.offset}`);
   return await readStream(
-    (signal) => pool.agent(address).resume(req, { signal }),
+    (signal) => connection.agent.resume(req, { signal }),
     { options, progress },
   );
 }
@@ -238,15 +243,16 @@
   });
   for (let tries = 0; tries < ASK_TRIES; tries += 1) {
     if (signal.aborted) return "unknown";
+    const connection = pool.at(address);
     try {
-      const res = await pool.agent(address)
+      const res = await connection.agent
         .ask(req, { timeoutMs: ASK_TIMEOUT_MS });
       if (res.state === "not_run") return "not_run";
       if (res.state === "begun" || res.state === "finished") return "begun";
       return "unknown";
     } catch (error) {
       log(`Agent "${address}" does not answer: ${describeError(error)}`);
-      pool.abandon(address);
+      connection.abandon();
       await sleep(ASK_PAUSE_MS, signal).catch(() => {});
     }
   }
@@ -260,7 +266,7 @@
     agentIncarnation: request.agentIncarnation,
   });
   try {
-    await pool.agent(address).cancel(req, { timeoutMs: ASK_TIMEOUT_MS });
+    await pool.at(address).agent.cancel(req, { timeoutMs: ASK_TIMEOUT_MS });
   } catch (error) {
     log(`Cancel at "${address}" failed: ${describeError(error)}`);
   }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -177,13 +177,13 @@
       borrow: async (lender, request) => {
         const message = { ...request, borrower: holder };
         const timeout = { timeoutMs: LOAN_TIMEOUT_MS };
-        const res = await pool.peer(lender).borrow(message, timeout);
+        const res = await pool.at(lender).peer.borrow(message, timeout);
         metrics.loans.inc({ outcome: res.granted > 0 ? "granted" : "refused" });
         return res.granted;
       },
       settle: async (lender, request) => {
         const timeout = { timeoutMs: LOAN_TIMEOUT_MS };
-        await pool.peer(lender).settle(request, timeout);
+        await pool.at(lender).peer.settle(request, timeout);
       },
     });
     const decisions = DecisionLog.create({
@@ -293,7 +293,7 @@
 
   /** Stops without cutting off a request. */
   async stop(): Promise<void> {
-    const { cfg, member, sleep, pool } = this.#ctx;
+    const { cfg, member, sleep } = this.#ctx;
     const servers = this.#servers;
     if (!servers) return;
     log(`Entry "${cfg.instance}" drains`);
@@ -306,7 +306,6 @@
     await this.#supervisor.stop();
     servers.metrics.close();
     await servers.internal.close();
-    pool.close();
     log(`Entry "${cfg.instance}" has stopped`);
   }
 
--- a/packages/entry/src/handle_model.ts
+++ b/packages/entry/src/handle_model.ts
@@ -14,7 +14,6 @@
 const BLOCK_TOKENS = 341;
 const LOAD_PATIENCE_MS = 15_000;
 const RETRY_AFTER_MS = 2000;
-const GIVE_UP_FACTOR = 4;
 const MS_PER_S = 1000;
 
 /** Handles a chat or text completion. Returns why it was refused, if it was. */
@@ -113,7 +112,7 @@
       promptTokens,
       maxTokens,
       firstTokenWithinMs: entry.first_token_within_ms,
-      giveUpAfterMs: entry.first_token_within_ms * GIVE_UP_FACTOR,
+      giveUpAfterMs: entry.give_up_after_ms,
       prefixHashes: [...request.prefixes],
       stream: request.stream,
     },
--- a/packages/entry/src/public_server.ts
+++ b/packages/entry/src/public_server.ts
@@ -23,6 +23,7 @@
 const LIFETIME_MS = 120_000;
 const MAX_HEADER_BYTES = 16 * 1024;
 const KEEP_ALIVE_MS = 60_000;
+const DISCARD_MS = 2000;
 const DRAIN_RETRY_AFTER_MS = 1000;
 
 const log = createLog("entry:http");
@@ -137,7 +138,7 @@
   } finally {
     running.delete(scope);
     scope.end();
-    discardRest(req, res);
+    discardRest(req);
   }
 }
 
@@ -191,10 +192,12 @@
   writeRefusal(res, refusal, scope.requestId);
 }
 
-/** A refused body is not read to its end; the connection closes instead. */
-function discardRest(req: IncomingMessage, res: ServerResponse): void {
+/** Reads past the rest of a refused body for a while, then closes. */
+function discardRest(req: IncomingMessage): void {
   if (req.complete || req.destroyed) return;
-  res.once("finish", () => req.destroy());
+  req.on("error", () => {});
+  req.resume();
+  setTimeout(() => req.destroy(), DISCARD_MS).unref();
 }
 
 function createRouter(
--- a/packages/entry/src/read_body.ts
+++ b/packages/entry/src/read_body.ts
@@ -25,7 +25,9 @@
   let bytes = 0;
   const timer = setTimeout(() => req.destroy(), timeoutMs);
   try {
-    for await (const chunk of req as AsyncIterable<Buffer>) {
+    // Leaving the loop must not close the connection before the answer.
+    const body = req.iterator({ destroyOnReturn: false });
+    for await (const chunk of body as AsyncIterable<Buffer>) {
       bytes += chunk.length;
       if (bytes > maxBytes) return err(tooLarge);
       chunks.push(chunk);
--- a/packages/entry/src/send_advice.ts
+++ b/packages/entry/src/send_advice.ts
@@ -38,7 +38,7 @@
     });
     try {
       const options = { timeoutMs: ADVISE_TIMEOUT_MS };
-      await pool.agent(report.address).advise(request, options);
+      await pool.at(report.address).agent.advise(request, options);
     } catch (error) {
       log(`Advice to "${report.instance}" failed: ${(error as Error).message}`);
     }
--- a/packages/fleet/src/fleet_member.ts
+++ b/packages/fleet/src/fleet_member.ts
@@ -273,12 +273,13 @@
     const sentAt = clock.now();
     const req = this.#createSyncRequest(peer, directOnly);
     let res: SyncResponse;
+    const connection = pool.at(peer.address);
     try {
       const options = { timeoutMs: SYNC_TIMEOUT_MS };
-      res = await pool.peer(peer.address).sync(req, options);
+      res = await connection.peer.sync(req, options);
     } catch (error) {
       log(`Sync with "${peer.instance}" failed: ${(error as Error).message}`);
-      pool.abandon(peer.address);
+      connection.abandon();
       this.live.suspect(peer.instance);
       this.#cursors.delete(peer.instance);
       return;
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -10,11 +10,15 @@
   Schedule,
 } from "./engine_model.ts";
 export { startEngineServer } from "./engine_server.ts";
-export type { EngineServer, EngineServerOptions } from "./engine_server.ts";
+export type {
+  EngineFaults,
+  EngineServer,
+  EngineServerOptions,
+} from "./engine_server.ts";
 export { startPlatformServer } from "./platform_server.ts";
 export type { PlatformServer } from "./platform_server.ts";
 export { startServiceServer } from "./service_server.ts";
-export type { ServiceServer } from "./service_server.ts";
+export type { ServiceFaults, ServiceServer } from "./service_server.ts";
 export { startSwallowProxy } from "./swallow_proxy.ts";
 export type { SwallowProxy } from "./swallow_proxy.ts";
 export { pickPorts } from "./ports.ts";
--- /dev/null
+++ b/packages/system-tests/src/answers_test.ts
@@ -0,0 +1,161 @@
+import anyTest, { type TestFn } from "ava";
+import { startSwallowProxy, type SwallowProxy } from "@banyanspool/standins";
+import { callChat, Deployment, waitUntil } from "@banyanspool/testbed";
+import { SMALL } from "./fixtures.ts";
+
+interface Context {
+  deployment: Deployment;
+  agentProxies: SwallowProxy[];
+  engineProxies: SwallowProxy[];
+}
+
+const test = anyTest as TestFn<Context>;
+
+const PROMPT = "one two three four five six seven eight nine ten";
+const LONG = 400;
+
+test.before(async (t) => {
+  const agentProxies: SwallowProxy[] = [];
+  const engineProxies: SwallowProxy[] = [];
+  t.context = {
+    agentProxies,
+    engineProxies,
+    deployment: await Deployment.start({
+      ...SMALL,
+      decodeMs: 8,
+      agentPort: async (port, index) => {
+        agentProxies[index] = await startSwallowProxy(port);
+        return agentProxies[index].port;
+      },
+      enginePort: async (port, index) => {
+        engineProxies[index] = await startSwallowProxy(port);
+        return engineProxies[index].port;
+      },
+    }),
+  };
+});
+
+test.after.always(async (t) => {
+  await t.context.deployment?.close();
+  for (const proxy of t.context.agentProxies ?? []) proxy.close();
+  for (const proxy of t.context.engineProxies ?? []) proxy.close();
+});
+
+/** Starts a long stream and calls back once some text has come. */
+function startStream(
+  { deployment }: Context,
+  { stream = true, maxTokens = LONG }: {
+    stream?: boolean;
+    maxTokens?: number;
+  } = {},
+) {
+  const progress = { pieces: 0 };
+  const done = callChat({
+    url: deployment.entries[0]!.url,
+    key: deployment.keys.get("acme")!,
+    model: "chat",
+    prompt: PROMPT,
+    maxTokens,
+    stream,
+    onText: () => progress.pieces += 1,
+  });
+  return { progress, done };
+}
+
+/** The text that the engine gives for the prompt. */
+function expectedText(tokens: number): string {
+  const words = `user ${PROMPT}`.split(" ");
+  return Array.from(
+    { length: tokens },
+    (_, index) => `${words[index % words.length]} `,
+  ).join("");
+}
+
+test.serial("a stream survives connections that go silent", async (t) => {
+  const { progress, done } = startStream(t.context);
+  await waitUntil("the stream has begun", () => progress.pieces > 20);
+  for (const proxy of t.context.agentProxies) proxy.forget();
+  const answer = await done;
+  t.true(answer.isWhole, answer.code);
+  t.is(answer.text, expectedText(LONG));
+});
+
+test.serial("a stream survives silence between agent and engine", async (t) => {
+  const { progress, done } = startStream(t.context);
+  await waitUntil("the stream has begun", () => progress.pieces > 20);
+  for (const proxy of t.context.engineProxies) proxy.forget();
+  const answer = await done;
+  t.true(answer.isWhole, answer.code);
+  t.is(answer.text, expectedText(LONG));
+});
+
+test.serial("a stream survives both at once", async (t) => {
+  const { progress, done } = startStream(t.context);
+  await waitUntil("the stream has begun", () => progress.pieces > 20);
+  for (const proxy of t.context.engineProxies) proxy.forget();
+  for (const proxy of t.context.agentProxies) proxy.forget();
+  const answer = await done;
+  t.true(answer.isWhole, answer.code);
+  t.is(answer.text, expectedText(LONG));
+});
+
+test.serial("a stream survives an engine that cuts it", async (t) => {
+  const { deployment } = t.context;
+  for (const agent of deployment.agents) {
+    await deployment.setEngineFaults(agent, { cutStreams: 1 });
+  }
+  const answer = await startStream(t.context, { maxTokens: 50 }).done;
+  t.true(answer.isWhole, answer.code);
+  t.is(answer.text, expectedText(50));
+});
+
+test.serial("crossing answers reach their own callers", async (t) => {
+  const { deployment } = t.context;
+  const calls = Array.from({ length: 40 }, async (_, index) => {
+    const prompt = `caller ${index} asks`;
+    const answer = await callChat({
+      url: deployment.entries[index % 2]!.url,
+      key: deployment.keys.get(index % 3 === 0 ? "rival" : "acme")!,
+      model: "chat",
+      prompt,
+      maxTokens: 8,
+      stream: index % 2 === 0,
+    });
+    const words = `user ${prompt}`.split(" ");
+    const expected = Array.from(
+      { length: 8 },
+      (_, i) => `${words[i % words.length]} `,
+    ).join("");
+    return answer.text === expected && answer.isWhole;
+  });
+  t.deepEqual((await Promise.all(calls)).filter((isRight) => !isRight), []);
+});
+
+test.serial("an answer that an agent's death cuts off is not whole", async (t) => {
+  const { deployment } = t.context;
+  const { progress, done } = startStream(t.context);
+  await waitUntil("the stream has begun", () => progress.pieces > 20);
+  for (const agent of deployment.agents) await agent.child.kill();
+  const answer = await done;
+  t.false(answer.isWhole);
+  t.is(answer.ran, "unknown");
+  for (const agent of deployment.agents) await deployment.restartAgent(agent);
+  await deployment.waitUntilReachable();
+});
+
+test.serial("a whole answer is tried again at another replica", async (t) => {
+  const { deployment } = t.context;
+  const answers = Array.from(
+    { length: 8 },
+    () => startStream(t.context, { stream: false, maxTokens: 100 }).done,
+  );
+  await waitUntil("an engine runs one", async () => {
+    const inventory = await deployment.readInventory(deployment.agents[0]!);
+    return inventory.sequences.length > 0;
+  });
+  await deployment.agents[0]!.child.kill();
+  for (const answer of await Promise.all(answers)) {
+    t.true(answer.isWhole, answer.code);
+    t.is(answer.text, expectedText(100));
+  }
+});
--- /dev/null
+++ b/packages/system-tests/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Proofs of the promises with real processes.
+ *
+ * @module
+ */
+export {};
--- a/packages/testbed/src/calls.ts
+++ b/packages/testbed/src/calls.ts
@@ -40,6 +40,47 @@
   readonly headers: Readonly<Record<string, unknown>>;
 }
 
+/** Answer of the plain service. */
+export interface OrdersAnswer {
+  /** HTTP status. */
+  readonly status: number;
+  /** Body as text. */
+  readonly text: string;
+  /** Error code, if the answer has one. */
+  readonly code?: string;
+  /** Whether the refused request ran, if the answer says so. */
+  readonly ran?: string;
+  /** Response headers. */
+  readonly headers: Readonly<Record<string, unknown>>;
+}
+
+/** Calls the plain service by one of its routes. */
+export async function callOrders(
+  { url, key, id, path = "/orders", idempotencyKey }: {
+    url: string;
+    key: string;
+    id: string;
+    path?: string;
+    idempotencyKey?: string;
+  },
+): Promise<OrdersAnswer> {
+  const headers: Record<string, string> = { authorization: `Bearer ${key}` };
+  if (idempotencyKey) headers["idempotency-key"] = idempotencyKey;
+  const res = await request(url + path, {
+    method: "POST",
+    headers,
+    body: JSON.stringify({ id }),
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  const text = await res.body.text().catch(() => "");
+  const { statusCode: status } = res;
+  const answer = { status, text, headers: res.headers };
+  if (status === 200) return answer;
+  const { error } = JSON.parse(text) as ErrorAnswer;
+  return { ...answer, code: error.code, ran: error.ran };
+}
+
 /** Sends a chat request and reads its answer to the end. */
 export async function callChat(call: ChatCall): Promise<ChatAnswer> {
   const res = await request(`${call.url}/v1/chat/completions`, {
--- a/packages/testbed/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -8,11 +8,16 @@
 import { acceptSection, type SectionName } from "@banyanspool/config";
 import { createKey } from "@banyanspool/keys";
 import { createHttpPlatform, type Platform } from "@banyanspool/platform";
-import { pickPorts } from "@banyanspool/standins";
+import {
+  type EngineFaults,
+  pickPorts,
+  type ServiceFaults,
+} from "@banyanspool/standins";
 import { callChat } from "./calls.ts";
 import { ChildProcess } from "./child_process.ts";
 import { waitUntil } from "./wait_until.ts";
 
+const PRINTS_LOGS = process.env.BANYANSPOOL_TEST_LOGS !== undefined;
 const FLEET_SECRET = "demo-secret-of-the-fleet";
 const DRAIN_MS = 300;
 const ORDER_LIFETIME_MS = 1000;
@@ -71,6 +76,8 @@
   readonly engineUrl: string;
   /** Base URL of its plain service. */
   readonly serviceUrl: string;
+  /** Replica name. */
+  readonly replica: string;
   /** Process of the engine. */
   readonly engine: ChildProcess;
   /** Its process. */
@@ -129,10 +136,11 @@
 
   /** Waits until every model and service can be reached from every entry. */
   async waitUntilReachable(): Promise<void> {
-    const [organisation] = this.keys.keys();
-    const key = this.keys.get(organisation!)!;
+    const [first] = this.keys.keys();
     for (const { url, instance } of this.entries) {
-      for (const model of Object.keys(this.#options.models)) {
+      for (const [model, entry] of Object.entries(this.#options.models)) {
+        const open = entry.organisations as string[] | undefined;
+        const key = this.keys.get(open?.[0] ?? first!)!;
         await waitUntil(`${model} answers at ${instance}`, async () => {
           const answer = await callChat({
             url,
@@ -168,6 +176,58 @@
     await post(`${this.platformUrl}/faults`, { fault, delayMs });
   }
 
+  /** Sets faults of an engine. */
+  async setEngineFaults(
+    agent: AgentHandle,
+    faults: Partial<EngineFaults>,
+  ): Promise<void> {
+    await post(`${agent.engineUrl}/faults`, faults);
+  }
+
+  /** Sets faults of a plain service. */
+  async setServiceFaults(
+    agent: AgentHandle,
+    faults: Partial<ServiceFaults>,
+  ): Promise<void> {
+    await post(`${agent.serviceUrl}/faults`, faults);
+  }
+
+  /** Memory of an engine at its worst moment, and all that it received. */
+  async readEngine(
+    agent: AgentHandle,
+  ): Promise<{ peakMib: number; memoryMib: number; seen: string }> {
+    return await getJson(`${agent.engineUrl}/state`);
+  }
+
+  /** Models and sequences that an engine holds. */
+  async readInventory(agent: AgentHandle): Promise<{
+    items: { name: string; state: string }[];
+    sequences: { id: string }[];
+  }> {
+    return await getJson(`${agent.engineUrl}/inventory`);
+  }
+
+  /** How often each call ran, over all plain services. */
+  async countRuns(id: string): Promise<number> {
+    let runs = 0;
+    for (const { serviceUrl } of this.agents) {
+      const state = await getJson<{ runs: Record<string, number> }>(
+        `${serviceUrl}/runs`,
+      );
+      runs += state.runs[id] ?? 0;
+    }
+    return runs;
+  }
+
+  /** Everything that the plain services received. */
+  async readServices(): Promise<string> {
+    let seen = "";
+    for (const { serviceUrl } of this.agents) {
+      seen += (await getJson<{ seen: string }>(`${serviceUrl}/runs`)).seen;
+    }
+    return seen;
+  }
+
   /** Accepts a section's text as its newest version. */
   async accept(section: SectionName, text: string): Promise<number> {
     const { table } = this.platform;
@@ -213,6 +273,9 @@
   /** Ends all processes and removes their settings. */
   async close(): Promise<void> {
     for (const child of this.#children) child.signal("SIGCONT");
+    if (PRINTS_LOGS) {
+      for (const { output } of this.#children) process.stderr.write(output);
+    }
     await Promise.all(this.#children.map((child) => child.kill()));
     rmSync(this.#folder, { recursive: true, force: true });
   }
@@ -331,6 +394,7 @@
       engineUrl: `http://127.0.0.1:${engine}`,
       serviceUrl: `http://127.0.0.1:${service}`,
       engine: engineChild,
+      replica: `replica-${index + 1}`,
       child: await this.#startDaemon("agent", { instance, settings }),
     });
   }
@@ -370,7 +434,7 @@
       platform_url: this.platformUrl,
       fleet_secret: FLEET_SECRET,
       drain_ms: DRAIN_MS,
-      log: this.#options.logs ?? "",
+      log: this.#options.logs ?? (PRINTS_LOGS ? "banyanspool:*" : ""),
     };
   }
 
@@ -437,3 +501,8 @@
   });
   await res.body.text();
 }
+
+async function getJson<T>(url: string): Promise<T> {
+  const res = await request(url);
+  return await res.body.json() as T;
+}
--- a/packages/testbed/src/mod.ts
+++ b/packages/testbed/src/mod.ts
@@ -13,4 +13,8 @@
 export type { ChildOptions } from "./child_process.ts";
 export { callChat, readEvents } from "./calls.ts";
 export type { ChatAnswer, ChatCall } from "./calls.ts";
+export { runClient } from "./run_client.ts";
+export type { ClientRun } from "./run_client.ts";
+export { callOrders } from "./calls.ts";
+export type { OrdersAnswer } from "./calls.ts";
 export { waitUntil } from "./wait_until.ts";
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -61,7 +61,12 @@
 } from "./credential.ts";
 export type { CredentialOptions } from "./credential.ts";
 export { PeerPool } from "./peer_pool.ts";
-export type { AgentClient, PeerClient, PeerPoolOptions } from "./peer_pool.ts";
+export type {
+  AgentClient,
+  PeerClient,
+  PeerConnection,
+  PeerPoolOptions,
+} from "./peer_pool.ts";
 export { startInternalServer } from "./internal_server.ts";
 export type {
   InternalServer,
--- a/packages/wire/src/peer_pool.ts
+++ b/packages/wire/src/peer_pool.ts
@@ -12,6 +12,7 @@
 
 const PING_INTERVAL_MS = 500;
 const PING_TIMEOUT_MS = 1000;
+const IDLE_TIMEOUT_MS = 60_000;
 
 /** Client of an agent. */
 export type AgentClient = Client<typeof AgentService>;
@@ -24,21 +25,25 @@
   readonly maxMessageBytes: number;
 }
 
-interface Peer {
-  readonly session: Http2SessionManager;
+/** A connection to one peer. */
+export interface PeerConnection {
+  /** Client of the agent there. */
   readonly agent: AgentClient;
+  /** Client of the daemon there. */
   readonly peer: PeerClient;
+  /** Makes the next call open a new connection, if this one is still in use. */
+  readonly abandon: () => void;
 }
 
 /**
- * One HTTP/2 connection to each peer, with heartbeats. A connection that has
- * been silent too long is abandoned, and the next call opens a new one. The
- * library opens a new stream only when none was created, so that no request
- * is ever sent twice.
+ * One HTTP/2 connection to each peer. An idle one is verified before it is
+ * used, a busy one is checked by heartbeats, and one that was silent too long
+ * is abandoned, so that the next call opens a new one. The library opens a
+ * new stream only when none was created: no request is ever sent twice.
  */
 export class PeerPool {
   readonly #options: PeerPoolOptions;
-  readonly #peers: Map<string, Peer> = new Map();
+  readonly #connections: Map<string, PeerConnection> = new Map();
 
   private constructor(options: PeerPoolOptions) {
     this.#options = options;
@@ -49,49 +54,39 @@
     return new PeerPool(options);
   }
 
-  /** Client of the agent at an address. */
-  agent(address: string): AgentClient {
-    return this.#peerAt(address).agent;
-  }
-
-  /** Client of the daemon at an address. */
-  peer(address: string): PeerClient {
-    return this.#peerAt(address).peer;
-  }
-
-  /** Drops a silent connection with all its streams. */
-  abandon(address: string): void {
-    const peer = this.#peers.get(address);
-    this.#peers.delete(address);
-    peer?.session.abort();
-  }
-
-  /** Drops all connections. */
-  close(): void {
-    for (const address of [...this.#peers.keys()]) this.abandon(address);
+  /** The connection to an address. */
+  at(address: string): PeerConnection {
+    const known = this.#connections.get(address);
+    if (known) return known;
+    const connection = this.#connect(address);
+    this.#connections.set(address, connection);
+    return connection;
   }
 
-  #peerAt(address: string): Peer {
-    const known = this.#peers.get(address);
-    if (known) return known;
+  #connect(address: string): PeerConnection {
     const baseUrl = `http://${address}`;
-    const session = new Http2SessionManager(baseUrl, {
+    const sessionManager = new Http2SessionManager(baseUrl, {
       pingIntervalMs: PING_INTERVAL_MS,
       pingTimeoutMs: PING_TIMEOUT_MS,
+      idleConnectionTimeoutMs: IDLE_TIMEOUT_MS,
     });
     const transport = createGrpcTransport({
       baseUrl,
-      sessionManager: session,
+      sessionManager,
       interceptors: [createCredentialInterceptor(this.#options)],
       readMaxBytes: this.#options.maxMessageBytes,
       writeMaxBytes: this.#options.maxMessageBytes,
     });
-    const peer = {
-      session,
+    const connection: PeerConnection = {
       agent: createClient(AgentService, transport),
       peer: createClient(PeerService, transport),
+      // Aborting the library's session while its heartbeat fails ends the
+      // process by an unhandled error, so it is left to its own timeouts.
+      abandon: () => {
+        if (this.#connections.get(address) !== connection) return;
+        this.#connections.delete(address);
+      },
     };
-    this.#peers.set(address, peer);
-    return peer;
+    return connection;
   }
 }
