Prove limits, memory, configuration and graceful stop with processes

Cause, found by the new tests: (1) a leaving agent's refusals used up the retry budget, because its last report still made it look idle: 46 requests refused as "draining". (2) After a data centre's loss its replicas stayed in every router, since only its own collector could say that they are gone. (3) The lease of the shares could lapse before an outage of the store was recognised as one: 6 s against up to 6.5 s. (4) An entry's stop took 62 s, as idle connections of callers were closed only once. Ruled out for (1): a larger budget; it would only hide the useless attempts. Ruled out for (3): the platform's client; it fails at once during the outage. Change: a replica that refuses as leaving or is lost is avoided for 3 s or until its next report; a report lives only as long as its source is heard of; the lease lasts 8 s and outages are confirmed every 500 ms; idle connections are closed throughout a stop. Daemons may name seeds, so that a fresh one gets the configuration from peers while the store is down.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -170,6 +170,7 @@
       platform,
       pool: shared.pool,
       ranking: await createCollectorRanking(),
+      seeds: cfg.seeds,
       local: { reports: () => reports.read(), demand: () => [] },
       onConfig: () => {},
       onReport: () => {},
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -41,7 +41,7 @@
 import { ServiceRouter } from "./service_router.ts";
 
 const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
-const SHARE_LEASE_MS = 6000;
+const SHARE_LEASE_MS = 8000;
 const SHARE_INTERVAL_MS = 1500;
 const FRESHNESS_INTERVAL_MS = 500;
 const CUT_OFF_GRACE_MS = 2000;
@@ -141,6 +141,7 @@
       platform,
       pool,
       ranking: await createCollectorRanking(),
+      seeds: cfg.seeds,
       local: { reports: () => [], demand: () => demand.read() },
       onConfig: ({ document }) => {
         keys.update(document);
@@ -352,21 +353,24 @@
   }
 
   async #runShares(signal: AbortSignal): Promise<void> {
-    const { member, sleep } = this.#ctx;
+    const { sleep } = this.#ctx;
     while (!signal.aborted) {
-      if (member.freshness === "storeDown") {
-        this.#shares.confirmOutage(member.contactAt);
-      }
       await this.#shares.tick();
       await sleep(SHARE_INTERVAL_MS, signal);
     }
   }
 
-  /** Ends keyed requests once withdrawn keys can't be noticed any more. */
+  /**
+   * Keeps shares in use through an outage of the store, and ends keyed
+   * requests once withdrawn keys can't be noticed any more.
+   */
   async #watchFreshness(signal: AbortSignal): Promise<void> {
     const { member, clock, sleep, keys } = this.#ctx;
     while (!signal.aborted) {
       await sleep(FRESHNESS_INTERVAL_MS, signal);
+      if (member.freshness === "storeDown") {
+        this.#shares.confirmOutage(member.contactAt);
+      }
       if (member.freshness !== "cutOff") {
         this.#cutOffSince = undefined;
         continue;
--- a/packages/entry/src/public_server.ts
+++ b/packages/entry/src/public_server.ts
@@ -23,6 +23,7 @@
 const LIFETIME_MS = 120_000;
 const MAX_HEADER_BYTES = 16 * 1024;
 const KEEP_ALIVE_MS = 60_000;
+const DRAIN_POLL_MS = 100;
 const DISCARD_MS = 2000;
 const DRAIN_RETRY_AFTER_MS = 1000;
 
@@ -76,11 +77,7 @@
     update: (document) => {
       router = createRouter(ctx, document);
     },
-    drain: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
-      }),
+    drain: () => drain(server),
   };
 }
 
@@ -101,6 +98,17 @@
   }, listener);
 }
 
+/** Stops listening, and closes each connection once it is idle. */
+async function drain(server: Server): Promise<void> {
+  const closed = new Promise<void>((resolve) => {
+    server.close(() => resolve());
+  });
+  const timer = setInterval(() => server.closeIdleConnections(), DRAIN_POLL_MS);
+  server.closeIdleConnections();
+  await closed;
+  clearInterval(timer);
+}
+
 async function answer(
   ctx: EntryContext,
   { req, res, router, running }: {
--- a/packages/entry/src/relay.ts
+++ b/packages/entry/src/relay.ts
@@ -81,6 +81,7 @@
     if (end.kind === "finished") return { outcome: end, replicas };
     if (end.kind === "aborted") return refused(scope.refusal!, replicas);
     last = toRefusal(end, target.report.replica);
+    learnFrom(ctx, last, { request, target });
     if (!mayRetry(last, end, request)) return refused(last, replicas);
     if (!ctx.retryBudget.take()) {
       ctx.metrics.refusals.inc({ code: "retry_budget_spent" });
@@ -134,6 +135,29 @@
   }
 }
 
+/** Keeps later requests away from a replica that can't take them. */
+function learnFrom(
+  ctx: EntryContext,
+  refusal: Refusal,
+  { request, target }: { request: RelayRequest; target: Target },
+): void {
+  const { replica } = target.report;
+  const { model } = request.run;
+  switch (refusal.code) {
+    case "not_ready":
+      if (model) ctx.router.avoidModel(replica, model);
+      return;
+    case "draining":
+    case "incarnation_changed":
+    case "no_replica":
+      ctx.router.avoid(replica);
+      return;
+    case "outcome_unknown":
+      // The agent itself is lost, and not just a service behind it.
+      if (model) ctx.router.avoid(replica);
+  }
+}
+
 function toRefusal(
   end: Exclude<AttemptOutcome, { kind: "finished" | "aborted" }>,
   replica: string,
--- a/packages/fleet/src/fleet_member.ts
+++ b/packages/fleet/src/fleet_member.ts
@@ -41,6 +41,7 @@
 const STORE_POLL_AGE_MS = 2000;
 const CONTACT_MS = 5000;
 const EXPIRE_REPORT_MS = 4000;
+const EXPIRE_REMOTE_MS = 6000;
 const SUSPICION_MS = 3000;
 const MAX_REPORTS_PER_SYNC = 24;
 
@@ -68,6 +69,8 @@
   readonly pool: PeerPool;
   /** Ranking of collectors. */
   readonly ranking: CollectorRanking;
+  /** Internal addresses to ask before the platform's list has been read. */
+  readonly seeds: readonly string[];
   /** What the daemon tells others. */
   readonly local: LocalState;
   /** Called after each change of the configuration. */
@@ -119,6 +122,7 @@
       clock,
       incarnation: identity.incarnation,
       expireAfterMs: EXPIRE_REPORT_MS,
+      expireRemoteAfterMs: EXPIRE_REMOTE_MS,
       maxReportsPerAnswer: MAX_REPORTS_PER_SYNC,
     });
   }
@@ -235,6 +239,7 @@
 
   /** Collectors of a data centre, the best first: its entries if it has any. */
   #collectorsOf(dataCentre: string): readonly LiveInstance[] {
+    if (this.live.listed.length === 0) return this.#listSeeds(dataCentre);
     const usable = this.live.usable(dataCentre);
     const entries = usable.filter(({ role }) => role === "entry");
     const candidates = entries.length > 0 ? entries : usable;
@@ -243,6 +248,16 @@
       .map((name) => byName.get(name)!);
   }
 
+  #listSeeds(dataCentre: string): readonly LiveInstance[] {
+    return this.#options.seeds.map((address) => ({
+      instance: address,
+      role: "entry",
+      dataCentre,
+      address,
+      leaving: false,
+    }));
+  }
+
   async #syncWithCollectors(): Promise<void> {
     const rounds: Promise<void>[] = [];
     for (const dataCentre of this.live.dataCentres) {
@@ -260,8 +275,10 @@
       configVersion: this.config.version,
       demand: local.demand(),
     });
+    const { instance, incarnation } = this.identity;
+    const source = `${instance}#${incarnation}`;
     for (const report of local.reports()) {
-      this.collector.recordReport(report, true);
+      this.collector.recordReport(report, { direct: true, source });
     }
   }
 
@@ -330,9 +347,15 @@
     }
     const cursor = Number(res.cursor);
     this.#cursors.set(peer.instance, { incarnation, cursor, sent });
+    const source = `${peer.instance}#${incarnation}`;
+    this.collector.touchSource(source);
     for (const report of res.reports) {
-      if (report.gone) this.collector.recordGone(report.replica);
-      else this.collector.recordReport(fromWireReport(report), false);
+      if (report.gone) {
+        this.collector.recordGone(report.replica, source);
+        continue;
+      }
+      const from = { direct: false, source };
+      this.collector.recordReport(fromWireReport(report), from);
     }
     this.#contacts.set(peer.dataCentre, {
       at: sentAt,
--- a/packages/fleet/src/peer_service.ts
+++ b/packages/fleet/src/peer_service.ts
@@ -72,7 +72,9 @@
     });
   }
   for (const report of req.reports) {
-    collector.recordReport(fromWireReport(report), true);
+    const { instance, agentIncarnation } = report;
+    const source = `${instance}#${agentIncarnation}`;
+    collector.recordReport(fromWireReport(report), { direct: true, source });
   }
   const isKnown = Number(req.cursorIncarnation) === collector.incarnation;
   const cursor = isKnown ? Number(req.cursor) : 0;
--- a/packages/membership/src/collector.ts
+++ b/packages/membership/src/collector.ts
@@ -11,8 +11,10 @@
   readonly clock: Clock;
   /** Incarnation of the collecting daemon. */
   readonly incarnation: number;
-  /** Age at which a report is dropped, in ms. */
+  /** Age at which an agent's silence drops its reports, in ms. */
   readonly expireAfterMs: number;
+  /** Age at which another collector's silence drops its reports, in ms. */
+  readonly expireRemoteAfterMs: number;
   /** Most reports in one answer; the rest follow with the next. */
   readonly maxReportsPerAnswer: number;
 }
@@ -39,18 +41,26 @@
   readonly cursor: number;
 }
 
-interface StoredReport {
+/** Who told of a report. */
+export interface ReportSource {
+  /** True if the replica's own agent did. */
+  readonly direct: boolean;
+  /** Process that told, as `instance#incarnation`. */
+  readonly source: string;
+}
+
+interface StoredReport extends ReportSource {
   readonly report: ReplicaReport;
   readonly change: number;
   readonly at: number;
-  readonly direct: boolean;
   readonly gone: boolean;
 }
 
 /**
  * Soft state of a data centre's collector: the newest report of each replica
- * in order of change, and the daemons that synced lately. It is rebuilt from
- * the next syncs wherever the ranking puts it.
+ * in order of change, and the daemons that synced lately. A report lives as
+ * long as its source is heard of. All of it is rebuilt from the next syncs
+ * wherever the ranking puts it.
  */
 export class Collector {
   readonly #options: CollectorOptions;
@@ -79,27 +89,39 @@
   ): void {
     const at = this.#options.clock.now();
     this.#daemons.set(daemon.instance, { daemon, at, ...state });
-    for (const stored of this.#reports.values()) {
-      if (!stored.direct || !isFrom(stored.report, daemon)) continue;
-      // A daemon that was only silent for a while is back with its reports.
-      if (stored.gone) {
-        this.#store(stored.report, { direct: true, gone: false });
-      } else this.#reports.set(stored.report.replica, { ...stored, at });
+    this.touchSource(`${daemon.instance}#${daemon.incarnation}`);
+  }
+
+  /** Keeps all reports of a source alive that has just been heard of. */
+  touchSource(source: string): void {
+    const at = this.#options.clock.now();
+    for (const [replica, stored] of this.#reports) {
+      if (stored.source !== source) continue;
+      // A source that was only silent for a while is back with its reports.
+      if (stored.gone) this.#store(stored.report, { ...stored, gone: false });
+      else this.#reports.set(replica, { ...stored, at });
     }
   }
 
   /** Stores a report unless a newer one of the same replica is there. */
-  recordReport(report: ReplicaReport, direct: boolean): void {
+  recordReport(report: ReplicaReport, from: ReportSource): void {
     const known = this.#reports.get(report.replica);
-    if (known && isOlder(report, known.report)) return;
-    this.#store(report, { direct, gone: false });
+    const order = known ? compareReports(report, known.report) : 1;
+    if (order < 0) return;
+    if (order > 0 || known!.gone) {
+      this.#store(report, { ...from, gone: false });
+      return;
+    }
+    if (known!.direct && !from.direct) return;
+    const at = this.#options.clock.now();
+    this.#reports.set(report.replica, { ...known!, ...from, at });
   }
 
   /** Drops a replica that another collector says is gone. */
-  recordGone(replica: string): void {
+  recordGone(replica: string, source: string): void {
     const known = this.#reports.get(replica);
-    if (!known || known.direct || known.gone) return;
-    this.#store(known.report, { direct: false, gone: true });
+    if (!known || known.gone || known.source !== source) return;
+    this.#store(known.report, { ...known, gone: true });
   }
 
   /** Daemons that synced within the expiry time. */
@@ -134,31 +156,30 @@
 
   #store(
     report: ReplicaReport,
-    { direct, gone }: { direct: boolean; gone: boolean },
+    { direct, source, gone }: ReportSource & { gone: boolean },
   ): void {
     this.#lastChange += 1;
     const at = this.#options.clock.now();
     const change = this.#lastChange;
-    this.#reports.set(report.replica, { report, change, at, direct, gone });
+    const stored = { report, change, at, direct, source, gone };
+    this.#reports.set(report.replica, stored);
   }
 
   #expire(): void {
-    const oldest = this.#options.clock.now() - this.#options.expireAfterMs;
+    const now = this.#options.clock.now();
+    const { expireAfterMs, expireRemoteAfterMs } = this.#options;
     for (const stored of this.#reports.values()) {
-      if (!stored.direct || stored.gone || stored.at >= oldest) continue;
-      this.#store(stored.report, { direct: true, gone: true });
+      const limitMs = stored.direct ? expireAfterMs : expireRemoteAfterMs;
+      if (stored.gone || now - stored.at <= limitMs) continue;
+      this.#store(stored.report, { ...stored, gone: true });
     }
   }
 }
 
-function isOlder(a: ReplicaReport, b: ReplicaReport): boolean {
+/** Positive if the first report is newer, 0 if both are the same. */
+function compareReports(a: ReplicaReport, b: ReplicaReport): number {
   if (a.agentIncarnation !== b.agentIncarnation) {
-    return a.agentIncarnation < b.agentIncarnation;
+    return a.agentIncarnation - b.agentIncarnation;
   }
-  return a.sequence <= b.sequence;
-}
-
-function isFrom(report: ReplicaReport, daemon: DaemonIdentity): boolean {
-  return report.instance === daemon.instance &&
-    report.agentIncarnation === daemon.incarnation;
+  return a.sequence - b.sequence;
 }
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -9,6 +9,7 @@
 export type {
   CollectorOptions,
   ReportChanges,
+  ReportSource,
   SyncedDaemon,
 } from "./collector.ts";
 export { decideFreshness } from "./freshness.ts";
--- /dev/null
+++ b/packages/placement/src/plan_test.ts
@@ -0,0 +1,127 @@
+import test from "ava";
+import fc from "fast-check";
+import type { ReplicaReport } from "@banyanspool/types";
+import { assemblePlacementPlan, type PlacementModel } from "./plan.ts";
+import { countReady } from "./room.ts";
+
+const SEED = 20_261_204;
+const RUNS = 500;
+const OPTIONS = { maxMoves: 4, busyShare: 0.6, minGainShare: 0.1 };
+
+function createModel(name: string, fields = {}): PlacementModel {
+  return {
+    name,
+    weightsMib: 40,
+    contextKvMib: 5,
+    minReplicas: 1,
+    fastTokensPerS: 0,
+    slowTokensPerS: 0,
+    ...fields,
+  };
+}
+
+function createReport(replica: string, readyModels: string[]): ReplicaReport {
+  return {
+    replica,
+    instance: replica,
+    agentIncarnation: 1,
+    address: "127.0.0.1:1",
+    dataCentre: "centre-a",
+    sequence: 1,
+    readyModels,
+    readyAdapters: [],
+    services: [],
+    queuedTokens: 0,
+    running: 0,
+    slots: 8,
+    freeMib: 100 - 40 * readyModels.length,
+    memoryMib: 100,
+    prefillTokensPerS: 1000,
+    decodeUsPerToken: 20_000,
+    leaving: false,
+  };
+}
+
+function plan(models: PlacementModel[], replicas: ReplicaReport[]) {
+  return assemblePlacementPlan({ models, replicas, underWay: [] }, OPTIONS);
+}
+
+test("a model that no replica holds comes first", (t) => {
+  const models = [createModel("a", { minReplicas: 2 }), createModel("b")];
+  const [first] = plan(models, [
+    createReport("r1", ["a"]),
+    createReport("r2", []),
+  ]);
+  t.is(first?.load, "b");
+  t.is(first?.reason, "reach");
+});
+
+test("room is made only by models that are ready elsewhere", (t) => {
+  const models = ["a", "b", "c"].map((name) => createModel(name));
+  const [first] = plan(models, [
+    createReport("r1", ["a", "b"]),
+    createReport("r2", ["a"]),
+  ]);
+  t.is(first?.replica, "r2");
+  const full = plan([...models, createModel("d"), createModel("e")], [
+    createReport("r1", ["a", "b"]),
+    createReport("r2", ["c", "d"]),
+  ]);
+  t.deepEqual(full, [], "nothing can give way, so nothing moves");
+});
+
+test("a busy model gets a copy, a quiet one none", (t) => {
+  const quiet = [createModel("a", { fastTokensPerS: 100 }), createModel("b")];
+  const busy = [createModel("a", { fastTokensPerS: 900 }), createModel("b")];
+  const replicas = [createReport("r1", ["a"]), createReport("r2", ["b"])];
+  t.deepEqual(plan(quiet, replicas), []);
+  t.is(plan(busy, replicas)[0]?.load, "a");
+  t.is(plan(busy, replicas)[0]?.replica, "r2");
+});
+
+test("a plan that was carried out leads to no further move", (t) => {
+  const models = [createModel("a", { fastTokensPerS: 900 }), createModel("b")];
+  const replicas = [createReport("r1", ["a"]), createReport("r2", ["b", "a"])];
+  t.deepEqual(plan(models, replicas), []);
+});
+
+test("no plan leaves a model without a replica or overfills one", (t) => {
+  const model = fc.record({
+    weightsMib: fc.integer({ min: 10, max: 50 }),
+    minReplicas: fc.integer({ min: 1, max: 2 }),
+    fastTokensPerS: fc.integer({ min: 0, max: 3000 }),
+  });
+  const input = fc.tuple(
+    fc.array(model, { minLength: 1, maxLength: 6 }),
+    fc.array(fc.array(fc.nat(5), { maxLength: 2 }), {
+      minLength: 1,
+      maxLength: 5,
+    }),
+  );
+  fc.assert(
+    fc.property(input, ([fields, layout]) => {
+      const models = fields.map((f, i) => createModel(`m${i}`, f));
+      const sizes = new Map(models.map((m) => [m.name, m.weightsMib]));
+      const replicas = layout.map((indexes, i) => {
+        const names = [...new Set(indexes)].map((index) => `m${index}`)
+          .filter((name) => sizes.has(name));
+        const used = names.reduce((sum, name) => sum + sizes.get(name)!, 0);
+        return { ...createReport(`r${i}`, names), freeMib: 100 - used };
+      });
+      const before = countReady(replicas);
+      const state = new Map(replicas.map((r) => [r.replica, r]));
+      for (const move of plan(models, replicas)) {
+        const report = state.get(move.replica)!;
+        const kept = report.readyModels.filter((m) => !move.unload.includes(m));
+        const readyModels = [...kept, move.load];
+        const used = readyModels.reduce((sum, m) => sum + sizes.get(m)!, 0);
+        if (used > report.memoryMib) return false;
+        state.set(move.replica, { ...report, readyModels });
+      }
+      const after = countReady([...state.values()]);
+      return [...before.keys()].every((name) => (after.get(name) ?? 0) > 0);
+    }),
+    { seed: SEED, numRuns: RUNS },
+  );
+  t.pass();
+});
--- /dev/null
+++ b/packages/platform/src/lease_test.ts
@@ -0,0 +1,68 @@
+import test from "ava";
+import fc from "fast-check";
+import { Lease } from "./lease.ts";
+import { MemoryPlatform } from "./memory_platform.ts";
+
+const DURATION_MS = 1000;
+const SEED = 20_261_204;
+const RUNS = 2000;
+
+function createLeases(count: number) {
+  const state = { now: 0 };
+  const platform = MemoryPlatform.create();
+  const leases = Array.from({ length: count }, (_, index) =>
+    Lease.create({
+      table: platform.table,
+      key: "duty",
+      holder: `holder-${index}`,
+      durationMs: DURATION_MS,
+      clock: { now: () => state.now, wall: () => state.now },
+    }));
+  return { state, platform, leases };
+}
+
+test("never do two hold the lease", async (t) => {
+  const holder = fc.integer({ min: 0, max: 2 });
+  const step = fc.oneof(
+    holder.map((index) => ({ kind: "renew" as const, index })),
+    fc.integer({ min: 1, max: 2500 }).map((ms) => ({
+      kind: "advance" as const,
+      ms,
+    })),
+    fc.constantFrom("none" as const, "down" as const, "loseAnswers" as const)
+      .map((fault) => ({ kind: "fault" as const, fault })),
+  );
+  await fc.assert(
+    fc.asyncProperty(fc.array(step, { maxLength: 60 }), async (steps) => {
+      const { state, platform, leases } = createLeases(3);
+      for (const action of steps) {
+        if (action.kind === "renew") await leases[action.index]!.renew();
+        if (action.kind === "advance") state.now += action.ms;
+        if (action.kind === "fault") platform.fault = action.fault;
+        if (leases.filter(({ held }) => held).length > 1) return false;
+      }
+      return true;
+    }),
+    { seed: SEED, numRuns: RUNS },
+  );
+  t.pass();
+});
+
+test("a holder that was paused past its lease no longer holds it", async (t) => {
+  const { state, leases } = createLeases(2);
+  const [first, second] = leases;
+  t.true(await first!.renew());
+  t.false(await second!.renew());
+  state.now += 3 * DURATION_MS;
+  t.false(first!.held);
+  t.true(await second!.renew());
+  t.false(await first!.renew());
+  t.true(second!.fencingToken > first!.fencingToken);
+});
+
+test("a rival waits until it has itself seen the lease unchanged", async (t) => {
+  const { state, leases } = createLeases(2);
+  await leases[0]!.renew();
+  state.now += 10 * DURATION_MS;
+  t.false(await leases[1]!.renew(), "its first look proves nothing");
+});
--- /dev/null
+++ b/packages/queue/src/fair_queue_test.ts
@@ -0,0 +1,79 @@
+import test from "ava";
+import { FairQueue, type QueuePolicy } from "./fair_queue.ts";
+
+function createQueue(policy: QueuePolicy = "fair", weights = {}) {
+  const table: Record<string, number> = weights;
+  return FairQueue.create<string>({
+    policy,
+    weightOf: (organisation) => table[organisation] ?? 1,
+  });
+}
+
+function createItem(organisation: string, fields = {}) {
+  return {
+    organisation,
+    requestClass: "chat" as const,
+    promptTokens: 100,
+    dueAt: 0,
+    value: organisation,
+    ...fields,
+  };
+}
+
+function drain(queue: FairQueue<string>, count: number): string {
+  return Array.from({ length: count }, () => queue.shift()?.value).join("");
+}
+
+test("a flood by one organisation does not hold up another", (t) => {
+  const queue = createQueue();
+  for (let index = 0; index < 50; index += 1) queue.push(createItem("a"));
+  queue.push(createItem("b"));
+  t.true(drain(queue, 2).includes("b"));
+});
+
+test("service follows the weights", (t) => {
+  const queue = createQueue("fair", { a: 3, b: 1 });
+  for (let index = 0; index < 40; index += 1) {
+    queue.push(createItem("a"));
+    queue.push(createItem("b"));
+  }
+  const served = drain(queue, 40);
+  t.is([...served].filter((name) => name === "a").length, 30);
+});
+
+test("idleness saves up no claim", (t) => {
+  const queue = createQueue();
+  for (let index = 0; index < 20; index += 1) queue.push(createItem("a"));
+  drain(queue, 10);
+  for (let index = 0; index < 20; index += 1) queue.push(createItem("b"));
+  const served = drain(queue, 10);
+  t.true([...served].filter((name) => name === "b").length <= 6, served);
+});
+
+test("the most urgent of an organisation's requests comes first", (t) => {
+  const queue = createQueue();
+  queue.push(createItem("a", { dueAt: 500, value: "late" }));
+  queue.push(createItem("a", { dueAt: 100, value: "soon" }));
+  t.is(queue.shift()?.value, "soon");
+});
+
+test("arrival and deadline order ignore organisations", (t) => {
+  for (const policy of ["arrival", "deadline"] as const) {
+    const queue = createQueue(policy);
+    queue.push(createItem("a", { dueAt: 900, value: "1" }));
+    queue.push(createItem("a", { dueAt: 800, value: "2" }));
+    queue.push(createItem("b", { dueAt: 700, value: "3" }));
+    t.is(drain(queue, 3), policy === "arrival" ? "123" : "321");
+  }
+});
+
+test("removed requests leave no trace", (t) => {
+  const queue = createQueue();
+  const item = createItem("a");
+  queue.push(item);
+  t.true(queue.remove(item));
+  t.false(queue.remove(item));
+  t.is(queue.length, 0);
+  t.is(queue.tokens, 0);
+  t.is(queue.shift(), undefined);
+});
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -7,6 +7,7 @@
 const SLOT_TIME_SMOOTHING = 0.05;
 const MAX_PREFIX_BLOCKS = 100_000;
 const EPSILON_MS = 5;
+const AVOID_MS = 3000;
 
 /** Options of {@link Router.create}. */
 export interface RouterOptions {
@@ -53,6 +54,10 @@
 interface Known {
   report: ReplicaReport;
   receivedAt: number;
+  /** Time up to which the whole replica is avoided. */
+  avoidedUntil: number;
+  /** Time up to which it is avoided for a model. */
+  readonly modelsAvoidedUntil: Map<string, number>;
   readonly sent: Set<{ readonly at: number; readonly tokens: number }>;
 }
 
@@ -84,13 +89,13 @@
   update(report: ReplicaReport): void {
     const receivedAt = this.#options.clock.now();
     const known = this.#replicas.get(report.replica);
-    if (known) {
-      known.report = report;
-      known.receivedAt = receivedAt;
-      return;
-    }
-    const sent = new Set<{ at: number; tokens: number }>();
-    this.#replicas.set(report.replica, { report, receivedAt, sent });
+    this.#replicas.set(report.replica, {
+      report,
+      receivedAt,
+      avoidedUntil: -Infinity,
+      modelsAvoidedUntil: new Map(),
+      sent: known?.sent ?? new Set(),
+    });
   }
 
   /** Takes in the queue length that came with an answer. */
@@ -100,21 +105,43 @@
     known.report = { ...known.report, queuedTokens };
   }
 
+  /** Avoids a replica that gave up or was lost, for a while. */
+  avoid(replica: string): void {
+    const known = this.#replicas.get(replica);
+    if (known) known.avoidedUntil = this.#options.clock.now() + AVOID_MS;
+  }
+
+  /** Avoids a replica for one model, for a while. */
+  avoidModel(replica: string, model: string): void {
+    const until = this.#options.clock.now() + AVOID_MS;
+    this.#replicas.get(replica)?.modelsAvoidedUntil.set(model, until);
+  }
+
   /** Forgets a replica. */
   remove(replica: string): void {
     this.#replicas.delete(replica);
   }
 
-  /** Reports of all known replicas. */
+  /** Reports of all known replicas; an avoided one counts as leaving. */
   reports(): readonly ReplicaReport[] {
-    return [...this.#replicas.values()].map(({ report }) => report);
+    const now = this.#options.clock.now();
+    return [...this.#replicas.values()].map(({ report, avoidedUntil }) =>
+      avoidedUntil > now ? { ...report, leaving: true } : report
+    );
   }
 
   /** Replicas that can run a model now. */
   ready(model: string): readonly ReplicaReport[] {
-    return this.reports().filter((report) =>
-      !report.leaving && report.readyModels.includes(model)
-    );
+    const now = this.#options.clock.now();
+    const ready: ReplicaReport[] = [];
+    for (const known of this.#replicas.values()) {
+      const { report, avoidedUntil, modelsAvoidedUntil } = known;
+      if (report.leaving || avoidedUntil > now) continue;
+      if (!report.readyModels.includes(model)) continue;
+      if ((modelsAvoidedUntil.get(model) ?? -Infinity) > now) continue;
+      ready.push(report);
+    }
+    return ready;
   }
 
   /** Chooses a replica and counts the request as sent; undefined if none. */
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -25,6 +25,7 @@
   metrics_listen: address,
   platform_url: url,
   fleet_secret: z.string().min(16, "must have at least 16 characters"),
+  seeds: z.array(address).default([]),
   log: z.string().default("banyanspool:*"),
 });
 
--- a/packages/testbed/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -18,7 +18,8 @@
 import { waitUntil } from "./wait_until.ts";
 
 const PRINTS_LOGS = process.env.BANYANSPOOL_TEST_LOGS !== undefined;
-const FLEET_SECRET = "demo-secret-of-the-fleet";
+/** Secret that all daemons of the testbed share. */
+export const FLEET_SECRET: string = "demo-secret-of-the-fleet";
 const DRAIN_MS = 300;
 const ORDER_LIFETIME_MS = 1000;
 
@@ -270,6 +271,24 @@
     entry.child = await this.#startDaemon("entry", entry);
   }
 
+  /** Starts one more entry; `seeds` are internal addresses of others. */
+  async addEntry(
+    dataCentre: string,
+    seeds: readonly string[] = [],
+  ): Promise<EntryHandle> {
+    await this.#startEntry(this.entries.length, dataCentre, seeds);
+    return this.entries.at(-1)!;
+  }
+
+  /** Ends an entry's process and forgets it. */
+  async dropEntry(entry: EntryHandle): Promise<void> {
+    await entry.child.kill();
+    this.entries.splice(this.entries.indexOf(entry), 1);
+    this.#listed = this.#listed.filter((row) =>
+      row.instance !== entry.instance
+    );
+  }
+
   /** Ends all processes and removes their settings. */
   async close(): Promise<void> {
     for (const child of this.#children) child.signal("SIGCONT");
@@ -399,11 +418,16 @@
     });
   }
 
-  async #startEntry(index: number, dataCentre: string): Promise<void> {
+  async #startEntry(
+    index: number,
+    dataCentre: string,
+    seeds: readonly string[] = [],
+  ): Promise<void> {
     const instance = `entry-${index + 1}`;
     const [publicPort, internal, metrics] = await pickPorts(3);
     const settings = this.#writeSettings(instance, {
       ...this.#createDaemonSettings(instance, dataCentre),
+      seeds,
       public_listen: `127.0.0.1:${publicPort}`,
       internal_listen: `127.0.0.1:${internal}`,
       metrics_listen: `127.0.0.1:${metrics}`,
--- a/packages/testbed/src/mod.ts
+++ b/packages/testbed/src/mod.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-export { Deployment } from "./deployment.ts";
+export { Deployment, FLEET_SECRET } from "./deployment.ts";
 export type {
   AgentHandle,
   DeploymentOptions,
