--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -322,6 +322,7 @@
     clock,
     sleep,
     slots: engine.slots,
+    queuePolicy: "fair",
     weightOf: (organisation) =>
       document()?.organisations[organisation]?.weight ?? 1,
   });
--- a/packages/agent/src/agent_service.ts
+++ b/packages/agent/src/agent_service.ts
@@ -117,6 +117,7 @@
   attempt.readers += 1;
   let sentHead = false;
   let position = offset;
+  const beat = startHeartbeat(buffer, { sleep, signal });
   try {
     while (!signal.aborted) {
       if (buffer.head && !sentHead) {
@@ -128,43 +129,48 @@
         yield frame(data, chunk.offset, chunk.tokens);
         position = chunk.offset + chunk.bytes.length;
         buffer.markRead(position);
+        beat.isDue = false;
       }
       if (buffer.end && position >= buffer.length) {
         yield frame(toFinalKind(buffer.end), position);
         return;
       }
-      const beat = await waitForChange(buffer, { sleep, signal, position });
-      if (beat) {
+      if (beat.isDue) {
+        beat.isDue = false;
         const value = create(HeartbeatSchema);
         yield frame({ case: "heartbeat", value }, position);
       }
+      if (buffer.length <= position) await buffer.changed();
     }
   } finally {
+    beat.stop();
     attempt.readers -= 1;
     attempt.unreadSince = now();
   }
 }
 
-/** Returns true if nothing changed for the time of a heartbeat. */
-async function waitForChange(
+interface Heartbeat {
+  isDue: boolean;
+  readonly stop: () => void;
+}
+
+/** Makes a heartbeat due now and then, and wakes the reader for it. */
+function startHeartbeat(
   buffer: AttemptBuffer,
-  { sleep, signal, position }: {
-    sleep: Sleep;
-    signal: AbortSignal;
-    position: number;
-  },
-): Promise<boolean> {
-  if (buffer.length > position) return false;
+  { sleep, signal }: { sleep: Sleep; signal: AbortSignal },
+): Heartbeat {
   const stop = new AbortController();
-  const both = AbortSignal.any([stop.signal, signal]);
-  try {
-    return await Promise.race([
-      buffer.changed(both).then(() => false),
-      sleep(HEARTBEAT_MS, both).then(() => true, () => false),
-    ]);
-  } finally {
-    stop.abort();
-  }
+  const beat = { isDue: false, stop: () => stop.abort() };
+  signal.addEventListener("abort", () => buffer.poke(), { once: true });
+  const run = async () => {
+    while (!stop.signal.aborted) {
+      await sleep(HEARTBEAT_MS, stop.signal);
+      beat.isDue = true;
+      buffer.poke();
+    }
+  };
+  run().catch(() => {});
+  return beat;
 }
 
 function countQueued(engines: ReadonlyMap<string, EngineParts>): number {
--- a/packages/agent/src/attempt_buffer.ts
+++ b/packages/agent/src/attempt_buffer.ts
@@ -51,9 +51,14 @@
   #length = 0;
   #readUpTo = 0;
   #waiters: (() => void)[] = [];
+  readonly #ended: Promise<void>;
+  #resolveEnded: () => void = () => {};
 
   private constructor(options: AttemptBufferOptions) {
     this.#options = options;
+    this.#ended = new Promise((resolve) => {
+      this.#resolveEnded = resolve;
+    });
   }
 
   /** Creates an empty buffer. */
@@ -71,6 +76,11 @@
     return this.#end;
   }
 
+  /** Resolves once the end is there. */
+  get ended(): Promise<void> {
+    return this.#ended;
+  }
+
   /** Bytes written so far. */
   get length(): number {
     return this.#length;
@@ -79,7 +89,7 @@
   /** Writes the head. */
   start(head: AnswerHead): void {
     this.#head = head;
-    this.#wake();
+    this.poke();
   }
 
   /** Writes bytes. */
@@ -87,14 +97,15 @@
     if (this.#end) return;
     this.#chunks.push({ offset: this.#length, bytes, tokens });
     this.#length += bytes.length;
-    this.#wake();
+    this.poke();
   }
 
   /** Ends the answer; the first end stays. */
   finish(end: AttemptEnd): void {
     if (this.#end) return;
     this.#end = end;
-    this.#wake();
+    this.#resolveEnded();
+    this.poke();
   }
 
   /** Chunks that hold bytes from an offset on. */
@@ -106,32 +117,28 @@
   /** Marks bytes as read, so that the writer may go on. */
   markRead(offset: number): void {
     this.#readUpTo = Math.max(this.#readUpTo, offset);
-    this.#wake();
+    this.poke();
   }
 
-  /** Resolves when there is room for the writer. */
+  /** Resolves when there is room for the writer; poke after an abort. */
   async waitForRoom(signal: AbortSignal): Promise<void> {
     const { maxUnreadBytes } = this.#options;
     while (this.#length - this.#readUpTo > maxUnreadBytes) {
       if (signal.aborted || this.#end) return;
-      await this.changed(signal);
+      await this.changed();
     }
   }
 
-  /** Resolves after the next change, or when the signal is aborted. */
-  changed(signal: AbortSignal): Promise<void> {
-    return new Promise((resolve) => {
-      if (signal.aborted) {
-        resolve();
-        return;
-      }
-      const wake = () => {
-        signal.removeEventListener("abort", wake);
-        resolve();
-      };
-      signal.addEventListener("abort", wake, { once: true });
-      this.#waiters.push(wake);
-    });
+  /** Resolves after the next change. */
+  changed(): Promise<void> {
+    return new Promise((resolve) => this.#waiters.push(resolve));
+  }
+
+  /** Wakes everyone who waits for a change. */
+  poke(): void {
+    const waiters = this.#waiters;
+    this.#waiters = [];
+    for (const wake of waiters) wake();
   }
 
   #findChunk(offset: number): number {
@@ -143,10 +150,4 @@
     }
     return index;
   }
-
-  #wake(): void {
-    const waiters = this.#waiters;
-    this.#waiters = [];
-    for (const wake of waiters) wake();
-  }
 }
--- a/packages/agent/src/attempts.ts
+++ b/packages/agent/src/attempts.ts
@@ -16,6 +16,7 @@
 const MAX_UNREAD_BYTES = 256 * 1024;
 const FORGET_AFTER_MS = 30_000;
 const UNREAD_LIMIT_MS = 15_000;
+const UNREAD_CHECK_MS = 5000;
 
 /** Options of {@link Attempts.create}. */
 export interface AttemptsOptions {
@@ -133,6 +134,7 @@
       stop.signal,
       AbortSignal.timeout(request.finishWithinMs),
     ]);
+    signal.addEventListener("abort", () => buffer.poke(), { once: true });
     if (request.model === "") {
       return this.#startCall(request, { buffer, signal });
     }
@@ -165,7 +167,7 @@
     const { clock, sleep } = this.#options;
     const { buffer, stop } = attempt;
     while (!buffer.end) {
-      await buffer.changed(AbortSignal.timeout(UNREAD_LIMIT_MS));
+      await Promise.race([buffer.ended, sleep(UNREAD_CHECK_MS)]);
       const isUnread = attempt.readers === 0 &&
         clock.now() - attempt.unreadSince >= UNREAD_LIMIT_MS;
       if (isUnread) stop.abort();
--- a/packages/agent/src/engine_client.ts
+++ b/packages/agent/src/engine_client.ts
@@ -60,6 +60,48 @@
   readonly abandon: () => void;
 }
 
+/** What the agent asks of an engine. */
+export interface EngineCalls {
+  /** Sends an order. The answer says only that it was taken. */
+  order(order: EngineOrder): Promise<Result<void, EngineError>>;
+  /** Reads the inventory. */
+  inventory(): Promise<
+    Result<Inventory & { fencingToken: number }, EngineError>
+  >;
+  /** Reads the lagging load report. */
+  load(): Promise<Result<EngineLoad, EngineError>>;
+  /** Cancels a sequence. */
+  cancel(id: string): Promise<Result<void, EngineError>>;
+  /** Starts a sequence and streams its answer. */
+  generate(call: GenerateCall): Promise<Result<EngineStream, EngineError>>;
+  /** Streams a sequence's answer again from an offset. */
+  resume(call: ResumeCall): Promise<Result<EngineStream, EngineError>>;
+  /** Drops the control connections, of which one may have gone silent. */
+  abandon(): void;
+}
+
+/** A sequence to start. */
+export interface GenerateCall {
+  /** Unique id. */
+  readonly id: string;
+  /** Path of the completion. */
+  readonly path: string;
+  /** Body. */
+  readonly body: Uint8Array;
+  /** Aborts the call. */
+  readonly signal: AbortSignal;
+}
+
+/** A sequence to go on with. */
+export interface ResumeCall {
+  /** Id of the sequence. */
+  readonly id: string;
+  /** Bytes that are known. */
+  readonly offset: number;
+  /** Aborts the call. */
+  readonly signal: AbortSignal;
+}
+
 /** Options of {@link EngineClient.create}. */
 export interface EngineClientOptions {
   /** Base URL of the engine. */
@@ -67,7 +109,7 @@
 }
 
 /** Calls one engine over HTTP. The library repeats no call by itself. */
-export class EngineClient {
+export class EngineClient implements EngineCalls {
   readonly #url: string;
   #control: Agent;
 
@@ -108,12 +150,7 @@
 
   /** Starts a sequence and streams its answer. */
   async generate(
-    { id, path, body, signal }: {
-      id: string;
-      path: string;
-      body: Uint8Array;
-      signal: AbortSignal;
-    },
+    { id, path, body, signal }: GenerateCall,
   ): Promise<Result<EngineStream, EngineError>> {
     return await openStream(this.#url, {
       method: "POST",
@@ -126,11 +163,7 @@
 
   /** Streams a sequence's answer again from an offset. */
   async resume(
-    { id, offset, signal }: {
-      id: string;
-      offset: number;
-      signal: AbortSignal;
-    },
+    { id, offset, signal }: ResumeCall,
   ): Promise<Result<EngineStream, EngineError>> {
     return await openStream(this.#url, {
       method: "GET",
--- a/packages/agent/src/engine_keeper.ts
+++ b/packages/agent/src/engine_keeper.ts
@@ -11,19 +11,22 @@
 import { createLog } from "@banyanspool/logger";
 import type { Metrics } from "@banyanspool/metrics";
 import type { EngineSettings } from "@banyanspool/settings";
+import { AdapterCache } from "./adapter_cache.ts";
 import type {
-  EngineClient,
+  EngineCalls,
   EngineError,
   EngineLoad,
   EngineOrder,
 } from "./engine_client.ts";
 
-const INVENTORY_INTERVAL_MS = 250;
+const CHANGING_INTERVAL_MS = 250;
+const STEADY_INTERVAL_MS = 1000;
 const UNLOAD_PATIENCE_MS = 30_000;
 const LOAD_PATIENCE_MS = 60_000;
 const ORDER_AGAIN_MS = 2000;
 const STEP_MS = 50;
 const KIB_PER_MIB = 1024;
+const KV_SHARE = 0.1;
 
 const log = createLog("agent:engine");
 
@@ -38,7 +41,7 @@
   /** Settings of the engine. */
   readonly engine: EngineSettings;
   /** Calls the engine. */
-  readonly client: EngineClient;
+  readonly client: EngineCalls;
   /** Time source. */
   readonly clock: Clock;
   /** Waits. */
@@ -72,6 +75,7 @@
   /** Promises to other agents and unloads under way. */
   readonly pins: PinBoard;
   readonly #options: EngineKeeperOptions;
+  readonly #adapters: AdapterCache;
   readonly #loading: Map<string, Promise<boolean>> = new Map();
   #fencingToken: number | undefined;
   #superseded = false;
@@ -84,6 +88,11 @@
     const { clock, engine, orderLifetimeMs } = options;
     this.#options = options;
     this.pins = PinBoard.create();
+    this.#adapters = AdapterCache.create({
+      clock,
+      ledger: () => this.ledger,
+      maxWeightsMib: engine.memory_mib * (1 - KV_SHARE),
+    });
     this.ledger = MemoryLedger.create({
       clock,
       memoryMib: engine.memory_mib,
@@ -131,8 +140,17 @@
 
   /** Whether an adapter can be used now. */
   isAdapterReady(model: string, adapter: string): boolean {
-    const name = this.adapterName(model, adapter);
-    return this.ledger.stateOf(name) === "ready";
+    return this.#adapters.isUsable(this.adapterName(model, adapter));
+  }
+
+  /** Keeps an adapter from being unloaded until {@link releaseAdapter}. */
+  holdAdapter(model: string, adapter: string): void {
+    this.#adapters.hold(this.adapterName(model, adapter));
+  }
+
+  /** Ends a hold. */
+  releaseAdapter(model: string, adapter: string): void {
+    this.#adapters.release(this.adapterName(model, adapter));
   }
 
   /** Models that may be reported as ready. */
@@ -157,7 +175,9 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.readEngine();
-      await this.#options.sleep(INVENTORY_INTERVAL_MS, signal);
+      const isChanging = !this.ledger.settled || this.#loading.size > 0;
+      const intervalMs = isChanging ? CHANGING_INTERVAL_MS : STEADY_INTERVAL_MS;
+      await this.#options.sleep(intervalMs, signal);
     }
   }
 
@@ -218,22 +238,26 @@
     return done;
   }
 
-  /** Loads an adapter if there is memory; returns whether it is ready. */
+  /** Loads an adapter, in place of idle ones if it must. */
   async loadAdapter(
     model: string,
     adapter: string,
-    signal: AbortSignal,
+    patienceMs: number,
   ): Promise<boolean> {
     const mib = this.#options.document()?.models[model]?.adapters[adapter]
       ?.size_mib;
     if (mib === undefined) return false;
+    const name = this.adapterName(model, adapter);
+    for (const idle of this.#adapters.chooseIdle(mib)) {
+      await this.#unloadAdapter(idle);
+    }
     return await this.#loadItem({
       kind: "load_adapter",
-      name: this.adapterName(model, adapter),
+      name,
       base: this.itemName(model),
       mib,
       kvKibPerToken: 0,
-      signal,
+      patienceMs,
     });
   }
 
@@ -243,6 +267,16 @@
     return kib * tokens / KIB_PER_MIB;
   }
 
+  /** Unloads an idle adapter; no promise is needed, since it can come back. */
+  async #unloadAdapter(name: string): Promise<void> {
+    this.#adapters.beginUnload(name);
+    this.ledger.recordUnload(name);
+    const order = { kind: "unload" as const, name, base: "", mib: 0 };
+    await this.#sendOrder({ ...order, kvKibPerToken: 0 });
+    await this.readEngine();
+    this.#adapters.endUnload(name);
+  }
+
   async #changeModels(
     model: string,
     { unload, pinSources }: {
@@ -270,24 +304,25 @@
       base: "",
       mib: entry.weights_mib,
       kvKibPerToken: entry.kv_kib_per_token,
-      signal: AbortSignal.timeout(LOAD_PATIENCE_MS),
+      patienceMs: LOAD_PATIENCE_MS,
     });
   }
 
   async #loadItem(
-    { kind, name, base, mib, kvKibPerToken, signal }: {
+    { kind, name, base, mib, kvKibPerToken, patienceMs }: {
       kind: "load_model" | "load_adapter";
       name: string;
       base: string;
       mib: number;
       kvKibPerToken: number;
-      signal: AbortSignal;
+      patienceMs: number;
     },
   ): Promise<boolean> {
     const { clock, sleep } = this.#options;
+    const giveUpAt = clock.now() + patienceMs;
     let sentAt = -Infinity;
-    while (!signal.aborted) {
-      if (this.ledger.stateOf(name) === "ready") return true;
+    while (clock.now() < giveUpAt) {
+      if (this.#isLoaded(kind, name)) return true;
       // An order that was lost is sent again; the engine takes it once.
       const isListed = this.ledger.stateOf(name) === "loading";
       if (!isListed && clock.now() - sentAt >= ORDER_AGAIN_MS) {
@@ -298,12 +333,18 @@
           await this.#sendOrder({ kind, name, base, mib, kvKibPerToken });
         }
       }
-      await sleep(STEP_MS, signal).catch(() => {});
+      await sleep(STEP_MS);
       await this.readEngine();
     }
     return false;
   }
 
+  /** A model must be certain to stay; an adapter can be loaded again. */
+  #isLoaded(kind: EngineOrder["kind"], name: string): boolean {
+    if (kind === "load_adapter") return this.#adapters.isUsable(name);
+    return this.ledger.stateOf(name) === "ready";
+  }
+
   /** Unloads a model that another agent has promised to keep. */
   async #unloadModel(
     model: string,
--- a/packages/agent/src/engine_runner.ts
+++ b/packages/agent/src/engine_runner.ts
@@ -6,15 +6,20 @@
   type RequestClass,
   type Sleep,
 } from "@banyanspool/types";
-import { FairQueue, type QueueItem } from "@banyanspool/queue";
+import {
+  FairQueue,
+  type QueueItem,
+  type QueuePolicy,
+} from "@banyanspool/queue";
 import { fromWireAttempt, type RunRequest } from "@banyanspool/wire";
 import { createLog } from "@banyanspool/logger";
 import type { AttemptBuffer } from "./attempt_buffer.ts";
-import type { EngineClient, EngineStream } from "./engine_client.ts";
+import type { EngineCalls, EngineStream } from "./engine_client.ts";
 import type { EngineKeeper } from "./engine_keeper.ts";
 import { followStream } from "./follow_stream.ts";
 
 const DISPATCH_INTERVAL_MS = 20;
+const IDLE_INTERVAL_MS = 200;
 const MAX_ADAPTER_LOADS = 8;
 const MAX_RESUMES = 4;
 const RESUME_PAUSE_MS = 200;
@@ -31,13 +36,15 @@
   /** Keeper of the engine's memory. */
   readonly keeper: EngineKeeper;
   /** Calls the engine. */
-  readonly client: EngineClient;
+  readonly client: EngineCalls;
   /** Time source. */
   readonly clock: Clock;
   /** Waits. */
   readonly sleep: Sleep;
   /** Sequences that the engine runs together. */
   readonly slots: number;
+  /** Order of service. */
+  readonly queuePolicy: QueuePolicy;
   /** Weight of an organisation. */
   readonly weightOf: (organisation: string) => number;
 }
@@ -73,8 +80,8 @@
 
   private constructor(options: EngineRunnerOptions) {
     this.#options = options;
-    const { weightOf } = options;
-    this.#queue = FairQueue.create({ policy: "fair", weightOf });
+    const { queuePolicy: policy, weightOf } = options;
+    this.#queue = FairQueue.create({ policy, weightOf });
   }
 
   /** Creates a runner with nothing to do. */
@@ -150,7 +157,9 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#dispatch();
-      await this.#options.sleep(DISPATCH_INTERVAL_MS, signal);
+      const isIdle = this.#queue.length === 0;
+      const intervalMs = isIdle ? IDLE_INTERVAL_MS : DISPATCH_INTERVAL_MS;
+      await this.#options.sleep(intervalMs, signal);
     }
   }
 
@@ -205,7 +214,9 @@
   async #serve(id: string, item: QueueItem<Waiting>): Promise<void> {
     const { keeper } = this.#options;
     const { request, buffer } = item.value;
+    const { model, adapter } = request;
     let isOver = true;
+    if (adapter !== "") keeper.holdAdapter(model, adapter);
     try {
       const refusal = await this.#ensureAdapter(item.value);
       if (refusal) {
@@ -218,6 +229,7 @@
       log(`Sequence ${id} failed: ${String(error)}`);
       buffer.finish({ kind: "refused", refusal: engineFailed(keeper.replica) });
     } finally {
+      if (adapter !== "") keeper.releaseAdapter(model, adapter);
       this.#running.delete(id);
       this.#queue.finish(request.organisation);
       // Where the end is not certain, an inventory must show it first.
@@ -239,9 +251,9 @@
     }
     this.#adapterLoads += 1;
     try {
-      const timeout = AbortSignal.timeout(Math.max(giveUpAfterMs, MS_PER_S));
-      const signal = AbortSignal.any([timeout, job.signal]);
-      if (await keeper.loadAdapter(model, adapter, signal)) return undefined;
+      const patienceMs = Math.max(giveUpAfterMs, MS_PER_S);
+      const isReady = await keeper.loadAdapter(model, adapter, patienceMs);
+      if (isReady) return undefined;
       const message = `Replica "${keeper.replica}" can't load "${adapter}"`;
       return refuse("not_ready", message);
     } finally {
@@ -292,6 +304,7 @@
       signal,
       isEventStream: request.stream,
       sleep: this.#options.sleep,
+      now: this.#options.clock.now,
       onTokens: (tokens) => this.#queue.charge(request.organisation, tokens),
     });
   }
--- a/packages/agent/src/follow_stream.ts
+++ b/packages/agent/src/follow_stream.ts
@@ -1,5 +1,6 @@
 import { createParser } from "eventsource-parser";
 import type { Sleep } from "@banyanspool/types";
+import { watchSilence } from "@banyanspool/retry";
 import type { AttemptBuffer, AttemptUsage } from "./attempt_buffer.ts";
 import type { EngineStream } from "./engine_client.ts";
 
@@ -16,6 +17,8 @@
   readonly isEventStream: boolean;
   /** Measures silence. */
   readonly sleep: Sleep;
+  /** Monotonic time. */
+  readonly now: () => number;
   /** Called with the tokens of each chunk. */
   readonly onTokens: (tokens: number) => void;
 }
@@ -34,53 +37,43 @@
     const { status, contentType } = stream;
     if (isEventStream) buffer.start({ status, contentType });
   }
-  const chunks = stream.chunks[Symbol.asyncIterator]();
   const whole: Uint8Array[] = [];
+  const watch = watchSilence({
+    limitMs: SILENCE_MS,
+    now: options.now,
+    sleep: options.sleep,
+    onSilent: () => stream.abandon(),
+  });
+  // An answer in one piece is silent until it is there.
+  watch.pause(!isEventStream);
   try {
-    while (true) {
-      const next = await nextChunk(chunks, options);
-      if (next === "silent" || signal.aborted) return "broken";
-      if (next.done) break;
+    for await (const chunk of stream.chunks) {
+      if (signal.aborted) return "broken";
       if (!isEventStream) {
-        whole.push(next.value);
+        whole.push(chunk);
         continue;
       }
-      const tokens = reader.read(next.value);
-      buffer.append(Uint8Array.from(next.value), tokens);
+      watch.pause(true);
+      const tokens = reader.read(chunk);
+      buffer.append(Uint8Array.from(chunk), tokens);
       options.onTokens(tokens);
       if (reader.isDone()) {
         buffer.finish({ kind: "finished", usage: reader.usage() });
         return "whole";
       }
       await buffer.waitForRoom(signal);
+      watch.pause(false);
     }
     if (isEventStream) return "broken";
     return finishWhole(stream, Buffer.concat(whole), options);
   } catch {
     return "broken";
   } finally {
+    watch.stop();
     stream.abandon();
   }
 }
 
-async function nextChunk(
-  chunks: AsyncIterator<Uint8Array>,
-  { sleep, signal, isEventStream }: FollowOptions,
-): Promise<IteratorResult<Uint8Array> | "silent"> {
-  const next = chunks.next();
-  next.catch(() => {});
-  // An answer in one piece is silent until it is there.
-  if (!isEventStream) return await next;
-  const timer = new AbortController();
-  const silence = sleep(SILENCE_MS, AbortSignal.any([timer.signal, signal]))
-    .then(() => "silent" as const, () => "silent" as const);
-  try {
-    return await Promise.race([next, silence]);
-  } finally {
-    timer.abort();
-  }
-}
-
 function finishWhole(
   { status, contentType }: EngineStream,
   body: Buffer,
--- a/packages/agent/src/mod.ts
+++ b/packages/agent/src/mod.ts
@@ -5,3 +5,26 @@
  */
 export { Agent } from "./agent.ts";
 export type { AgentOptions } from "./agent.ts";
+export { AttemptBuffer } from "./attempt_buffer.ts";
+export type {
+  AnswerHead,
+  AttemptBufferOptions,
+  AttemptEnd,
+  AttemptUsage,
+  BufferedChunk,
+} from "./attempt_buffer.ts";
+export type {
+  EngineCalls,
+  EngineError,
+  EngineLoad,
+  EngineOrder,
+  EngineStream,
+  GenerateCall,
+  ResumeCall,
+} from "./engine_client.ts";
+export { EngineKeeper } from "./engine_keeper.ts";
+export type { EngineKeeperOptions, PinCall } from "./engine_keeper.ts";
+export { EngineRunner } from "./engine_runner.ts";
+export type { EngineJob, EngineRunnerOptions } from "./engine_runner.ts";
+export { ReportSource } from "./reports.ts";
+export type { ReportSourceOptions } from "./reports.ts";
--- a/packages/agent/src/reports.ts
+++ b/packages/agent/src/reports.ts
@@ -2,7 +2,6 @@
 import type { EngineParts } from "./agent_service.ts";
 
 const TOKEN_CLASSES = [0, 500, 1000, 2000, 4000, 8000, 16_000, 32_000, 64_000];
-const FREE_STEP_MIB = 256;
 const RUNNING_STEP = 2;
 
 /** Options of {@link ReportSource.create}. */
@@ -58,7 +57,7 @@
         queuedTokens: classify(runner.queuedTokens),
         running: roundDown(runner.running, RUNNING_STEP),
         slots,
-        freeMib: roundDown(Math.max(0, keeper.ledger.freeMib), FREE_STEP_MIB),
+        weightsMib: Math.ceil(keeper.ledger.weightsMib),
         memoryMib,
         prefillTokensPerS: keeper.load?.prefill_tokens_per_s ??
           DEFAULT_PREFILL_TOKENS_PER_S,
@@ -80,7 +79,7 @@
       queuedTokens: 0,
       running: 0,
       slots: 0,
-      freeMib: 0,
+      weightsMib: 0,
       memoryMib: 0,
       prefillTokensPerS: 0,
       decodeUsPerToken: 0,
--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -1,1 +1,13 @@
-export {};
+/**
+ * Trace replay, baselines and cost slopes.
+ *
+ * @module
+ */
+export { replayTrace } from "./replay.ts";
+export type { ReplayOptions, ReplayReport, ReplayRun } from "./replay.ts";
+export { createTrace, SCENARIOS } from "./trace_generator.ts";
+export type { ScenarioName } from "./trace_generator.ts";
+export { SITES } from "./sites.ts";
+export type { Site, SiteName } from "./sites.ts";
+export { POLICY_NAMES } from "./policies.ts";
+export type { PolicyName } from "./policies.ts";
--- /dev/null
+++ b/packages/bench/src/slopes.ts
@@ -0,0 +1,123 @@
+import { request } from "undici";
+import { callChat, Deployment } from "@banyanspool/testbed";
+
+const MS_PER_S = 1000;
+const US_PER_S = 1e6;
+const BYTES_PER_MIB = 1024 * 1024;
+
+/** What one process used between two readings of its metrics. */
+export interface ProcessCost {
+  /** Processor time, in µs. */
+  readonly cpuUs: number;
+  /** Resident memory at the end, in MiB. */
+  readonly residentMib: number;
+}
+
+/** Costs of serving streams, by process. */
+export interface StreamCost {
+  /** Streams at a time. */
+  readonly streams: number;
+  /** Requests that were served. */
+  readonly requests: number;
+  /** Tokens that were generated. */
+  readonly tokens: number;
+  /** Length of the measurement, in s. */
+  readonly seconds: number;
+  /** Entry. */
+  readonly entry: ProcessCost;
+  /** Agent. */
+  readonly agent: ProcessCost;
+}
+
+/** Measures an entry and an agent under streams of a given number. */
+export async function measureStreams(
+  { streams, seconds, maxTokens }: {
+    streams: number;
+    seconds: number;
+    maxTokens: number;
+  },
+): Promise<StreamCost> {
+  const deployment = await Deployment.start({
+    entries: ["centre-a"],
+    agents: ["centre-a"],
+    memoryMib: 200_000,
+    slots: streams,
+    decodeMs: 10,
+    models: {
+      chat: { weights_mib: 4000, kv_kib_per_token: 8, context_tokens: 8192 },
+    },
+    organisations: { acme: { rate: 10_000_000, burst: 50_000_000 } },
+  });
+  try {
+    return await runStreams(deployment, { streams, seconds, maxTokens });
+  } finally {
+    await deployment.close();
+  }
+}
+
+async function runStreams(
+  deployment: Deployment,
+  { streams, seconds, maxTokens }: {
+    streams: number;
+    seconds: number;
+    maxTokens: number;
+  },
+): Promise<StreamCost> {
+  const [entry] = deployment.entries;
+  const [agent] = deployment.agents;
+  const before = await Promise.all([
+    readCost(entry!.metricsUrl),
+    readCost(agent!.metricsUrl),
+  ]);
+  const startedAt = performance.now();
+  const endAt = startedAt + seconds * MS_PER_S;
+  let requests = 0;
+  let tokens = 0;
+  const callers = Array.from({ length: streams }, async () => {
+    while (performance.now() < endAt) {
+      const answer = await callChat({
+        url: entry!.url,
+        key: deployment.keys.get("acme")!,
+        model: "chat",
+        prompt: "measure the cost of a token",
+        maxTokens,
+        stream: true,
+      });
+      requests += 1;
+      tokens += answer.pieces;
+    }
+  });
+  await Promise.all(callers);
+  const elapsed = (performance.now() - startedAt) / MS_PER_S;
+  const after = await Promise.all([
+    readCost(entry!.metricsUrl),
+    readCost(agent!.metricsUrl),
+  ]);
+  return {
+    streams,
+    requests,
+    tokens,
+    seconds: elapsed,
+    entry: subtract(after[0], before[0]),
+    agent: subtract(after[1], before[1]),
+  };
+}
+
+/** Reads a process's own accounting from its metrics. */
+export async function readCost(url: string): Promise<ProcessCost> {
+  const res = await request(url);
+  const text = await res.body.text();
+  const valueOf = (name: string) =>
+    Number(new RegExp(`^${name} (.+)$`, "m").exec(text)?.[1] ?? 0);
+  return {
+    cpuUs: valueOf("process_cpu_seconds_total") * US_PER_S,
+    residentMib: valueOf("process_resident_memory_bytes") / BYTES_PER_MIB,
+  };
+}
+
+function subtract(after: ProcessCost, before: ProcessCost): ProcessCost {
+  return {
+    cpuUs: after.cpuUs - before.cpuUs,
+    residentMib: after.residentMib,
+  };
+}
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -17,6 +17,7 @@
   type RunFrame,
   type RunRequest,
 } from "@banyanspool/wire";
+import { watchSilence } from "@banyanspool/retry";
 import { createLog } from "@banyanspool/logger";
 import type { AnswerSink } from "./answer_sink.ts";
 
@@ -48,6 +49,8 @@
   readonly pool: PeerPool;
   /** Waits between questions. */
   readonly sleep: Sleep;
+  /** Monotonic time. */
+  readonly now: () => number;
   /** Agent's address. */
   readonly address: string;
   /** The attempt. */
@@ -141,44 +144,35 @@
 ): Promise<StreamEnd> {
   const stop = new AbortController();
   const signal = AbortSignal.any([options.signal, stop.signal]);
-  const frames = open(signal)[Symbol.asyncIterator]();
+  let isSilent = false;
+  const watch = watchSilence({
+    limitMs: SILENCE_MS,
+    now: options.now,
+    sleep: options.sleep,
+    onSilent: () => {
+      isSilent = true;
+      stop.abort();
+    },
+  });
   try {
-    while (true) {
-      const next = await nextFrame(frames, options);
-      if (next === "silent") {
-        return { kind: "interrupted", error: new Error("the agent is silent") };
-      }
-      if (next.done) {
-        const error = new Error("the stream ended without a final frame");
-        return { kind: "interrupted", error };
-      }
-      const end = await takeFrame(next.value, options, progress);
+    for await (const frame of open(signal)) {
+      // A slow caller must not look like a silent agent.
+      watch.pause(true);
+      const end = await takeFrame(frame, options, progress);
       if (end) return end;
+      watch.pause(false);
     }
-  } catch (error) {
+    const error = new Error("the stream ended without a final frame");
     return { kind: "interrupted", error };
+  } catch (error) {
+    const silence = new Error("the agent is silent");
+    return { kind: "interrupted", error: isSilent ? silence : error };
   } finally {
+    watch.stop();
     stop.abort();
   }
 }
 
-async function nextFrame(
-  frames: AsyncIterator<RunFrame>,
-  { sleep, signal }: AttemptOptions,
-): Promise<IteratorResult<RunFrame> | "silent"> {
-  const timer = new AbortController();
-  const silence = sleep(SILENCE_MS, AbortSignal.any([timer.signal, signal]))
-    .then(() => "silent" as const);
-  silence.catch(() => {});
-  try {
-    const next = frames.next();
-    next.catch(() => {});
-    return await Promise.race([next, silence]);
-  } finally {
-    timer.abort();
-  }
-}
-
 /** Returns the end of the attempt if the frame is a final one. */
 async function takeFrame(
   frame: RunFrame,
--- a/packages/entry/src/demand_meter.ts
+++ b/packages/entry/src/demand_meter.ts
@@ -2,8 +2,7 @@
 
 const FAST_WINDOW_MS = 30_000;
 const SLOW_WINDOW_MS = 600_000;
-const MS_PER_S = 1000;
-const NEGLIGIBLE_TOKENS_PER_S = 0.01;
+const NEGLIGIBLE_REPLICAS = 0.0005;
 
 /** Options of {@link DemandMeter.create}. */
 export interface DemandMeterOptions {
@@ -35,11 +34,11 @@
     return new DemandMeter(clock);
   }
 
-  /** Counts tokens that were asked of a model. */
-  record(model: string, tokens: number): void {
+  /** Counts a request by the time that it would keep one replica busy. */
+  record(model: string, busyMs: number): void {
     const averages = this.#decay(model);
-    averages.fast += tokens * MS_PER_S / FAST_WINDOW_MS;
-    averages.slow += tokens * MS_PER_S / SLOW_WINDOW_MS;
+    averages.fast += busyMs / FAST_WINDOW_MS;
+    averages.slow += busyMs / SLOW_WINDOW_MS;
   }
 
   /** Demand of all models that have any. */
@@ -47,11 +46,11 @@
     const demand: ModelDemand[] = [];
     for (const model of this.#averages.keys()) {
       const { fast, slow } = this.#decay(model);
-      if (slow < NEGLIGIBLE_TOKENS_PER_S) {
+      if (slow < NEGLIGIBLE_REPLICAS) {
         this.#averages.delete(model);
         continue;
       }
-      demand.push({ model, fastTokensPerS: fast, slowTokensPerS: slow });
+      demand.push({ model, fastReplicas: fast, slowReplicas: slow });
     }
     return demand;
   }
--- a/packages/entry/src/handle_model.ts
+++ b/packages/entry/src/handle_model.ts
@@ -43,7 +43,11 @@
   });
   if (!parsed.ok) return parsed.error;
   const { promptTokens, maxTokens, model } = parsed.value;
-  ctx.demand.record(model, promptTokens + maxTokens);
+  const outputTokens = maxTokens;
+  ctx.demand.record(
+    model,
+    ctx.router.estimateBusyMs(model, { promptTokens, outputTokens }),
+  );
   const admission = await admit(ctx, scope, {
     organisation,
     tokens: promptTokens + maxTokens,
--- a/packages/entry/src/model_loader.ts
+++ b/packages/entry/src/model_loader.ts
@@ -77,6 +77,7 @@
     const room = findRoomFor(model, {
       models: listPlacementModels(document, new Map()),
       replicas: router.reports(),
+      kvShare: 0,
     });
     if (!room) {
       log(`No replica has room for model "${model}"`);
--- a/packages/entry/src/placement_duty.ts
+++ b/packages/entry/src/placement_duty.ts
@@ -17,7 +17,8 @@
 const MOVE_PATIENCE_MS = 20_000;
 const MAX_MOVES = 4;
 const BUSY_SHARE = 0.6;
-const MIN_GAIN_SHARE = 0.1;
+const MIN_GAIN = 0.02;
+const KV_SHARE = 0.1;
 
 const log = createLog("entry:placement");
 
@@ -97,7 +98,8 @@
     }, {
       maxMoves: MAX_MOVES,
       busyShare: BUSY_SHARE,
-      minGainShare: MIN_GAIN_SHARE,
+      minGain: MIN_GAIN,
+      kvShare: KV_SHARE,
     });
     const reports = new Map(replicas.map((r) => [r.replica, r]));
     for (const move of plan) {
@@ -151,8 +153,8 @@
     const sum = sums.get(model);
     sums.set(model, {
       model,
-      fastTokensPerS: (sum?.fastTokensPerS ?? 0) + demand.fastTokensPerS,
-      slowTokensPerS: (sum?.slowTokensPerS ?? 0) + demand.slowTokensPerS,
+      fastReplicas: (sum?.fastReplicas ?? 0) + demand.fastReplicas,
+      slowReplicas: (sum?.slowReplicas ?? 0) + demand.slowReplicas,
     });
   }
   return sums;
--- a/packages/entry/src/placement_models.ts
+++ b/packages/entry/src/placement_models.ts
@@ -16,7 +16,7 @@
       entry.kv_kib_per_token * entry.context_tokens / KIB_PER_MIB,
     ),
     minReplicas: entry.min_replicas,
-    fastTokensPerS: demand.get(name)?.fastTokensPerS ?? 0,
-    slowTokensPerS: demand.get(name)?.slowTokensPerS ?? 0,
+    fastReplicas: demand.get(name)?.fastReplicas ?? 0,
+    slowReplicas: demand.get(name)?.slowReplicas ?? 0,
   }));
 }
--- a/packages/entry/src/relay.ts
+++ b/packages/entry/src/relay.ts
@@ -118,6 +118,7 @@
     return await runAttempt({
       pool: ctx.pool,
       sleep: ctx.sleep,
+      now: ctx.clock.now,
       address: report.address,
       request: run,
       sink: request.sink,
--- a/packages/ledger/src/memory_ledger.ts
+++ b/packages/ledger/src/memory_ledger.ts
@@ -142,11 +142,17 @@
     return this.#mayArrive(order?.unloadSentAt) ? "uncertain" : item.state;
   }
 
-  /** Names of all items that can be used now. */
-  readyNames(): readonly string[] {
-    return [...this.#items.keys()].filter((name) =>
-      this.stateOf(name) === "ready"
-    );
+  /**
+   * Whether the latest inventory lists an item as ready. Unlike a ready item,
+   * a listed one may still vanish by an unload that arrives late.
+   */
+  isListed(name: string): boolean {
+    return this.#items.get(name)?.state === "ready";
+  }
+
+  /** Items of the latest inventory. */
+  listed(): readonly InventoryItem[] {
+    return [...this.#items.values()];
   }
 
   /** Claims KV memory for a sequence. */
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -52,7 +52,7 @@
     queuedTokens: 0,
     running: 0,
     slots: 1,
-    freeMib: 0,
+    weightsMib: 0,
     memoryMib: 0,
     prefillTokensPerS: 0,
     decodeUsPerToken: 0,
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -1,5 +1,5 @@
 import type { ReplicaReport } from "@banyanspool/types";
-import { countReady, findRoomFor } from "./room.ts";
+import { countReady, findRoomFor, type Room } from "./room.ts";
 
 /** A model and the demand for it. */
 export interface PlacementModel {
@@ -11,10 +11,10 @@
   readonly contextKvMib: number;
   /** Replicas that it should always have. */
   readonly minReplicas: number;
-  /** Demand over about half a minute, in the whole fleet. */
-  readonly fastTokensPerS: number;
-  /** Demand over about ten minutes, in the whole fleet. */
-  readonly slowTokensPerS: number;
+  /** Replicas that the last half minute's demand would keep busy. */
+  readonly fastReplicas: number;
+  /** Replicas that the last ten minutes' demand would keep busy. */
+  readonly slowReplicas: number;
 }
 
 /** What a plan is made from. */
@@ -35,8 +35,10 @@
   readonly maxMoves: number;
   /** Share of its capacity at which a replica counts as too busy. */
   readonly busyShare: number;
-  /** Least drop of the busiest replica's share that is worth a load. */
-  readonly minGainShare: number;
+  /** Part of a replica's memory that copies leave to the KV cache. */
+  readonly kvShare: number;
+  /** Least drop of the sum of squared busy shares that is worth a load. */
+  readonly minGain: number;
 }
 
 /** One model to load at a replica, after unloading others. */
@@ -51,6 +53,11 @@
   readonly reason: "reach" | "copies" | "demand";
 }
 
+interface Candidate {
+  readonly model: string;
+  readonly target: ReplicaReport;
+}
+
 interface Working {
   readonly models: ReadonlyMap<string, PlacementModel>;
   readonly replicas: Map<string, ReplicaReport>;
@@ -71,13 +78,31 @@
   for (const reason of ["reach", "copies"] as const) {
     for (const model of findMissing(working, reason)) {
       if (room() <= 0) return moves;
-      addMove(moves, model, { reason, view, working });
+      const local = [...working.replicas.values()]
+        .filter((report) => isLocal(report, view));
+      const kvShare = reason === "reach" ? 0 : options.kvShare;
+      const found = findRoom(model, local, {
+        view,
+        working,
+        options: { kvShare },
+      });
+      if (found) addMove(moves, { working, room: found, load: model, reason });
     }
   }
   while (room() > 0) {
-    const model = findWorthyCopy(view, working, options);
-    if (model === undefined) break;
-    if (!addMove(moves, model, { reason: "demand", view, working })) break;
+    const copy = findWorthyCopy(view, working, options);
+    if (copy === undefined) break;
+    const found = findRoom(copy.model, [copy.target], {
+      view,
+      working,
+      options,
+    });
+    addMove(moves, {
+      working,
+      room: found!,
+      load: copy.model,
+      reason: "demand",
+    });
   }
   return moves;
 }
@@ -107,7 +132,7 @@
       ...report.readyModels.filter((name) => !gone.includes(name)),
       move.load,
     ],
-    freeMib: report.freeMib + freedMib - loadedMib,
+    weightsMib: report.weightsMib - freedMib + loadedMib,
   });
 }
 
@@ -125,61 +150,88 @@
     .map((model) => model.name);
 }
 
-function addMove(
-  moves: PlacementMove[],
+function findRoom(
   model: string,
-  { reason, view, working }: {
-    reason: PlacementMove["reason"];
+  among: readonly ReplicaReport[],
+  { view, working, options }: {
     view: PlacementView;
     working: Working;
+    options: { readonly kvShare: number };
   },
-): boolean {
-  const replicas = [...working.replicas.values()];
-  const room = findRoomFor(model, {
+): Room | undefined {
+  return findRoomFor(model, {
     models: view.models,
-    replicas: replicas.filter((report) => isLocal(report, view)),
-    readyCounts: countReady(replicas),
+    replicas: among,
+    readyCounts: countReady([...working.replicas.values()]),
+    kvShare: options.kvShare,
   });
-  if (!room) return false;
+}
+
+function addMove(
+  moves: PlacementMove[],
+  { working, room, load, reason }: {
+    working: Working;
+    room: Room;
+    load: string;
+    reason: PlacementMove["reason"];
+  },
+): void {
   const { report, unload } = room;
-  const move = { replica: report.replica, load: model, unload, reason };
+  const move = { replica: report.replica, load, unload, reason };
   moves.push(move);
   applyMove(working, move);
-  return true;
 }
 
-/** The model whose copy would relieve the busiest replica enough. */
+/**
+ * The copy that takes the most off the sum of squared busy shares, which
+ * grows like the waiting time: relief of a busy replica counts for more than
+ * the same relief of an idle one.
+ */
 function findWorthyCopy(
   view: PlacementView,
   working: Working,
   options: PlacementOptions,
-): string | undefined {
-  const replicas = [...working.replicas.values()];
+): Candidate | undefined {
+  const replicas = [...working.replicas.values()]
+    .filter(({ leaving }) => !leaving);
   const counts = countReady(replicas);
   const shares = new Map(
     replicas.map((report) => [report, busyShare(report, working, counts)]),
   );
-  const local = replicas.filter((report) =>
-    isLocal(report, view) && !report.leaving
+  const busy = replicas.filter((report) =>
+    shares.get(report)! >= options.busyShare
   );
-  local.sort((a, b) => shares.get(b)! - shares.get(a)!);
-  const [busiest] = local;
-  if (!busiest || shares.get(busiest)! < options.busyShare) return undefined;
-  const least = Math.min(...local.map((report) => shares.get(report)!));
-  let best: string | undefined;
-  let bestGain = options.minGainShare;
-  for (const name of busiest.readyModels) {
-    const part = modelShare(name, busiest, working, counts);
-    const count = counts.get(name) ?? 1;
-    const relief = part / (count + 1);
-    const gain = Math.min(relief, shares.get(busiest)! - least - relief);
-    if (gain <= bestGain) continue;
-    bestGain = gain;
-    best = name;
+  const models = new Set(busy.flatMap(({ readyModels }) => readyModels));
+  const targets = replicas.filter((report) => isLocal(report, view));
+  let best: Candidate | undefined;
+  let bestGain = options.minGain;
+  for (const model of models) {
+    const holders = replicas.filter((report) =>
+      report.readyModels.includes(model)
+    );
+    const part = modelShare(model, working, counts);
+    const newPart = part * holders.length / (holders.length + 1);
+    const relief = sumOf(holders, (report) => {
+      const share = shares.get(report)!;
+      return share ** 2 - (share - part + newPart) ** 2;
+    });
+    for (const target of targets) {
+      if (holders.includes(target)) continue;
+      const share = shares.get(target)!;
+      const gain = relief - ((share + newPart) ** 2 - share ** 2);
+      if (gain <= bestGain) continue;
+      if (!findRoom(model, [target], { view, working, options })) continue;
+      bestGain = gain;
+      best = { model, target };
+    }
   }
   return best;
 }
 
+function sumOf<T>(items: readonly T[], value: (item: T) => number): number {
+  return items.reduce((sum, item) => sum + value(item), 0);
+}
+
 function busyShare(
   report: ReplicaReport,
   working: Working,
@@ -187,7 +239,7 @@
 ): number {
   let share = 0;
   for (const name of report.readyModels) {
-    share += modelShare(name, report, working, counts);
+    share += modelShare(name, working, counts);
   }
   return share;
 }
@@ -195,19 +247,17 @@
 /** Part of a replica's capacity that one model's demand takes. */
 function modelShare(
   name: string,
-  report: ReplicaReport,
   working: Working,
   counts: ReadonlyMap<string, number>,
 ): number {
   const model = working.models.get(name);
   if (!model) return 0;
-  const perReplica = demandOf(model) / Math.max(1, counts.get(name) ?? 1);
-  return perReplica / Math.max(1, report.prefillTokensPerS);
+  return demandOf(model) / Math.max(1, counts.get(name) ?? 1);
 }
 
 /** A sudden rise counts at once; a lull counts once it has lasted. */
 function demandOf(model: PlacementModel): number {
-  return Math.max(model.fastTokensPerS, model.slowTokensPerS);
+  return Math.max(model.fastReplicas, model.slowReplicas);
 }
 
 function isLocal(report: ReplicaReport, view: PlacementView): boolean {
--- a/packages/placement/src/plan_test.ts
+++ b/packages/placement/src/plan_test.ts
@@ -6,7 +6,12 @@
 
 const SEED = 20_261_204;
 const RUNS = 500;
-const OPTIONS = { maxMoves: 4, busyShare: 0.6, minGainShare: 0.1 };
+const OPTIONS = {
+  maxMoves: 4,
+  busyShare: 0.6,
+  minGain: 0.02,
+  kvShare: 0.05,
+};
 
 function createModel(name: string, fields = {}): PlacementModel {
   return {
@@ -14,8 +19,8 @@
     weightsMib: 40,
     contextKvMib: 5,
     minReplicas: 1,
-    fastTokensPerS: 0,
-    slowTokensPerS: 0,
+    fastReplicas: 0,
+    slowReplicas: 0,
     ...fields,
   };
 }
@@ -34,7 +39,7 @@
     queuedTokens: 0,
     running: 0,
     slots: 8,
-    freeMib: 100 - 40 * readyModels.length,
+    weightsMib: 40 * readyModels.length,
     memoryMib: 100,
     prefillTokensPerS: 1000,
     decodeUsPerToken: 20_000,
@@ -71,8 +76,8 @@
 });
 
 test("a busy model gets a copy, a quiet one none", (t) => {
-  const quiet = [createModel("a", { fastTokensPerS: 100 }), createModel("b")];
-  const busy = [createModel("a", { fastTokensPerS: 900 }), createModel("b")];
+  const quiet = [createModel("a", { fastReplicas: 0.1 }), createModel("b")];
+  const busy = [createModel("a", { fastReplicas: 0.9 }), createModel("b")];
   const replicas = [createReport("r1", ["a"]), createReport("r2", ["b"])];
   t.deepEqual(plan(quiet, replicas), []);
   t.is(plan(busy, replicas)[0]?.load, "a");
@@ -80,7 +85,7 @@
 });
 
 test("a plan that was carried out leads to no further move", (t) => {
-  const models = [createModel("a", { fastTokensPerS: 900 }), createModel("b")];
+  const models = [createModel("a", { fastReplicas: 0.9 }), createModel("b")];
   const replicas = [createReport("r1", ["a"]), createReport("r2", ["b", "a"])];
   t.deepEqual(plan(models, replicas), []);
 });
@@ -89,7 +94,7 @@
   const model = fc.record({
     weightsMib: fc.integer({ min: 10, max: 50 }),
     minReplicas: fc.integer({ min: 1, max: 2 }),
-    fastTokensPerS: fc.integer({ min: 0, max: 3000 }),
+    fastReplicas: fc.double({ min: 0, max: 3, noNaN: true }),
   });
   const input = fc.tuple(
     fc.array(model, { minLength: 1, maxLength: 6 }),
@@ -106,7 +111,7 @@
         const names = [...new Set(indexes)].map((index) => `m${index}`)
           .filter((name) => sizes.has(name));
         const used = names.reduce((sum, name) => sum + sizes.get(name)!, 0);
-        return { ...createReport(`r${i}`, names), freeMib: 100 - used };
+        return { ...createReport(`r${i}`, names), weightsMib: used };
       });
       const before = countReady(replicas);
       const state = new Map(replicas.map((r) => [r.replica, r]));
--- a/packages/placement/src/room.ts
+++ b/packages/placement/src/room.ts
@@ -9,6 +9,8 @@
   readonly replicas: readonly ReplicaReport[];
   /** Replicas that hold each model in the whole fleet; counted if absent. */
   readonly readyCounts?: ReadonlyMap<string, number>;
+  /** Part of a replica's memory that must stay for the KV cache. */
+  readonly kvShare: number;
 }
 
 /** A replica with room, perhaps after unloading. */
@@ -29,17 +31,20 @@
   const wanted = byName.get(model);
   if (!wanted) return undefined;
   const counts = view.readyCounts ?? countReady(view.replicas);
-  let best: { room: Room; loss: number; load: number } | undefined;
+  let best: { room: Room; loss: number; weightsMib: number } | undefined;
   for (const report of view.replicas) {
     if (report.leaving || report.readyModels.includes(model)) continue;
-    if (neededMib(wanted) > report.memoryMib) continue;
-    const choice = chooseUnloads(report, { wanted, byName, counts });
+    const needed = neededMib(wanted, report, view.kvShare);
+    if (needed > report.memoryMib) continue;
+    const choice = chooseUnloads(report, { needed, byName, counts });
     if (!choice) continue;
-    const load = report.queuedTokens + report.running;
+    const { weightsMib } = report;
     if (best && choice.loss > best.loss) continue;
-    if (best && choice.loss === best.loss && load >= best.load) continue;
+    // Among equals the emptiest one, so that models spread over the replicas.
+    const isEqual = best && choice.loss === best.loss;
+    if (isEqual && weightsMib >= best!.weightsMib) continue;
     const room = { report, unload: choice.unload };
-    best = { room, loss: choice.loss, load };
+    best = { room, loss: choice.loss, weightsMib };
   }
   return best?.room;
 }
@@ -60,13 +65,13 @@
 
 function chooseUnloads(
   report: ReplicaReport,
-  { wanted, byName, counts }: {
-    wanted: PlacementModel;
+  { needed, byName, counts }: {
+    needed: number;
     byName: ReadonlyMap<string, PlacementModel>;
     counts: ReadonlyMap<string, number>;
   },
 ): { unload: string[]; loss: number } | undefined {
-  let freeMib = report.freeMib;
+  let freeMib = report.memoryMib - report.weightsMib;
   const unload: string[] = [];
   let loss = 0;
   const candidates = report.readyModels
@@ -76,22 +81,28 @@
     .map((entry) => ({ entry, demand: demandPerReplica(entry, counts) }))
     .sort((a, b) => a.demand - b.demand);
   for (const { entry, demand } of candidates) {
-    if (freeMib >= neededMib(wanted)) break;
+    if (freeMib >= needed) break;
     freeMib += entry.weightsMib;
     unload.push(entry.name);
     loss += 1 + demand;
   }
-  return freeMib >= neededMib(wanted) ? { unload, loss } : undefined;
+  return freeMib >= needed ? { unload, loss } : undefined;
 }
 
-function neededMib(model: PlacementModel): number {
-  return model.weightsMib + model.contextKvMib;
+/** Weights, and KV memory without which the model would only crowd others. */
+function neededMib(
+  model: PlacementModel,
+  report: ReplicaReport,
+  kvShare: number,
+): number {
+  const kvMib = Math.max(model.contextKvMib, report.memoryMib * kvShare);
+  return model.weightsMib + kvMib;
 }
 
 function demandPerReplica(
   entry: PlacementModel,
   counts: ReadonlyMap<string, number>,
 ): number {
-  const demand = Math.max(entry.fastTokensPerS, entry.slowTokensPerS);
+  const demand = Math.max(entry.fastReplicas, entry.slowReplicas);
   return demand / Math.max(1, counts.get(entry.name) ?? 1);
 }
--- /dev/null
+++ b/packages/retry/src/silence_watch.ts
@@ -0,0 +1,62 @@
+import type { Sleep } from "@banyanspool/types";
+
+/** Options of {@link watchSilence}. */
+export interface SilenceWatchOptions {
+  /** Silence after which the peer is given up, in ms. */
+  readonly limitMs: number;
+  /** Monotonic time. */
+  readonly now: () => number;
+  /** Waits. */
+  readonly sleep: Sleep;
+  /** Called once when the silence has lasted too long. */
+  readonly onSilent: () => void;
+}
+
+/** A running watch. */
+export interface SilenceWatch {
+  /** Says that the peer was heard. */
+  readonly heard: () => void;
+  /** Says that nothing is expected for now, or that it is again. */
+  readonly pause: (isPaused: boolean) => void;
+  /** Ends the watch. */
+  readonly stop: () => void;
+}
+
+/** Watches one stream with a single timer, however many messages it has. */
+export function watchSilence(options: SilenceWatchOptions): SilenceWatch {
+  const { now } = options;
+  const stop = new AbortController();
+  const state = { heardAt: now(), isPaused: false };
+  void runWatch(options, { state, signal: stop.signal });
+  return {
+    heard: () => {
+      state.heardAt = now();
+    },
+    pause: (isPaused) => {
+      state.isPaused = isPaused;
+      state.heardAt = now();
+    },
+    stop: () => stop.abort(),
+  };
+}
+
+async function runWatch(
+  { limitMs, now, sleep, onSilent }: SilenceWatchOptions,
+  { state, signal }: {
+    state: { heardAt: number; isPaused: boolean };
+    signal: AbortSignal;
+  },
+): Promise<void> {
+  while (!signal.aborted) {
+    const restMs = state.isPaused ? limitMs : state.heardAt + limitMs - now();
+    if (restMs <= 0) {
+      onSilent();
+      return;
+    }
+    try {
+      await sleep(restMs, signal);
+    } catch {
+      return;
+    }
+  }
+}
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -8,6 +8,8 @@
 const MAX_PREFIX_BLOCKS = 100_000;
 const EPSILON_MS = 5;
 const AVOID_MS = 3000;
+const MS_PER_S = 1000;
+const US_PER_MS = 1000;
 
 /** Options of {@link Router.create}. */
 export interface RouterOptions {
@@ -144,6 +146,22 @@
     return ready;
   }
 
+  /** Time that a request would keep one replica busy, in ms. */
+  estimateBusyMs(
+    model: string,
+    { promptTokens, outputTokens }: {
+      promptTokens: number;
+      outputTokens: number;
+    },
+  ): number {
+    const report = this.ready(model)[0] ?? this.reports()[0];
+    if (!report) return 0;
+    const prefillMs = promptTokens / Math.max(1, report.prefillTokensPerS) *
+      MS_PER_S;
+    const decodeMs = outputTokens * report.decodeUsPerToken / US_PER_MS;
+    return prefillMs + decodeMs / Math.max(1, report.slots);
+  }
+
   /** Chooses a replica and counts the request as sent; undefined if none. */
   dispatch(request: RouteRequest): Dispatch | undefined {
     const candidates = this.ready(request.model)
--- a/packages/routing/src/testing/reports.ts
+++ b/packages/routing/src/testing/reports.ts
@@ -18,7 +18,7 @@
     queuedTokens: 0,
     running: 0,
     slots: 8,
-    freeMib: 1000,
+    weightsMib: 0,
     memoryMib: 10_000,
     prefillTokensPerS: 1000,
     decodeUsPerToken: 20_000,
--- a/packages/standins/src/engine_model.ts
+++ b/packages/standins/src/engine_model.ts
@@ -60,6 +60,7 @@
 const ADAPTER_LOAD_MIN_MS = 5;
 const ADAPTER_LOAD_RANGE_MS = 5;
 const BATCH_SLOWDOWN = 0.5;
+const PREFILL_SLOWDOWN = 0.3;
 const MS_PER_S = 1000;
 
 /**
@@ -121,7 +122,9 @@
   /** Time between two tokens now, in ms. */
   get decodeMs(): number {
     const { decodeMs, slots } = this.#options;
-    return decodeMs * (1 + BATCH_SLOWDOWN * this.#running.size / slots);
+    const batch = BATCH_SLOWDOWN * this.#running.size / slots;
+    const prefill = this.#prefilling ? PREFILL_SLOWDOWN : 0;
+    return decodeMs * (1 + batch + prefill);
   }
 
   /** Whether an item is ready. */
--- a/packages/testbed/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -37,6 +37,8 @@
   >;
   /** Accelerator memory of each engine, in MiB. */
   readonly memoryMib: number;
+  /** Sequences that an engine runs together. */
+  readonly slots?: number;
   /** Time between two tokens, in ms. */
   readonly decodeMs?: number;
   /** Whether the engines check fencing tokens. */
@@ -365,12 +367,12 @@
 
   async #startAgent(index: number, dataCentre: string): Promise<void> {
     const instance = `agent-${index + 1}`;
-    const { memoryMib, decodeMs, checksFencing } = this.#options;
+    const { memoryMib, decodeMs, checksFencing, slots = 16 } = this.#options;
     const [internal, metrics, engine, service] = await pickPorts(4);
     const engineChild = await this.#startStandIn("engine", {
       port: engine,
       memoryMib,
-      slots: 16,
+      slots,
       prefillTokensPerS: 20_000,
       decodeMs: decodeMs ?? 5,
       modelLoadMs: 200,
@@ -393,7 +395,7 @@
         replica: `replica-${index + 1}`,
         url: `http://127.0.0.1:${enginePort}`,
         memory_mib: memoryMib,
-        slots: 16,
+        slots,
         checks_fencing: checksFencing ?? true,
       }],
     });
--- a/packages/types/src/fleet.ts
+++ b/packages/types/src/fleet.ts
@@ -41,14 +41,14 @@
   readonly leaving: boolean;
 }
 
-/** Tokens a second that callers ask of a model. */
+/** What callers ask of a model, in replicas that it would keep busy. */
 export interface ModelDemand {
   /** Model name. */
   readonly model: string;
   /** Average over about half a minute. */
-  readonly fastTokensPerS: number;
+  readonly fastReplicas: number;
   /** Average over about ten minutes. */
-  readonly slowTokensPerS: number;
+  readonly slowReplicas: number;
 }
 
 /** State of one replica, as its agent reports it. */
@@ -77,8 +77,8 @@
   readonly running: number;
   /** Sequences that the engine can run together. */
   readonly slots: number;
-  /** Memory that no ledger entry claims, in MiB. */
-  readonly freeMib: number;
+  /** Memory that models and adapters claim, in MiB. */
+  readonly weightsMib: number;
   /** Accelerator memory, in MiB. */
   readonly memoryMib: number;
   /** Prompt processing rate. */
--- a/packages/wire/src/convert.ts
+++ b/packages/wire/src/convert.ts
@@ -19,6 +19,8 @@
   ReplicaReportSchema,
 } from "./gen/banyanspool/v1/peer_pb.ts";
 
+const MILLI = 1000;
+
 /** Converts an attempt's identity to its message. */
 export function toWireAttempt(key: AttemptKey): AttemptId {
   return create(AttemptIdSchema, {
@@ -57,8 +59,8 @@
 export function toWireDemand(demand: ModelDemand): WireDemand {
   return create(ModelDemandSchema, {
     model: demand.model,
-    tokensPerS: Math.round(demand.fastTokensPerS),
-    slowTokensPerS: Math.round(demand.slowTokensPerS),
+    fastMilliReplicas: Math.round(demand.fastReplicas * MILLI),
+    slowMilliReplicas: Math.round(demand.slowReplicas * MILLI),
   });
 }
 
@@ -66,8 +68,8 @@
 export function fromWireDemand(demand: WireDemand): ModelDemand {
   return {
     model: demand.model,
-    fastTokensPerS: demand.tokensPerS,
-    slowTokensPerS: demand.slowTokensPerS,
+    fastReplicas: demand.fastMilliReplicas / MILLI,
+    slowReplicas: demand.slowMilliReplicas / MILLI,
   };
 }
 
@@ -86,7 +88,7 @@
     queuedTokens: report.queuedTokens,
     running: report.running,
     slots: report.slots,
-    freeMib: Math.max(0, Math.floor(report.freeMib)),
+    weightsMib: Math.ceil(report.weightsMib),
     memoryMib: report.memoryMib,
     prefillTokensPerS: Math.round(report.prefillTokensPerS),
     decodeUsPerToken: Math.round(report.decodeUsPerToken),
@@ -115,7 +117,7 @@
     queuedTokens: report.queuedTokens,
     running: report.running,
     slots: report.slots,
-    freeMib: report.freeMib,
+    weightsMib: report.weightsMib,
     memoryMib: report.memoryMib,
     prefillTokensPerS: report.prefillTokensPerS,
     decodeUsPerToken: report.decodeUsPerToken,
