--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,22 @@
+import { Builtins, Cli } from "clipanion";
+import { CompareCommand } from "./commands/compare.ts";
+import { ReplaySiteCommand } from "./commands/replay_site.ts";
+import { SlopesCommand } from "./commands/slopes.ts";
+import { TracesCommand } from "./commands/traces.ts";
+
+const cli = new Cli({
+  binaryLabel: "banyanspool bench",
+  binaryName: "npm run bench --",
+  binaryVersion: "0.1.0",
+});
+for (
+  const command of [
+    CompareCommand,
+    ReplaySiteCommand,
+    SlopesCommand,
+    TracesCommand,
+    Builtins.HelpCommand,
+  ]
+) cli.register(command);
+await cli.runExit(process.argv.slice(2));
+process.exit();
--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -1,5 +1,6 @@
 import { request } from "undici";
 import { callChat, Deployment } from "@banyanspool/testbed";
+import { AgentFleet } from "./agent_fleet.ts";
 
 const MS_PER_S = 1000;
 const US_PER_S = 1e6;
@@ -121,3 +122,68 @@
     residentMib: after.residentMib,
   };
 }
+
+/** Cost of a collector that many agents sync with. */
+export interface ControlCost extends ProcessCost {
+  /** Length of the measurement, in s. */
+  readonly seconds: number;
+  /** Bytes that the collector received. */
+  readonly bytesIn: number;
+  /** Bytes that it sent. */
+  readonly bytesOut: number;
+}
+
+/**
+ * Measures an entry as the collector of a number of agents. This process
+ * stands for all agents: it syncs once a second for each, over a connection
+ * of its own, and a tenth of the reports change each time.
+ */
+export async function measureControl(
+  { agents, replicasPerAgent, models, seconds }: {
+    agents: number;
+    replicasPerAgent: number;
+    models: number;
+    seconds: number;
+  },
+): Promise<ControlCost> {
+  const deployment = await Deployment.start({
+    entries: ["centre-a"],
+    agents: ["centre-a"],
+    memoryMib: 200_000,
+    models: Object.fromEntries(
+      Array.from({ length: models }, (_, index) => [`model-${index}`, MODEL]),
+    ),
+    probes: ["model-0"],
+    organisations: { acme: { rate: 10_000_000, burst: 50_000_000 } },
+  });
+  try {
+    const address = deployment.listed.find(({ role }) => role === "entry")!
+      .address;
+    const fleet = new AgentFleet({ address, agents, replicasPerAgent });
+    fleet.start();
+    await wait(WARM_UP_MS);
+    const { metricsUrl } = deployment.entries[0]!;
+    const before = await readCost(metricsUrl);
+    const bytesBefore = fleet.bytes();
+    const startedAt = performance.now();
+    await wait(seconds * MS_PER_S);
+    const cost = subtract(await readCost(metricsUrl), before);
+    const bytesAfter = fleet.bytes();
+    fleet.stop();
+    return {
+      ...cost,
+      seconds: (performance.now() - startedAt) / MS_PER_S,
+      bytesIn: bytesAfter.sent - bytesBefore.sent,
+      bytesOut: bytesAfter.received - bytesBefore.received,
+    };
+  } finally {
+    await deployment.close();
+  }
+}
+
+const WARM_UP_MS = 4000;
+const MODEL = { weights_mib: 100, kv_kib_per_token: 1, context_tokens: 8192 };
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/packages/testbed/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -31,6 +31,8 @@
   readonly agents: readonly string[];
   /** Models by name; defaults apply to absent fields. */
   readonly models: Readonly<Record<string, Record<string, unknown>>>;
+  /** Models that must answer before the deployment is ready; all by default. */
+  readonly probes?: readonly string[];
   /** Rate and burst of each organisation, in tokens. */
   readonly organisations: Readonly<
     Record<string, { rate: number; burst: number; weight?: number }>
@@ -142,6 +144,7 @@
     const [first] = this.keys.keys();
     for (const { url, instance } of this.entries) {
       for (const [model, entry] of Object.entries(this.#options.models)) {
+        if (!(this.#options.probes?.includes(model) ?? true)) continue;
         const open = entry.organisations as string[] | undefined;
         const key = this.keys.get(open?.[0] ?? first!)!;
         await waitUntil(`${model} answers at ${instance}`, async () => {
