--- a/packages/agent/src/engine_runner.ts
+++ b/packages/agent/src/engine_runner.ts
@@ -183,13 +183,14 @@
   }
 
   #dispatch(): void {
+    const now = this.#options.clock.now();
     this.#dropLate();
     while (this.#running.size < this.#options.slots) {
-      const next = this.#queue.peek();
+      const next = this.#queue.peek(now);
       if (next === undefined) return;
       const id = sequenceId(next.value.request);
       if (!this.#options.keeper.ledger.reserveKv(id, next.value.kvMib)) return;
-      this.#queue.shift();
+      this.#queue.shift(now);
       this.#running.set(id, next.value.request.model);
       void this.#serve(id, next);
     }
--- a/packages/limits/src/limits.ts
+++ b/packages/limits/src/limits.ts
@@ -56,10 +56,40 @@
 const MAX_LENDERS = 3;
 const LEASE_RETRY_MS = 1000;
 const REFILL_POLL_MS = 20;
+const EMPTY_LENDER_MS = 100;
+const MS_PER_S = 1000;
+
+const LEASE_LAPSED: RateRefusal = {
+  kind: "leaseLapsed",
+  retryAfterMs: LEASE_RETRY_MS,
+};
+
+/** What a request asks of its organisation's limit. */
+export interface AdmitRequest {
+  /** The most tokens that it may cost. */
+  readonly tokens: number;
+  /** Time in which it must end, in ms. */
+  readonly lifetimeMs: number;
+  /** Time for which it may wait for a refill, in ms. */
+  readonly patienceMs: number;
+}
+
+interface WaitingRequest extends AdmitRequest {
+  readonly giveUpAt: number;
+}
+
+interface Line {
+  /** Tokens that all requests in line want. */
+  tokens: number;
+  /** Resolves when the last one in line has left it. */
+  tail: Promise<void>;
+}
 
 /** Admits requests by their organisation's rate and burst. */
 export class Limits {
   readonly #options: LimitsOptions;
+  readonly #lines: Map<string, Line> = new Map();
+  readonly #emptyUntil: Map<string, number> = new Map();
   #nextLoan = 0;
 
   private constructor(options: LimitsOptions) {
@@ -73,11 +103,13 @@
 
   /**
    * Reserves the most that a request may cost, borrowing where this entry's
-   * share falls short. Waits at most `patienceMs` for a refill.
+   * share falls short. Waits at most `patienceMs` for a refill. Requests of
+   * an organisation that must wait do so in line, so that they don't take
+   * tokens from each other that serve none of them.
    */
   async admit(
     organisation: string,
-    request: { tokens: number; lifetimeMs: number; patienceMs: number },
+    request: AdmitRequest,
   ): Promise<Result<Admission, RateRefusal>> {
     const { keeper, clock, sleep } = this.#options;
     const limit = this.#options.limitOf(organisation);
@@ -90,19 +122,17 @@
       // The first request here for an organisation finds no share yet.
       await Promise.race([keeper.tick(), sleep(request.patienceMs)]);
     }
-    while (true) {
-      if (!keeper.valid) {
-        return err({ kind: "leaseLapsed", retryAfterMs: LEASE_RETRY_MS });
-      }
-      const admission = await this.#tryAdmit(organisation, request);
-      if (admission) return ok(admission);
-      const share = keeper.share(organisation);
-      const waitMs = this.#estimateWait(share, request.tokens, limit);
-      if (clock.now() + waitMs > giveUpAt) {
-        return err({ kind: "rateExceeded", retryAfterMs: waitMs });
-      }
-      await sleep(Math.min(Math.max(waitMs, 1), REFILL_POLL_MS));
+    if (!keeper.valid) return err(LEASE_LAPSED);
+    const line = this.#lineOf(organisation);
+    if (line.tokens === 0) {
+      const own = keeper.share(organisation).reserve(request.tokens, []);
+      if (own) return ok(this.#createAdmission(organisation, own));
     }
+    const aheadMs = line.tokens / limit.ratePerS * MS_PER_S;
+    if (aheadMs > request.patienceMs) {
+      return err({ kind: "rateExceeded", retryAfterMs: aheadMs });
+    }
+    return await this.#waitInLine(organisation, { ...request, giveUpAt });
   }
 
   /** Answers another entry that wants to borrow. */
@@ -121,46 +151,91 @@
     this.#options.keeper.share(organisation).closeLoan(loanId, unused);
   }
 
-  async #tryAdmit(
+  #lineOf(organisation: string): Line {
+    const known = this.#lines.get(organisation);
+    if (known) return known;
+    const line = { tokens: 0, tail: Promise.resolve() };
+    this.#lines.set(organisation, line);
+    return line;
+  }
+
+  async #waitInLine(
     organisation: string,
-    request: { tokens: number; lifetimeMs: number },
-  ): Promise<Admission | undefined> {
-    const { keeper } = this.#options;
+    request: WaitingRequest,
+  ): Promise<Result<Admission, RateRefusal>> {
+    const line = this.#lineOf(organisation);
+    const before = line.tail;
+    let leave: () => void = () => {};
+    line.tail = new Promise((resolve) => {
+      leave = resolve;
+    });
+    line.tokens += request.tokens;
+    try {
+      await before;
+      return await this.#collect(organisation, request);
+    } finally {
+      line.tokens -= request.tokens;
+      leave();
+    }
+  }
+
+  /** Collects loans and refill until the request is covered. */
+  async #collect(
+    organisation: string,
+    request: WaitingRequest,
+  ): Promise<Result<Admission, RateRefusal>> {
+    const { keeper, clock, sleep } = this.#options;
     const share = keeper.share(organisation);
-    const own = share.reserve(request.tokens, []);
-    if (own) return this.#createAdmission(organisation, own);
-    const loans = await this.#borrow(organisation, request);
-    const reservation = keeper.valid
-      ? share.reserve(request.tokens, loans)
-      : undefined;
-    if (reservation) return this.#createAdmission(organisation, reservation);
+    const loans: Loan[] = [];
+    while (keeper.valid) {
+      const reservation = share.reserve(request.tokens, loans);
+      if (reservation) {
+        return ok(this.#createAdmission(organisation, reservation));
+      }
+      await this.#borrow(organisation, request, loans);
+      if (sumOf(loans) + share.level >= request.tokens) continue;
+      const waitMs = this.#estimateWait(organisation, request.tokens, loans);
+      if (clock.now() + Math.min(waitMs, REFILL_POLL_MS) > request.giveUpAt) {
+        this.#returnLoans(organisation, loans);
+        return err({ kind: "rateExceeded", retryAfterMs: waitMs });
+      }
+      await sleep(Math.min(Math.max(waitMs, 1), REFILL_POLL_MS));
+    }
+    this.#returnLoans(organisation, loans);
+    return err(LEASE_LAPSED);
+  }
+
+  #returnLoans(organisation: string, loans: readonly Loan[]): void {
     for (const loan of loans) {
       this.#settleLoan(organisation, loan, loan.tokens);
     }
-    return undefined;
   }
 
   /** Borrows the missing tokens from a few lenders, one after the other. */
   async #borrow(
     organisation: string,
-    request: { tokens: number; lifetimeMs: number },
-  ): Promise<readonly Loan[]> {
-    const { keeper, loanPrefix } = this.#options;
+    request: WaitingRequest,
+    loans: Loan[],
+  ): Promise<void> {
+    const { keeper, loanPrefix, clock } = this.#options;
     const share = keeper.share(organisation);
-    const loans: Loan[] = [];
-    let missing = Math.ceil(request.tokens - Math.max(0, share.level));
     for (const lender of keeper.lenders(organisation).slice(0, MAX_LENDERS)) {
-      if (missing <= 0) break;
+      const covered = sumOf(loans) + Math.max(0, share.level);
+      const missing = Math.ceil(request.tokens - covered);
+      if (missing <= 0) return;
+      const pair = `${organisation} ${lender}`;
+      if ((this.#emptyUntil.get(pair) ?? 0) > clock.now()) continue;
       this.#nextLoan += 1;
       const id = `${loanPrefix}/${this.#nextLoan}`;
-      const forMs = request.lifetimeMs;
       const loan = { id, lender, tokens: missing };
-      const tokens = await this.#askLender(organisation, loan, forMs);
-      if (tokens <= 0) continue;
-      loans.push({ ...loan, tokens });
-      missing -= tokens;
+      const tokens = await this.#askLender(
+        organisation,
+        loan,
+        request.lifetimeMs,
+      );
+      if (tokens > 0) loans.push({ ...loan, tokens });
+      else this.#emptyUntil.set(pair, clock.now() + EMPTY_LENDER_MS);
     }
-    return loans;
   }
 
   /** Returns how many tokens were granted; after no answer the loan is void. */
@@ -197,13 +272,18 @@
   }
 
   #estimateWait(
-    share: TokenShare,
+    organisation: string,
     tokens: number,
-    limit: { ratePerS: number },
+    loans: readonly Loan[],
   ): number {
-    const own = share.waitFor(tokens);
-    if (own !== Infinity) return own;
-    const missing = tokens - Math.max(0, share.level);
-    return missing / limit.ratePerS * 1000;
+    const { keeper, limitOf } = this.#options;
+    const missing = tokens - sumOf(loans) -
+      Math.max(0, keeper.share(organisation).level);
+    const ratePerS = limitOf(organisation)?.ratePerS ?? 1;
+    return Math.max(0, missing) / ratePerS * MS_PER_S;
   }
 }
+
+function sumOf(loans: readonly Loan[]): number {
+  return loans.reduce((sum, loan) => sum + loan.tokens, 0);
+}
--- a/packages/limits/src/mod.ts
+++ b/packages/limits/src/mod.ts
@@ -10,6 +10,7 @@
 export { Limits } from "./limits.ts";
 export type {
   Admission,
+  AdmitRequest,
   BorrowCall,
   LimitsOptions,
   RateRefusal,
--- a/packages/queue/src/fair_queue.ts
+++ b/packages/queue/src/fair_queue.ts
@@ -15,9 +15,10 @@
 }
 
 /**
- * Order of service: `fair` serves the organisation with the fewest served
- * tokens by weight, its most urgent request first; `deadline` serves the most
- * urgent request of all; `arrival` serves in order of arrival.
+ * Order of service: `fair` serves requests that can still be in time before
+ * those that are late already, and among them the organisation with the fewest
+ * served tokens by weight, its most urgent request first; `deadline` serves
+ * the most urgent request of all; `arrival` serves in order of arrival.
  */
 export type QueuePolicy = "fair" | "deadline" | "arrival";
 
@@ -76,9 +77,9 @@
     this.#tokens += item.promptTokens;
   }
 
-  /** Takes the next request, or undefined if none waits. */
-  shift(): QueueItem<T> | undefined {
-    const item = this.#findNext();
+  /** Takes the next request at a monotonic time, if any waits. */
+  shift(now: number): QueueItem<T> | undefined {
+    const item = this.#findNext(now);
     if (item === undefined) return undefined;
     this.remove(item);
     this.charge(item.organisation, item.promptTokens);
@@ -88,8 +89,8 @@
   }
 
   /** Looks at the next request without taking it. */
-  peek(): QueueItem<T> | undefined {
-    return this.#findNext();
+  peek(now: number): QueueItem<T> | undefined {
+    return this.#findNext(now);
   }
 
   /** Removes a request that was given up. Returns whether it waited. */
@@ -156,13 +157,11 @@
     for (const items of this.#waiting.values()) yield* items;
   }
 
-  #findNext(): QueueItem<T> | undefined {
+  #findNext(now: number): QueueItem<T> | undefined {
     switch (this.#options.policy) {
       case "fair":
-        return pickLeast(
-          this.#waiting.get(this.#findLeastServed() ?? "") ?? [],
-          (item) => item.dueAt,
-        );
+        return this.#findFair((item) => item.dueAt > now) ??
+          this.#findFair(() => true);
       case "deadline":
         return pickLeast(this.#items(), (item) => item.dueAt);
       case "arrival":
@@ -170,11 +169,21 @@
     }
   }
 
-  #findLeastServed(): string | undefined {
-    return pickLeast(
-      this.#waiting.keys(),
-      (organisation) => this.#served.get(organisation) ?? 0,
-    );
+  /** The most urgent matching request of the least served organisation. */
+  #findFair(
+    matches: (item: QueueItem<T>) => boolean,
+  ): QueueItem<T> | undefined {
+    let best: QueueItem<T> | undefined;
+    let least = Infinity;
+    for (const [organisation, items] of this.#waiting) {
+      const served = this.#served.get(organisation) ?? 0;
+      if (served >= least) continue;
+      const item = pickLeast(items.filter(matches), ({ dueAt }) => dueAt);
+      if (item === undefined) continue;
+      least = served;
+      best = item;
+    }
+    return best;
   }
 
   #lift(organisation: string): void {
