Move models only for a gain that lasts, and count the slot that a request takes

Change: a copy needs a drop of 0.1 in the sum of squared busy shares at a replica that is 0.7 busy; a replica's predicted cost grows by up to 100 ms with the slots in use, where this entry's own unfinished requests count.

--- a/packages/bench/src/policies.ts
+++ b/packages/bench/src/policies.ts
@@ -99,7 +99,7 @@
     let isOver = false;
     return {
       report,
-      prediction: { totalMs: 0, waitMs: 0 },
+      prediction: { totalMs: 0, waitMs: 0, costMs: 0 },
       started: () => {},
       finished: () => {
         if (isOver) return;
--- a/packages/bench/src/replay.ts
+++ b/packages/bench/src/replay.ts
@@ -45,8 +45,8 @@
 const SLOW_STORE = 5;
 const PLAN = {
   maxMoves: 4,
-  busyShare: 0.6,
-  minGain: 0.02,
+  busyShare: 0.7,
+  minGain: 0.1,
   kvShare: 0.1,
 };
 
--- a/packages/entry/src/placement_duty.ts
+++ b/packages/entry/src/placement_duty.ts
@@ -16,8 +16,8 @@
 const LEASE_MS = 10_000;
 const MOVE_PATIENCE_MS = 20_000;
 const MAX_MOVES = 4;
-const BUSY_SHARE = 0.6;
-const MIN_GAIN = 0.02;
+const BUSY_SHARE = 0.7;
+const MIN_GAIN = 0.1;
 const KV_SHARE = 0.1;
 
 const log = createLog("entry:placement");
--- a/packages/routing/src/predict.ts
+++ b/packages/routing/src/predict.ts
@@ -1,5 +1,7 @@
 import type { ReplicaReport } from "@banyanspool/types";
 
+const CROWDING_MS = 100;
+
 /** What is known about one candidate. */
 export interface PredictionFacts {
   /** Latest report. */
@@ -10,6 +12,8 @@
   readonly sentTokens: number;
   /** Requests sent to it that the report can't know of. */
   readonly sentRequests: number;
+  /** Requests of this entry that the replica has not finished. */
+  readonly outstanding: number;
   /** Prompt tokens of the request. */
   readonly promptTokens: number;
   /** Leading prompt tokens that its prefix cache probably holds. */
@@ -26,6 +30,8 @@
   readonly totalMs: number;
   /** Part that is spent waiting for other requests. */
   readonly waitMs: number;
+  /** Total and what the request costs later ones by the slot that it takes. */
+  readonly costMs: number;
 }
 
 /** Predicts the time to first token at a candidate. */
@@ -34,12 +40,17 @@
   const prefillPerMs = Math.max(report.prefillTokensPerS, 1) / 1000;
   const aheadTokens = report.queuedTokens + facts.sentTokens;
   const prefillWaitMs = aheadTokens / prefillPerMs;
-  const busy = report.running + facts.sentRequests;
+  const busy = Math.max(
+    report.running + facts.sentRequests,
+    facts.outstanding,
+  );
+  const slots = Math.max(report.slots, 1);
   const excess = Math.max(0, busy + 1 - report.slots);
-  const slotWaitMs = excess * facts.slotTimeMs / Math.max(report.slots, 1);
+  const slotWaitMs = excess * facts.slotTimeMs / slots;
   const waitMs = Math.max(prefillWaitMs, slotWaitMs);
   const freshTokens = Math.max(0, facts.promptTokens - facts.cachedTokens);
   const prefillMs = freshTokens / prefillPerMs;
   const totalMs = facts.rttMs + facts.adapterLoadMs + waitMs + prefillMs;
-  return { totalMs, waitMs };
+  const crowdingMs = CROWDING_MS * Math.min(1, busy / slots);
+  return { totalMs, waitMs, costMs: totalMs + crowdingMs };
 }
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -61,6 +61,7 @@
   /** Time up to which it is avoided for a model. */
   readonly modelsAvoidedUntil: Map<string, number>;
   readonly sent: Set<{ readonly at: number; readonly tokens: number }>;
+  readonly outstanding: { count: number };
 }
 
 /**
@@ -97,6 +98,7 @@
       avoidedUntil: -Infinity,
       modelsAvoidedUntil: new Map(),
       sent: known?.sent ?? new Set(),
+      outstanding: known?.outstanding ?? { count: 0 },
     });
   }
 
@@ -213,7 +215,7 @@
     let equals = 0;
     for (const report of sample) {
       const prediction = this.#predict(report, request);
-      const gapMs = prediction.totalMs - (best?.prediction.totalMs ?? Infinity);
+      const gapMs = prediction.costMs - (best?.prediction.costMs ?? Infinity);
       if (gapMs > EPSILON_MS) continue;
       equals = gapMs < -EPSILON_MS ? 1 : equals + 1;
       // Equal candidates are drawn evenly.
@@ -241,6 +243,7 @@
       rttMs: this.#options.rttMs(report.dataCentre),
       sentTokens,
       sentRequests,
+      outstanding: known.outstanding.count,
       promptTokens: request.promptTokens,
       cachedTokens: blocks * request.blockTokens,
       adapterLoadMs: needsAdapter ? ADAPTER_LOAD_MS : 0,
@@ -264,6 +267,9 @@
       tokens: request.promptTokens,
     };
     known.sent.add(sent);
+    const { outstanding } = known;
+    outstanding.count += 1;
+    let isOver = false;
     this.#prefixes.record(request.model, request.prefixes, report.replica);
     return {
       report,
@@ -272,6 +278,9 @@
         known.sent.delete(sent);
       },
       finished: (slotTimeMs) => {
+        if (isOver) return;
+        isOver = true;
+        outstanding.count -= 1;
         known.sent.delete(sent);
         if (slotTimeMs !== undefined) this.#learnSlotTime(slotTimeMs);
       },
