--- /dev/null
+++ b/packages/agent/src/adapter_cache_test.ts
@@ -0,0 +1,48 @@
+import test from "ava";
+import { MemoryLedger } from "@banyanspool/ledger";
+import { AdapterCache } from "./adapter_cache.ts";
+
+function createCache(adapters: string[]) {
+  const state = { now: 10 };
+  const clock = { now: () => state.now, wall: () => state.now };
+  const ledger = MemoryLedger.create({
+    clock,
+    memoryMib: 100,
+    orderLifetimeMs: 1,
+  });
+  const items = adapters.map((name) => ({
+    name,
+    mib: 10,
+    state: "ready" as const,
+  }));
+  ledger.applyInventory({ items, sequences: [] }, 5);
+  const cache = AdapterCache.create({
+    clock,
+    ledger: () => ledger,
+    maxWeightsMib: 40,
+  });
+  return { cache, state };
+}
+
+test("the adapter that was idle longest gives way first", (t) => {
+  const { cache, state } = createCache(["m/a", "m/b", "m/c", "m/d"]);
+  for (const name of ["m/b", "m/a", "m/d", "m/c"]) {
+    state.now += 1;
+    cache.hold(name);
+    cache.release(name);
+  }
+  t.deepEqual(cache.chooseIdle(20), ["m/b", "m/a"]);
+});
+
+test("an adapter in use and a model never give way", (t) => {
+  const { cache } = createCache(["m", "m/a", "m/b", "m/c"]);
+  cache.hold("m/a");
+  t.deepEqual(cache.chooseIdle(40), ["m/b", "m/c"]);
+});
+
+test("an adapter that is being unloaded takes no requests", (t) => {
+  const { cache } = createCache(["m/a"]);
+  t.true(cache.isUsable("m/a"));
+  cache.beginUnload("m/a");
+  t.false(cache.isUsable("m/a"));
+});
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,21 +1,16 @@
 import { create } from "@bufbuild/protobuf";
-import {
-  type Clock,
-  createSystemClock,
-  type Sleep,
-  sleep as systemSleep,
-} from "@banyanspool/types";
-import { DecisionLog } from "@banyanspool/audit";
 import {
   addPeerService,
+  createDaemonBase,
+  type DaemonBase,
+  type DaemonEnvironment,
   FleetMember,
+  MAX_MESSAGE_BYTES,
   type MetricsServer,
   startMetricsServer,
 } from "@banyanspool/fleet";
 import { createLog } from "@banyanspool/logger";
 import { createCollectorRanking } from "@banyanspool/membership";
-import { Metrics } from "@banyanspool/metrics";
-import { createHttpPlatform, type Platform } from "@banyanspool/platform";
 import {
   type AgentSettings,
   type EngineSettings,
@@ -26,7 +21,6 @@
   type InternalServer,
   type LedgerStatus,
   LedgerStatusSchema,
-  PeerPool,
   startInternalServer,
   toWireReport,
 } from "@banyanspool/wire";
@@ -37,8 +31,6 @@
 import { EngineRunner } from "./engine_runner.ts";
 import { ReportSource } from "./reports.ts";
 
-const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
-const AUDIT_INTERVAL_MS = 10_000;
 const MAX_PENDING_DECISIONS = 5000;
 const DRAIN_POLL_MS = 50;
 const PIN_TIMEOUT_MS = 1000;
@@ -46,15 +38,9 @@
 const log = createLog("agent");
 
 /** Options of {@link Agent.create}. */
-export interface AgentOptions {
+export interface AgentOptions extends DaemonEnvironment {
   /** Settings of the process. */
   readonly cfg: AgentSettings;
-  /** Time source; the system's by default. */
-  readonly clock?: Clock;
-  /** Waits; the system's by default. */
-  readonly sleep?: Sleep;
-  /** The platform's services; by HTTP by default. */
-  readonly platform?: Platform;
 }
 
 interface Engine extends EngineParts {
@@ -62,14 +48,8 @@
   readonly memoryMib: number;
 }
 
-interface Shared {
+interface Shared extends DaemonBase {
   readonly cfg: AgentSettings;
-  readonly clock: Clock;
-  readonly sleep: Sleep;
-  readonly incarnation: number;
-  readonly pool: PeerPool;
-  readonly metrics: Metrics;
-  readonly decisions: DecisionLog;
   readonly member: () => FleetMember;
 }
 
@@ -107,45 +87,11 @@
   /** Builds an agent from its settings; {@link start} runs it. */
   static async create(options: AgentOptions): Promise<Agent> {
     const { cfg } = options;
-    const clock = options.clock ?? createSystemClock();
-    const sleep = options.sleep ?? systemSleep;
-    const platform = options.platform ??
-      createHttpPlatform({ url: cfg.platform_url });
-    const incarnation = clock.wall();
-    const metrics = Metrics.create();
+    const maxPendingDecisions = MAX_PENDING_DECISIONS;
+    const base = createDaemonBase({ ...options, maxPendingDecisions });
+    const { clock, sleep, incarnation } = base;
     const state = { isLeaving: false };
-    const identity = {
-      instance: cfg.instance,
-      incarnation,
-      role: "agent" as const,
-      dataCentre: cfg.data_centre,
-      address: cfg.internal_listen,
-    };
-    const shared: Shared = {
-      cfg,
-      clock,
-      sleep,
-      incarnation,
-      metrics,
-      member: () => member,
-      pool: PeerPool.create({
-        secret: cfg.fleet_secret,
-        instance: cfg.instance,
-        wall: clock.wall,
-        maxMessageBytes: MAX_MESSAGE_BYTES,
-      }),
-      decisions: DecisionLog.create({
-        objects: platform.objects,
-        clock,
-        sleep,
-        instance: cfg.instance,
-        incarnation,
-        flushIntervalMs: AUDIT_INTERVAL_MS,
-        maxPending: MAX_PENDING_DECISIONS,
-        count: (outcome, records) =>
-          metrics.decisions.inc({ outcome }, records),
-      }),
-    };
+    const shared: Shared = { ...base, cfg, member: () => member };
     const engines = new Map(
       cfg.engines.map((engine) => [
         engine.replica,
@@ -164,11 +110,14 @@
       isLeaving: () => state.isLeaving,
     });
     const member: FleetMember = FleetMember.create({
-      identity,
-      clock,
-      sleep,
-      platform,
-      pool: shared.pool,
+      identity: {
+        instance: cfg.instance,
+        incarnation,
+        role: "agent",
+        dataCentre: cfg.data_centre,
+        address: cfg.internal_listen,
+      },
+      ...base,
       ranking: await createCollectorRanking(),
       seeds: cfg.seeds,
       local: { reports: () => reports.read(), demand: () => [] },
--- a/packages/cli/src/client_command.ts
+++ b/packages/cli/src/client_command.ts
@@ -40,7 +40,14 @@
       this.fail(error.message);
       return EXIT_CODES.badUsage;
     }
-    return await this.run(client);
+    try {
+      return await this.run(client);
+    } catch (error) {
+      const { code, path } = error as NodeJS.ErrnoException;
+      if (code === undefined || path === undefined) throw error;
+      this.fail(`Cannot use file "${path}": ${code}`);
+      return EXIT_CODES.badUsage;
+    }
   }
 
   /** Prints a line of text, unless JSON was asked for. */
--- a/packages/cli/src/commands/config_check.ts
+++ b/packages/cli/src/commands/config_check.ts
@@ -1,36 +1,28 @@
-import { Command, Option, type Usage } from "clipanion";
+import { Command, type Usage } from "clipanion";
 import {
   describeFault,
   parseDocument,
-  readDocument,
+  type SectionName,
+  type StoredDocument,
 } from "@banyanspool/config";
-import type { Client } from "../client.ts";
-import { ClientCommand, EXIT_CODES } from "../client_command.ts";
-import { isSectionName, readSectionFile } from "../section_file.ts";
+import { EXIT_CODES } from "../client_command.ts";
+import { SectionCommand } from "../section_command.ts";
+import { readSectionFile } from "../section_file.ts";
 
 /** Checks a section against the accepted rest of the document. */
-export class ConfigCheckCommand extends ClientCommand {
+export class ConfigCheckCommand extends SectionCommand {
   static override paths: string[][] = [["config", "check"]];
   static override usage: Usage = Command.Usage({
     category: "Configuration",
     description: "Check a section's file against the accepted other sections",
     examples: [["Check", "$0 config check limits limits.toml"]],
   });
-  section: string = Option.String();
-  file: string = Option.String();
 
-  async run(client: Client): Promise<number> {
-    if (!isSectionName(this.section)) {
-      this.fail(`Section "${this.section}" does not exist`);
-      return EXIT_CODES.badUsage;
-    }
-    const stored = await readDocument(client.platform.table);
-    if (!stored.ok) return this.failStore(stored.error);
+  runSection(section: SectionName, stored: StoredDocument): number {
     const { text } = readSectionFile(this.file);
-    const texts = { ...stored.value.texts, [this.section]: text };
-    const checked = parseDocument(texts);
+    const checked = parseDocument({ ...stored.texts, [section]: text });
     if (checked.ok) {
-      this.say(`section "${this.section}" has no faults`);
+      this.say(`section "${section}" has no faults`);
       this.print({ faults: [] });
       return EXIT_CODES.done;
     }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,74 +1,42 @@
-import {
-  type Clock,
-  createSystemClock,
-  type Random,
-  refuse,
-  type Sleep,
-  sleep as systemSleep,
-} from "@banyanspool/types";
-import { DecisionLog } from "@banyanspool/audit";
+import { create } from "@bufbuild/protobuf";
+import { type Random, refuse } from "@banyanspool/types";
+import type { Document } from "@banyanspool/config";
 import {
   addPeerService,
-  FleetMember,
+  type DaemonEnvironment,
+  MAX_MESSAGE_BYTES,
   type MetricsServer,
   startMetricsServer,
 } from "@banyanspool/fleet";
-import { Limits, ShareKeeper } from "@banyanspool/limits";
+import type { ShareKeeper } from "@banyanspool/limits";
 import { createLog } from "@banyanspool/logger";
-import { createCollectorRanking } from "@banyanspool/membership";
-import { Metrics } from "@banyanspool/metrics";
-import { createHttpPlatform, type Platform } from "@banyanspool/platform";
-import { RetryBudget } from "@banyanspool/retry";
-import { Router } from "@banyanspool/routing";
 import { type EntrySettings, splitAddress } from "@banyanspool/settings";
 import { Supervisor } from "@banyanspool/supervisor";
 import {
   type InternalServer,
-  PeerPool,
   type ShareStatus,
   ShareStatusSchema,
   startInternalServer,
   toWireReport,
 } from "@banyanspool/wire";
-import { create } from "@bufbuild/protobuf";
 import type { EntryContext } from "./context.ts";
-import { DemandMeter } from "./demand_meter.ts";
-import { KeyWatch } from "./key_watch.ts";
-import { ModelLoader } from "./model_loader.ts";
-import { PlacementDuty } from "./placement_duty.ts";
+import { createEntryParts } from "./entry_parts.ts";
+import type { PlacementDuty } from "./placement_duty.ts";
 import { type PublicServer, startPublicServer } from "./public_server.ts";
-import { createAdviceSender } from "./send_advice.ts";
-import { ServiceRouter } from "./service_router.ts";
 
-const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
-const SHARE_LEASE_MS = 8000;
 const SHARE_INTERVAL_MS = 1500;
 const FRESHNESS_INTERVAL_MS = 500;
 const CUT_OFF_GRACE_MS = 2000;
-const AUDIT_INTERVAL_MS = 10_000;
-const MAX_PENDING_DECISIONS = 20_000;
-const REPORT_LAG_MS = 1500;
-const ROUTE_SAMPLE = 4;
-const LOCAL_RTT_MS = 1;
-const REMOTE_RTT_MS = 2;
-const RETRY_RATIO = 0.1;
-const RETRY_BURST = 20;
-const LOAN_TIMEOUT_MS = 250;
+const MS_PER_S = 1000;
 
 const log = createLog("entry");
 
 /** Options of {@link Entry.create}. */
-export interface EntryOptions {
+export interface EntryOptions extends DaemonEnvironment {
   /** Settings of the process. */
   readonly cfg: EntrySettings;
-  /** Time source; the system's by default. */
-  readonly clock?: Clock;
-  /** Waits; the system's by default. */
-  readonly sleep?: Sleep;
   /** Source of randomness; the system's by default. */
   readonly random?: Random;
-  /** The platform's services; by HTTP by default. */
-  readonly platform?: Platform;
 }
 
 interface Servers {
@@ -104,150 +72,15 @@
 
   /** Builds an entry from its settings; {@link start} runs it. */
   static async create(options: EntryOptions): Promise<Entry> {
-    const { cfg } = options;
-    const clock = options.clock ?? createSystemClock();
-    const sleep = options.sleep ?? systemSleep;
-    const random = options.random ?? Math.random;
-    const platform = options.platform ??
-      createHttpPlatform({ url: cfg.platform_url });
-    const incarnation = clock.wall();
-    const metrics = Metrics.create();
-    const pool = PeerPool.create({
-      secret: cfg.fleet_secret,
-      instance: cfg.instance,
-      wall: clock.wall,
-      maxMessageBytes: MAX_MESSAGE_BYTES,
-    });
-    const router = Router.create({
-      clock,
-      random,
-      rttMs: (dataCentre) =>
-        dataCentre === cfg.data_centre ? LOCAL_RTT_MS : REMOTE_RTT_MS,
-      reportLagMs: REPORT_LAG_MS,
-      sampleSize: ROUTE_SAMPLE,
-    });
-    const keys = KeyWatch.create();
-    const demand = DemandMeter.create({ clock });
-    const member = FleetMember.create({
-      identity: {
-        instance: cfg.instance,
-        incarnation,
-        role: "entry",
-        dataCentre: cfg.data_centre,
-        address: cfg.internal_listen,
-      },
-      clock,
-      sleep,
-      platform,
-      pool,
-      ranking: await createCollectorRanking(),
-      seeds: cfg.seeds,
-      local: { reports: () => [], demand: () => demand.read() },
-      onConfig: ({ document }) => {
-        keys.update(document);
-        shares.resizeAll();
-        entry.#servers?.public.update(document);
-      },
-      onReport: (report) => router.update(report),
-      onGone: (replica) => router.remove(replica),
-    });
-    const limitOf = (organisation: string) => {
-      const limit = member.config.current?.document.limits[organisation];
-      if (!limit) return undefined;
-      return { ratePerS: limit.rate_tokens_per_s, burst: limit.burst_tokens };
-    };
-    const holder = `${cfg.instance}#${incarnation}`;
-    const shares = ShareKeeper.create({
-      table: platform.table,
-      holder,
-      address: cfg.internal_listen,
-      leaseMs: SHARE_LEASE_MS,
-      clock,
-      limitOf,
-      isGone: (other) =>
-        member.live.listed.every(({ instance }) =>
-          instance !== other.split("#")[0]
-        ),
-    });
-    const limits = Limits.create({
-      keeper: shares,
-      clock,
-      sleep,
-      loanPrefix: holder,
-      limitOf,
-      borrow: async (lender, request) => {
-        const message = { ...request, borrower: holder };
-        const timeout = { timeoutMs: LOAN_TIMEOUT_MS };
-        const res = await pool.at(lender).peer.borrow(message, timeout);
-        metrics.loans.inc({ outcome: res.granted > 0 ? "granted" : "refused" });
-        return res.granted;
-      },
-      settle: async (lender, request) => {
-        const timeout = { timeoutMs: LOAN_TIMEOUT_MS };
-        await pool.at(lender).peer.settle(request, timeout);
-      },
-    });
-    const decisions = DecisionLog.create({
-      objects: platform.objects,
-      clock,
-      sleep,
-      instance: cfg.instance,
-      incarnation,
-      flushIntervalMs: AUDIT_INTERVAL_MS,
-      maxPending: MAX_PENDING_DECISIONS,
-      count: (outcome, records) => metrics.decisions.inc({ outcome }, records),
-    });
-    const advise = createAdviceSender({
-      pool,
-      router,
-      configVersion: () => member.config.version,
-    });
-    const loader = ModelLoader.create({
-      router,
-      clock,
-      sleep,
-      document: () => member.config.current?.document,
-      advise,
-    });
-    const placement = PlacementDuty.create({
-      member,
-      router,
-      platform,
-      clock,
-      sleep,
-      decisions,
-      advise,
-    });
-    let sequence = 0;
     const drain = { isDraining: false };
-    const ctx: EntryContext = {
-      cfg,
-      incarnation,
-      clock,
-      sleep,
-      random,
-      platform,
-      pool,
-      member,
-      limits,
-      router,
-      services: ServiceRouter.create({ router, random }),
-      loader,
-      demand,
-      keys,
-      retryBudget: RetryBudget.create({
-        ratio: RETRY_RATIO,
-        burst: RETRY_BURST,
-      }),
-      decisions,
-      metrics,
-      nextSequence: () => {
-        sequence += 1;
-        return sequence;
-      },
+    const servers: { update?: (document: Document) => void } = {};
+    const parts = await createEntryParts({
+      ...options,
       isDraining: () => drain.isDraining,
-    };
-    const entry = new Entry(ctx, { shares, placement, drain });
+      onDocument: (document) => servers.update?.(document),
+    });
+    const entry = new Entry(parts.ctx, { ...parts, drain });
+    servers.update = (document) => entry.#servers?.public.update(document);
     return entry;
   }
 
@@ -385,6 +218,6 @@
   #refreshGauges(): void {
     const { member, metrics } = this.#ctx;
     metrics.configVersion.set(member.config.version);
-    metrics.configAge.set(member.config.confirmedAgeMs / 1000);
+    metrics.configAge.set(member.config.confirmedAgeMs / MS_PER_S);
   }
 }
--- /dev/null
+++ b/packages/entry/src/entry_parts.ts
@@ -0,0 +1,181 @@
+import type { Clock, Random } from "@banyanspool/types";
+import type { Document } from "@banyanspool/config";
+import {
+  createDaemonBase,
+  type DaemonBase,
+  type DaemonEnvironment,
+  FleetMember,
+} from "@banyanspool/fleet";
+import { Limits, ShareKeeper } from "@banyanspool/limits";
+import { createCollectorRanking } from "@banyanspool/membership";
+import { RetryBudget } from "@banyanspool/retry";
+import { Router } from "@banyanspool/routing";
+import type { EntrySettings } from "@banyanspool/settings";
+import type { EntryContext } from "./context.ts";
+import { DemandMeter } from "./demand_meter.ts";
+import { KeyWatch } from "./key_watch.ts";
+import { ModelLoader } from "./model_loader.ts";
+import { PlacementDuty } from "./placement_duty.ts";
+import { createAdviceSender } from "./send_advice.ts";
+import { ServiceRouter } from "./service_router.ts";
+
+const SHARE_LEASE_MS = 8000;
+const MAX_PENDING_DECISIONS = 20_000;
+const REPORT_LAG_MS = 1500;
+const ROUTE_SAMPLE = 4;
+const LOCAL_RTT_MS = 1;
+const REMOTE_RTT_MS = 2;
+const RETRY_RATIO = 0.1;
+const RETRY_BURST = 20;
+const LOAN_TIMEOUT_MS = 250;
+
+/** Options of {@link createEntryParts}. */
+export interface EntryPartsOptions extends DaemonEnvironment {
+  /** Settings of the process. */
+  readonly cfg: EntrySettings;
+  /** Source of randomness; the system's by default. */
+  readonly random?: Random;
+  /** Whether a planned stop has begun. */
+  readonly isDraining: () => boolean;
+  /** Called after each change of the configuration. */
+  readonly onDocument: (document: Document) => void;
+}
+
+/** What an entry is made of. */
+export interface EntryParts {
+  /** What its parts share. */
+  readonly ctx: EntryContext;
+  /** Division of the limits. */
+  readonly shares: ShareKeeper;
+  /** Placement duty. */
+  readonly placement: PlacementDuty;
+}
+
+/** Builds the parts of an entry; nothing runs yet. */
+export async function createEntryParts(
+  options: EntryPartsOptions,
+): Promise<EntryParts> {
+  const { cfg, isDraining } = options;
+  const maxPendingDecisions = MAX_PENDING_DECISIONS;
+  const base = createDaemonBase({ ...options, maxPendingDecisions });
+  const { clock, sleep, decisions, pool, incarnation } = base;
+  const random = options.random ?? Math.random;
+  const router = createRouter(cfg, { clock, random });
+  const keys = KeyWatch.create();
+  const demand = DemandMeter.create({ clock });
+  const member = FleetMember.create({
+    ...base,
+    identity: {
+      instance: cfg.instance,
+      incarnation,
+      role: "entry",
+      dataCentre: cfg.data_centre,
+      address: cfg.internal_listen,
+    },
+    ranking: await createCollectorRanking(),
+    seeds: cfg.seeds,
+    local: { reports: () => [], demand: () => demand.read() },
+    onConfig: ({ document }) => {
+      keys.update(document);
+      shares.resizeAll();
+      options.onDocument(document);
+    },
+    onReport: (report) => router.update(report),
+    onGone: (replica) => router.remove(replica),
+  });
+  const { shares, limits } = createLimits(base, { cfg, member });
+  const configVersion = () => member.config.version;
+  const advise = createAdviceSender({ pool, router, configVersion });
+  const document = () => member.config.current?.document;
+  const ctx: EntryContext = {
+    ...base,
+    cfg,
+    random,
+    member,
+    limits,
+    router,
+    keys,
+    demand,
+    services: ServiceRouter.create({ router, random }),
+    loader: ModelLoader.create({ router, clock, sleep, document, advise }),
+    retryBudget: RetryBudget.create({ ratio: RETRY_RATIO, burst: RETRY_BURST }),
+    nextSequence: createCounter(),
+    isDraining,
+  };
+  const placement = PlacementDuty.create({
+    ...base,
+    member,
+    router,
+    decisions,
+    advise,
+  });
+  return { ctx, shares, placement };
+}
+
+function createRouter(
+  cfg: EntrySettings,
+  { clock, random }: { clock: Clock; random: Random },
+): Router {
+  return Router.create({
+    clock,
+    random,
+    rttMs: (dataCentre) =>
+      dataCentre === cfg.data_centre ? LOCAL_RTT_MS : REMOTE_RTT_MS,
+    reportLagMs: REPORT_LAG_MS,
+    sampleSize: ROUTE_SAMPLE,
+  });
+}
+
+function createLimits(
+  { clock, sleep, platform, pool, metrics, incarnation }: DaemonBase,
+  { cfg, member }: { cfg: EntrySettings; member: FleetMember },
+): { shares: ShareKeeper; limits: Limits } {
+  const holder = `${cfg.instance}#${incarnation}`;
+  const limitOf = (organisation: string) => {
+    const limit = member.config.current?.document.limits[organisation];
+    if (!limit) return undefined;
+    return { ratePerS: limit.rate_tokens_per_s, burst: limit.burst_tokens };
+  };
+  const shares = ShareKeeper.create({
+    table: platform.table,
+    holder,
+    address: cfg.internal_listen,
+    leaseMs: SHARE_LEASE_MS,
+    clock,
+    limitOf,
+    isGone: (other) => isUnlisted(member, other),
+  });
+  const timeout = { timeoutMs: LOAN_TIMEOUT_MS };
+  const limits = Limits.create({
+    keeper: shares,
+    clock,
+    sleep,
+    loanPrefix: holder,
+    limitOf,
+    borrow: async (lender, request) => {
+      const message = { ...request, borrower: holder };
+      const res = await pool.at(lender).peer.borrow(message, timeout);
+      const outcome = res.granted > 0 ? "granted" : "refused";
+      metrics.loans.inc({ outcome });
+      return res.granted;
+    },
+    settle: async (lender, request) => {
+      await pool.at(lender).peer.settle(request, timeout);
+    },
+  });
+  return { shares, limits };
+}
+
+/** Whether the platform's list has no instance of a share's holder. */
+function isUnlisted(member: FleetMember, holder: string): boolean {
+  const [instance] = holder.split("#");
+  return member.live.listed.every((row) => row.instance !== instance);
+}
+
+function createCounter(): () => number {
+  let last = 0;
+  return () => {
+    last += 1;
+    return last;
+  };
+}
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -6,6 +6,12 @@
  */
 export { ConfigHolder } from "./config_holder.ts";
 export type { ConfigHolderOptions, ConfigInForce } from "./config_holder.ts";
+export { createDaemonBase, MAX_MESSAGE_BYTES } from "./daemon_base.ts";
+export type {
+  DaemonBase,
+  DaemonBaseOptions,
+  DaemonEnvironment,
+} from "./daemon_base.ts";
 export { FleetMember } from "./fleet_member.ts";
 export type { FleetMemberOptions, LocalState } from "./fleet_member.ts";
 export { addPeerService } from "./peer_service.ts";
--- a/packages/limits/src/limits.ts
+++ b/packages/limits/src/limits.ts
@@ -1,7 +1,7 @@
 import type { Clock, Result, Sleep } from "@banyanspool/types";
 import { err, ok } from "@banyanspool/types";
 import type { ShareKeeper } from "./share_keeper.ts";
-import type { Loan, Reservation, TokenShare } from "./token_share.ts";
+import type { Loan, Reservation } from "./token_share.ts";
 
 /** Asks another entry for tokens; returns how many it granted. */
 export type BorrowCall = (lender: string, request: {
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -105,7 +105,7 @@
   /** Takes in the queue length that came with an answer. */
   updateQueue(replica: string, queuedTokens: number): void {
     const known = this.#replicas.get(replica);
-    if (!known) return;
+    if (!known || known.report.queuedTokens === queuedTokens) return;
     known.report = { ...known.report, queuedTokens };
   }
 
