Keep a report's age with its source

Cause: each sync walked over all reports of the collector to refresh their age. Change: the age is kept once for each source.

--- a/packages/membership/src/collector.ts
+++ b/packages/membership/src/collector.ts
@@ -52,7 +52,6 @@
 interface StoredReport extends ReportSource {
   readonly report: ReplicaReport;
   readonly change: number;
-  readonly at: number;
   readonly gone: boolean;
 }
 
@@ -66,6 +65,8 @@
   readonly #options: CollectorOptions;
   readonly #reports: Map<string, StoredReport> = new Map();
   readonly #daemons: Map<string, SyncedDaemon> = new Map();
+  /** When each source was last heard of. */
+  readonly #heardAt: Map<string, number> = new Map();
   #lastChange = 0;
 
   private constructor(options: CollectorOptions) {
@@ -94,17 +95,20 @@
 
   /** Keeps all reports of a source alive that has just been heard of. */
   touchSource(source: string): void {
-    const at = this.#options.clock.now();
-    for (const [replica, stored] of this.#reports) {
-      if (stored.source !== source) continue;
-      // A source that was only silent for a while is back with its reports.
-      if (stored.gone) this.#store(stored.report, { ...stored, gone: false });
-      else this.#reports.set(replica, { ...stored, at });
+    const now = this.#options.clock.now();
+    const heardAt = this.#heardAt.get(source) ?? -Infinity;
+    this.#heardAt.set(source, now);
+    if (now - heardAt <= this.#options.expireAfterMs) return;
+    // A source that was only silent for a while is back with its reports.
+    for (const stored of this.#reports.values()) {
+      if (stored.source !== source || !stored.gone) continue;
+      this.#store(stored.report, { ...stored, gone: false });
     }
   }
 
   /** Stores a report unless a newer one of the same replica is there. */
   recordReport(report: ReplicaReport, from: ReportSource): void {
+    this.#heardAt.set(from.source, this.#options.clock.now());
     const known = this.#reports.get(report.replica);
     const order = known ? compareReports(report, known.report) : 1;
     if (order < 0) return;
@@ -113,8 +117,7 @@
       return;
     }
     if (known!.direct && !from.direct) return;
-    const at = this.#options.clock.now();
-    this.#reports.set(report.replica, { ...known!, ...from, at });
+    this.#reports.set(report.replica, { ...known!, ...from });
   }
 
   /** Drops a replica that another collector says is gone. */
@@ -159,9 +162,8 @@
     { direct, source, gone }: ReportSource & { gone: boolean },
   ): void {
     this.#lastChange += 1;
-    const at = this.#options.clock.now();
     const change = this.#lastChange;
-    const stored = { report, change, at, direct, source, gone };
+    const stored = { report, change, direct, source, gone };
     this.#reports.set(report.replica, stored);
   }
 
@@ -170,7 +172,8 @@
     const { expireAfterMs, expireRemoteAfterMs } = this.#options;
     for (const stored of this.#reports.values()) {
       const limitMs = stored.direct ? expireAfterMs : expireRemoteAfterMs;
-      if (stored.gone || now - stored.at <= limitMs) continue;
+      const heardAt = this.#heardAt.get(stored.source) ?? -Infinity;
+      if (stored.gone || now - heardAt <= limitMs) continue;
       this.#store(stored.report, { ...stored, gone: true });
     }
   }
