Leave out of a replay's report what a caller can't see

Cause: run as a user would, replay printed model_moves 0 and refused_in_rate 0, which it had not measured. Change: both are left out; the guide shows the command's real output.

--- a/packages/cli/src/commands/replay.ts
+++ b/packages/cli/src/commands/replay.ts
@@ -3,6 +3,7 @@
 import { request } from "undici";
 import {
   measureReplay,
+  type Measures,
   readTraceFile,
   type ReplayRecord,
   type TraceRequest,
@@ -68,11 +69,11 @@
       );
     }));
     clearInterval(progress);
-    const measures = measureReplay(records, {
+    const measures = withoutUnknown(measureReplay(records, {
       accelerators: Number(this.accelerators),
       durationMs: performance.now() - startedAt,
       modelMoves: 0,
-    });
+    }));
     for (const [name, value] of Object.entries(measures)) {
       this.say(`${name}: ${JSON.stringify(value)}`);
     }
@@ -81,6 +82,12 @@
   }
 }
 
+/** A caller sees neither model moves nor what an exact bucket would admit. */
+function withoutUnknown(measures: Measures): Partial<Measures> {
+  const { model_moves: _moves, refused_in_rate: _refused, ...known } = measures;
+  return known;
+}
+
 async function sendCall(
   url: string,
   call: TraceRequest,
