Search a replica's queue once for each request, and send no unread prefixes

The runner looked for the next request with peek and then searched again with shift; every request carried up to 64 prefix hashes to an agent that never reads them. Behaviour is the same.

--- a/packages/agent/src/engine_runner.ts
+++ b/packages/agent/src/engine_runner.ts
@@ -187,7 +187,7 @@
       if (next === undefined) return;
       const id = sequenceId(next.value.request);
       if (!this.#options.keeper.ledger.reserveKv(id, next.value.kvMib)) return;
-      this.#queue.shift(now);
+      this.#queue.take(next);
       this.#running.set(id, next.value.request.model);
       void this.#serve(id, next);
     }
--- a/packages/entry/src/handle_model.ts
+++ b/packages/entry/src/handle_model.ts
@@ -117,7 +117,6 @@
       maxTokens,
       firstTokenWithinMs: entry.first_token_within_ms,
       giveUpAfterMs: entry.give_up_after_ms,
-      prefixHashes: [...request.prefixes],
       stream: request.stream,
     },
   });
--- a/packages/queue/src/fair_queue.ts
+++ b/packages/queue/src/fair_queue.ts
@@ -80,12 +80,16 @@
   /** Takes the next request at a monotonic time, if any waits. */
   shift(now: number): QueueItem<T> | undefined {
     const item = this.#findNext(now);
-    if (item === undefined) return undefined;
+    if (item !== undefined) this.take(item);
+    return item;
+  }
+
+  /** Takes a request that {@link peek} returned. */
+  take(item: QueueItem<T>): void {
     this.remove(item);
     this.charge(item.organisation, item.promptTokens);
     const running = this.#running.get(item.organisation) ?? 0;
     this.#running.set(item.organisation, running + 1);
-    return item;
   }
 
   /** Looks at the next request without taking it. */
