--- a/packages/bench/src/replay_entry.ts
+++ b/packages/bench/src/replay_entry.ts
@@ -7,7 +7,8 @@
 } from "@banyanspool/types";
 import { AttemptBuffer } from "@banyanspool/agent";
 import type { Document } from "@banyanspool/config";
-import { DemandMeter, ModelLoader } from "@banyanspool/entry";
+import { ModelLoader } from "@banyanspool/entry";
+import { DemandMeter } from "@banyanspool/placement";
 import { Limits, ShareKeeper } from "@banyanspool/limits";
 import type { Platform } from "@banyanspool/platform";
 import { computeBackoffMs, RetryBudget } from "@banyanspool/retry";
@@ -77,7 +78,7 @@
   readonly #loader: ModelLoader;
   readonly #choose: Choose;
   readonly #random: () => number;
-  readonly #budget: RetryBudget = RetryBudget.create({ ratio: 0.1, burst: 20 });
+  readonly #budget: RetryBudget = RetryBudget.create({ ratio: 0.1, burst: () => 20 });
   #sequence = 0;
 
   /** Creates an entry that knows no replica. */
@@ -99,7 +100,11 @@
       reportLagMs: REPORT_LAG_MS,
       sampleSize: SAMPLE,
     });
-    this.demand = DemandMeter.create({ clock });
+    this.demand = DemandMeter.create({
+      clock,
+      fastWindowMs: 30_000,
+      slowWindowMs: 600_000,
+    });
     this.#choose = policy.createChoice(this.router, this.#random);
     this.shares = ShareKeeper.create({
       table: platform.table,
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { Builtins, Cli } from "clipanion";
 import { AgentCommand } from "./agent_command.ts";
+import { GatewayCommand } from "./gateway_command.ts";
 import { EntryCommand } from "./entry_command.ts";
 
 const cli = new Cli({
@@ -10,6 +11,7 @@
 });
 cli.register(EntryCommand);
 cli.register(AgentCommand);
+cli.register(GatewayCommand);
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
 await cli.runExit(process.argv.slice(2));
--- a/packages/daemon/src/run_until_stopped.ts
+++ b/packages/daemon/src/run_until_stopped.ts
@@ -8,6 +8,8 @@
   start(): Promise<void>;
   /** Stops without cutting off a request. */
   stop(): Promise<void>;
+  /** Told that the settings file has changed. */
+  reload?(): void;
 }
 
 /** Options of {@link runUntilStopped}. */
@@ -22,7 +24,7 @@
 
 /** Runs a daemon until SIGTERM or SIGINT. Returns the exit code. */
 export async function runUntilStopped<
-  C extends { log: string; instance: string },
+  C extends { log?: string; instance: string },
 >({ read, build, context }: RunOptions<C>): Promise<number> {
   let cfg: C;
   try {
@@ -32,12 +34,14 @@
     context.stderr.write(`${error.message}\n`);
     return 2;
   }
-  enableLogs(process.env.DEBUG ?? cfg.log);
+  const pattern = process.env.DEBUG ?? cfg.log;
+  if (pattern !== undefined) enableLogs(pattern);
   const daemon = await build(cfg);
   const stopped = new Promise<void>((resolve) => {
     process.once("SIGTERM", () => resolve());
     process.once("SIGINT", () => resolve());
   });
+  process.on("SIGHUP", () => daemon.reload?.());
   await daemon.start();
   context.stdout.write(`ready ${cfg.instance}\n`);
   await stopped;
--- a/packages/entry/src/context.ts
+++ b/packages/entry/src/context.ts
@@ -8,7 +8,7 @@
 import type { Router } from "@banyanspool/routing";
 import type { EntrySettings } from "@banyanspool/settings";
 import type { PeerPool } from "@banyanspool/wire";
-import type { DemandMeter } from "./demand_meter.ts";
+import type { DemandMeter } from "@banyanspool/placement";
 import type { KeyWatch } from "./key_watch.ts";
 import type { ModelLoader } from "./model_loader.ts";
 import type { ServiceRouter } from "./service_router.ts";
--- a/packages/entry/src/entry_parts.ts
+++ b/packages/entry/src/entry_parts.ts
@@ -12,7 +12,7 @@
 import { Router } from "@banyanspool/routing";
 import type { EntrySettings } from "@banyanspool/settings";
 import type { EntryContext } from "./context.ts";
-import { DemandMeter } from "./demand_meter.ts";
+import { DemandMeter } from "@banyanspool/placement";
 import { KeyWatch } from "./key_watch.ts";
 import { ModelLoader } from "./model_loader.ts";
 import { PlacementDuty } from "./placement_duty.ts";
@@ -25,6 +25,10 @@
 const ROUTE_SAMPLE = 4;
 const LOCAL_RTT_MS = 1;
 const REMOTE_RTT_MS = 2;
+/** Follows a sudden shift of demand. */
+const DEMAND_FAST_WINDOW_MS = 30_000;
+/** Keeps a short lull from looking like an end. */
+const DEMAND_SLOW_WINDOW_MS = 600_000;
 const RETRY_RATIO = 0.1;
 const RETRY_BURST = 20;
 const LOAN_TIMEOUT_MS = 250;
@@ -62,7 +66,11 @@
   const random = options.random ?? Math.random;
   const router = createRouter(cfg, { clock, random });
   const keys = KeyWatch.create();
-  const demand = DemandMeter.create({ clock });
+  const demand = DemandMeter.create({
+    clock,
+    fastWindowMs: DEMAND_FAST_WINDOW_MS,
+    slowWindowMs: DEMAND_SLOW_WINDOW_MS,
+  });
   const member = FleetMember.create({
     ...base,
     identity: {
@@ -98,7 +106,7 @@
     demand,
     services: ServiceRouter.create({ router, random }),
     loader: ModelLoader.create({ router, clock, sleep, document, advise }),
-    retryBudget: RetryBudget.create({ ratio: RETRY_RATIO, burst: RETRY_BURST }),
+    retryBudget: RetryBudget.create({ ratio: RETRY_RATIO, burst: () => RETRY_BURST }),
     nextSequence: createCounter(),
     isDraining,
   };
--- a/packages/entry/src/mod.ts
+++ b/packages/entry/src/mod.ts
@@ -5,8 +5,6 @@
  */
 export { Entry } from "./entry.ts";
 export type { EntryOptions } from "./entry.ts";
-export { DemandMeter } from "./demand_meter.ts";
-export type { DemandMeterOptions } from "./demand_meter.ts";
 export { ModelLoader } from "./model_loader.ts";
 export type { LoadAdvice, ModelLoaderOptions } from "./model_loader.ts";
 export { listPlacementModels } from "./placement_models.ts";
--- a/packages/entry/src/relay_test.ts
+++ b/packages/entry/src/relay_test.ts
@@ -42,7 +42,7 @@
     pool: { at: () => ({ agent: { run }, abandon: () => {} }) },
     router: { avoid: () => {}, avoidModel: () => {}, updateQueue: () => {} },
     metrics: Metrics.create(),
-    retryBudget: RetryBudget.create({ ratio: 1, burst: 10 }),
+    retryBudget: RetryBudget.create({ ratio: 1, burst: () => 10 }),
     nextSequence: () => attempts + 1,
   } as unknown as EntryContext;
   const scope = {
--- /dev/null
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -0,0 +1,292 @@
+import type { Lease } from "@banyanspool/platform";
+import { type Holdings, rankByAffinity } from "@banyanspool/routing";
+import { type GatewaySettings, splitAddress } from "@banyanspool/settings";
+import { createSystemClock, sleep } from "@banyanspool/types";
+import type { GatewayState } from "@banyanspool/wire";
+import type { GatewayContext } from "./context.ts";
+import { type GatewayReport, PeerExchange } from "./peer_exchange.ts";
+import type { FleetDemand, PlacementDuty } from "./placement_duty.ts";
+
+/** Options of {@link FleetExchange.create}. */
+export interface FleetExchangeOptions {
+  /** Checked settings. */
+  readonly cfg: GatewaySettings;
+  /** Where what is heard goes. */
+  readonly ctx: GatewayContext;
+  /** The duty, which this process may hold. */
+  readonly duty: PlacementDuty;
+  /** Lease of the duty. */
+  readonly lease: Lease;
+}
+
+interface HeardDemand {
+  readonly heardAt: number;
+  readonly demand: ReadonlyMap<string, FleetDemand>;
+}
+
+/** Demand counts until its reporter has been silent this long. */
+const DEMAND_AGE_MS = 3000;
+/** A holder of the duty counts as present until it is silent this long. */
+const HOLDER_AGE_MS = 2000;
+/** Gateways that watch the lease while its holder is there. */
+const CANDIDATES = 3;
+const NO_DEMAND = { fastReplicas: 0, slowReplicas: 0, waiting: 0 };
+
+/** What gateways tell each other, and where it goes. */
+export class FleetExchange {
+  readonly #options: FleetExchangeOptions;
+  readonly #peers: PeerExchange;
+  readonly #demand: Map<string, HeardDemand> = new Map();
+  #holder: { instance: string; token: bigint; heardAt: number } | undefined;
+  #isPublishing = false;
+
+  private constructor(options: FleetExchangeOptions) {
+    this.#options = options;
+    const { cfg, ctx } = options;
+    const { host, port } = splitAddress(cfg.peer_listen);
+    this.#peers = PeerExchange.create({
+      instance: cfg.instance,
+      incarnation: Date.now(),
+      host,
+      port,
+      clock: createSystemClock(),
+      sleep,
+      log: ctx.log,
+      describe: (peer) => this.#describe(peer),
+      onState: (state) => this.#takeState(state),
+      onDatagram: (direction) => ctx.metrics.datagrams.inc({ direction }),
+    });
+    ctx.wanted.onWanted = () => this.#tellHolder();
+  }
+
+  /** Creates an exchange that doesn't listen yet. */
+  static create(options: FleetExchangeOptions): FleetExchange {
+    return new FleetExchange(options);
+  }
+
+  /** Gateways that were heard lately, this one included. */
+  get liveCount(): number {
+    return this.#peers.liveCount;
+  }
+
+  /** Starts to listen. */
+  async listen(): Promise<void> {
+    await this.#peers.listen();
+  }
+
+  /** Adds a gateway that the member table names. */
+  addPeer(instance: string, host: string): void {
+    this.#peers.addPeer(instance, host);
+  }
+
+  /** Sends the state to all at once. */
+  announce(): void {
+    this.#peers.announce();
+  }
+
+  /** Sends the state again and again until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    await this.#peers.run(signal);
+  }
+
+  /**
+   * Whether this gateway should watch or renew the lease. Few do, so that the
+   * store is asked little; all do when no holder is heard.
+   */
+  mayHoldDuty(): boolean {
+    const { lease, ctx, cfg } = this.#options;
+    if (lease.held) return true;
+    const now = ctx.clock.now();
+    if (!this.#holder || now - this.#holder.heardAt > HOLDER_AGE_MS) {
+      return true;
+    }
+    const live = [
+      { id: cfg.instance },
+      ...this.#peers.peers
+        .filter(({ heardAt }) => now - heardAt < HOLDER_AGE_MS)
+        .map(({ instance }) => ({ id: instance })),
+    ];
+    return rankByAffinity("placement", live).slice(0, CANDIDATES)
+      .some(({ id }) => id === cfg.instance);
+  }
+
+  /** Demand of all gateways by `model` or `model/adapter`. */
+  fleetDemand(): ReadonlyMap<string, FleetDemand> {
+    const now = this.#options.ctx.clock.now();
+    const sum = new Map(this.#ownDemand());
+    for (const { heardAt, demand } of this.#demand.values()) {
+      if (now - heardAt > DEMAND_AGE_MS) continue;
+      for (const [name, theirs] of demand) {
+        const before = sum.get(name) ?? { model: name, ...NO_DEMAND };
+        sum.set(name, {
+          model: name,
+          fastReplicas: before.fastReplicas + theirs.fastReplicas,
+          slowReplicas: before.slowReplicas + theirs.slowReplicas,
+          waiting: before.waiting + theirs.waiting,
+        });
+      }
+    }
+    return sum;
+  }
+
+  /** Tells all gateways what replicas offer, soon and once for many changes. */
+  publishOffers(): void {
+    this.#applyOwnOffers();
+    if (this.#isPublishing) return;
+    this.#isPublishing = true;
+    setImmediate(() => {
+      this.#isPublishing = false;
+      this.#peers.announce();
+    });
+  }
+
+  #applyOwnOffers(): void {
+    const { ctx, duty } = this.#options;
+    if (!duty.isHolder) return;
+    const holdings = new Map<string, Holdings>();
+    for (const { server, names } of duty.offered()) {
+      const { id, startedAt } = server;
+      holdings.set(id, { startedAt, names: new Set(names) });
+    }
+    ctx.board.updateHoldings(holdings);
+    ctx.fleet.changed.notify();
+  }
+
+  #tellHolder(): void {
+    const { duty, ctx } = this.#options;
+    if (duty.isHolder) {
+      ctx.fleet.changed.notify();
+      return;
+    }
+    if (this.#holder) this.#peers.announceTo(this.#holder.instance);
+  }
+
+  #ownDemand(): Map<string, FleetDemand> {
+    const { ctx } = this.#options;
+    const own = new Map<string, FleetDemand>();
+    for (const demand of ctx.demand.read()) {
+      own.set(demand.model, { ...demand, waiting: 0 });
+    }
+    for (const [name, waiting] of ctx.wanted.waiting) {
+      const before = own.get(name) ?? { model: name, ...NO_DEMAND };
+      own.set(name, { ...before, waiting });
+    }
+    return own;
+  }
+
+  #describe(
+    peer: string,
+  ): GatewayReport {
+    const { ctx, duty, lease } = this.#options;
+    if (duty.isHolder) this.#applyOwnOffers();
+    return {
+      configurationVersion: BigInt(ctx.fleet.version),
+      leaving: ctx.fleet.isStopping,
+      loads: [...ctx.board.ownWork()].map(([replica, work]) => ({
+        $typeName: "banyanspool.v1.ReplicaLoad",
+        replica,
+        requests: work.requests,
+        prefillTokens: Math.round(work.prefillTokens),
+        kvTokens: work.kvTokens,
+        adapters: [...work.adapters],
+      })),
+      use: [...ctx.bucket.ownTotals].map(([organisation, tokens]) => ({
+        $typeName: "banyanspool.v1.OrganisationUse",
+        organisation,
+        tokens: BigInt(Math.round(tokens)),
+      })),
+      demand: this.#holder?.instance !== peer
+        ? []
+        : [...this.#ownDemand().values()].map((demand) => ({
+          $typeName: "banyanspool.v1.ModelDemandReport",
+          name: demand.model,
+          waiting: demand.waiting,
+          fastReplicas: demand.fastReplicas,
+          slowReplicas: demand.slowReplicas,
+        })),
+      heldModels: !duty.isHolder ? undefined : {
+        $typeName: "banyanspool.v1.HeldModels",
+        fencingToken: BigInt(lease.fencingToken),
+        version: BigInt(duty.version),
+        replicas: duty.offered().map(({ server, names }) => ({
+          $typeName: "banyanspool.v1.ReplicaHoldings",
+          replica: server.id,
+          startedAt: BigInt(server.startedAt),
+          names,
+        })),
+      },
+    };
+  }
+
+  #takeState(state: GatewayState): void {
+    const { ctx } = this.#options;
+    const now = ctx.clock.now();
+    ctx.board.updatePeer(
+      state.instance,
+      new Map(state.loads.map((load) => [load.replica, load])),
+    );
+    ctx.bucket.recordReport({
+      instance: state.instance,
+      incarnation: Number(state.incarnation),
+      totals: new Map(
+        state.use.map(({ organisation, tokens }) => [
+          organisation,
+          Number(tokens),
+        ]),
+      ),
+    });
+    const before = this.#demand.get(state.instance);
+    const demand = new Map(
+      state.demand.map((entry) => [entry.name, {
+        model: entry.name,
+        waiting: entry.waiting,
+        fastReplicas: entry.fastReplicas,
+        slowReplicas: entry.slowReplicas,
+      }]),
+    );
+    this.#demand.set(state.instance, { heardAt: now, demand });
+    if (hasNewWant(demand, before?.demand)) ctx.fleet.changed.notify();
+    this.#takeHoldings(state, now);
+  }
+
+  #takeHoldings(state: GatewayState, now: number): void {
+    const { ctx } = this.#options;
+    const { heldModels } = state;
+    if (!heldModels) {
+      if (this.#holder?.instance === state.instance) this.#holder = undefined;
+      return;
+    }
+    const { fencingToken } = heldModels;
+    if (this.#holder && fencingToken < this.#holder.token) return;
+    if (this.#holder?.instance !== state.instance) {
+      ctx.log.write("placement holder", {
+        holder: state.instance,
+        fencing_token: Number(fencingToken),
+      });
+    }
+    this.#holder = {
+      instance: state.instance,
+      token: fencingToken,
+      heardAt: now,
+    };
+    const holdings = new Map<string, Holdings>();
+    for (const { replica, startedAt, names } of heldModels.replicas) {
+      holdings.set(replica, {
+        startedAt: Number(startedAt),
+        names: new Set(names),
+      });
+    }
+    ctx.board.updateHoldings(holdings);
+    ctx.fleet.changed.notify();
+  }
+}
+
+function hasNewWant(
+  demand: ReadonlyMap<string, FleetDemand>,
+  before: ReadonlyMap<string, FleetDemand> | undefined,
+): boolean {
+  for (const [name, { waiting }] of demand) {
+    if (waiting > 0 && !before?.get(name)?.waiting) return true;
+  }
+  return false;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,371 @@
+import { createServer, type Server } from "node:http";
+import { FleetBucket } from "@banyanspool/limits";
+import { createEventLog, type EventLog } from "@banyanspool/logger";
+import { DemandMeter } from "@banyanspool/placement";
+import { Lease } from "@banyanspool/platform";
+import {
+  createTableStore,
+  READINESS_PATH,
+  StoreClient,
+} from "@banyanspool/platform-adapter";
+import { RetryBudget } from "@banyanspool/retry";
+import { ReplicaBoard } from "@banyanspool/routing";
+import { type GatewaySettings, splitAddress } from "@banyanspool/settings";
+import { Supervisor } from "@banyanspool/supervisor";
+import {
+  type BackendServer,
+  type Clock,
+  createElapsedClock,
+  createSystemClock,
+  sleep,
+} from "@banyanspool/types";
+import { Pool } from "undici";
+import { watchConfiguration } from "./configuration_watch.ts";
+import { ConnectionPools } from "./connection_pools.ts";
+import type { GatewayContext } from "./context.ts";
+import { FleetState } from "./fleet_state.ts";
+import { FleetExchange } from "./fleet_exchange.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+import { keepMembership, leaveMembership } from "./member_table.ts";
+import { PlacementDuty } from "./placement_duty.ts";
+import { PublicServer } from "./public_server.ts";
+import { watchServers } from "./server_watch.ts";
+import { WantedModels } from "./wanted_models.ts";
+
+/** Options of {@link Gateway.create}. */
+export interface GatewayOptions {
+  /** Checked settings. */
+  readonly cfg: GatewaySettings;
+}
+
+/** Table of the placement lease. */
+const DUTY_TABLE = "banyanspool_duties";
+const PLACEMENT_LEASE = "placement";
+/** Renewals in one lease time. */
+const RENEWALS_PER_LEASE = 3;
+/** Connections to the store: two waiting calls and a few short ones. */
+const STORE_CONNECTIONS = 6;
+const STORE_CONNECT_TIMEOUT_MS = 800;
+/** Follows a shift of demand within seconds. */
+const DEMAND_FAST_WINDOW_MS = 3000;
+/** Keeps a model in place through a lull between its requests. */
+const DEMAND_SLOW_WINDOW_MS = 15_000;
+/** Part of an organisation's burst that a new process has at once. */
+const INITIAL_BURST_SHARE = 0.25;
+/** Part of the fleet's retry budget that is used. */
+const BUDGET_SHARE = 0.8;
+/** Part of a replica's connections that all gateways use together. */
+const CONNECTION_SHARE = 0.8;
+const MIN_CONNECTIONS = 8;
+/** Time for the balancer to send no more connections after a stop began, in ms. */
+const LEAVE_ROTATION_MS = 2600;
+/** Kept free before the process is killed, in ms. */
+const STOP_RESERVE_MS = 500;
+const STOP_POLL_MS = 50;
+
+/** A gateway: its servers and tasks, and who starts whom. */
+export class Gateway {
+  readonly #cfg: GatewaySettings;
+  readonly #ctx: GatewayContext;
+  readonly #supervisor: Supervisor;
+  readonly #publicServer: PublicServer;
+  readonly #store: StoreClient;
+  readonly #lease: Lease;
+  readonly #duty: PlacementDuty;
+  readonly #exchange: FleetExchange;
+  readonly #servers: Server[] = [];
+
+  private constructor(cfg: GatewaySettings) {
+    this.#cfg = cfg;
+    const clock = createSystemClock();
+    const log = createEventLog({
+      instance: cfg.instance,
+      maxLinesPerS: cfg.log_lines_per_s,
+    });
+    const metrics = GatewayMetrics.create();
+    this.#store = createStore(cfg, metrics);
+    const fleet = FleetState.create();
+    const host = splitAddress(cfg.peer_listen).host;
+    this.#lease = Lease.create({
+      table: createTableStore(this.#store, DUTY_TABLE),
+      key: PLACEMENT_LEASE,
+      holder: `${cfg.instance}@${host}`,
+      durationMs: cfg.lease_ms,
+      clock: createElapsedClock(),
+      rivalClock: clock,
+    });
+    this.#ctx = this.#createContext({ clock, log, metrics, fleet });
+    this.#duty = PlacementDuty.create({
+      lease: this.#lease,
+      holder: cfg.instance,
+      clock,
+      sleep,
+      fleet,
+      board: this.#ctx.board,
+      pools: this.#ctx.pools,
+      demand: () => this.#exchange.fleetDemand(),
+      onOffered: () => this.#exchange.publishOffers(),
+      log,
+      metrics,
+    });
+    this.#exchange = FleetExchange.create({
+      cfg,
+      ctx: this.#ctx,
+      duty: this.#duty,
+      lease: this.#lease,
+    });
+    this.#publicServer = PublicServer.create(this.#ctx);
+    this.#supervisor = Supervisor.create({ name: "gateway", sleep });
+  }
+
+  /** Builds a gateway that is not started. */
+  static create({ cfg }: GatewayOptions): Promise<Gateway> {
+    return Promise.resolve(new Gateway(cfg));
+  }
+
+  /** Starts servers and tasks. */
+  async start(): Promise<void> {
+    const { log } = this.#ctx;
+    const cfg = this.#cfg;
+    log.write("start", { data_centre: cfg.data_centre, pid: process.pid });
+    await this.#exchange.listen();
+    this.#startTasks();
+    await this.#listenReadiness();
+    await this.#listenMetrics();
+    const { host, port } = splitAddress(cfg.public_listen);
+    await this.#publicServer.listen(host, port);
+  }
+
+  /** Leaves the rotation, ends what runs, then stops. */
+  async stop(): Promise<void> {
+    const { log, fleet, clock } = this.#ctx;
+    const startedAt = clock.now();
+    const endAt = startedAt + this.#cfg.grace_ms - STOP_RESERVE_MS;
+    fleet.isStopping = true;
+    log.write("stop", { in_flight: this.#publicServer.inFlight });
+    this.#exchange.announce();
+    await Promise.race([
+      Promise.all([this.#lease.release(), leaveMembership({
+        store: this.#store,
+        instance: this.#cfg.instance,
+      })]),
+      sleep(LEAVE_ROTATION_MS),
+    ]);
+    await sleep(Math.max(0, startedAt + LEAVE_ROTATION_MS - clock.now()));
+    this.#publicServer.closeIdle();
+    while (this.#publicServer.inFlight > 0 && clock.now() < endAt) {
+      await sleep(STOP_POLL_MS);
+    }
+    log.write("stopped", { in_flight: this.#publicServer.inFlight });
+    this.#publicServer.closeAll();
+    for (const server of this.#servers) server.close();
+    log.flush();
+  }
+
+  /** Notes that the settings file has changed. */
+  reload(): void {
+    // Addresses and bounds are read at the start; a new process gets new ones.
+    this.#ctx.log.write("reload", {});
+  }
+
+  #createContext(
+    { clock, log, metrics, fleet }: {
+      clock: Clock;
+      log: EventLog;
+      metrics: GatewayMetrics;
+      fleet: FleetState;
+    },
+  ): GatewayContext {
+    const cfg = this.#cfg;
+    const engineOf = (service: string) =>
+      fleet.inForce?.configuration.services.get(service)?.engine;
+    const budgets = new Map<string, RetryBudget>();
+    const burst = () =>
+      cfg.retry_burst * BUDGET_SHARE / this.#exchange.liveCount;
+    return {
+      clock,
+      sleep,
+      random: Math.random,
+      fleet,
+      board: ReplicaBoard.create({
+        clock,
+        random: Math.random,
+        dataCentre: cfg.data_centre,
+        kvCapacityOf: (service) => engineOf(service)?.kvCapacityTokens,
+      }),
+      bucket: FleetBucket.create({
+        clock,
+        initialShare: cfg.first_start ? 1 : INITIAL_BURST_SHARE,
+      }),
+      retryBudget: (service) => {
+        const known = budgets.get(service);
+        if (known) return known;
+        const budget = RetryBudget.create({
+          ratio: cfg.retry_ratio * BUDGET_SHARE,
+          burst,
+        });
+        budgets.set(service, budget);
+        return budget;
+      },
+      demand: DemandMeter.create({
+        clock,
+        fastWindowMs: DEMAND_FAST_WINDOW_MS,
+        slowWindowMs: DEMAND_SLOW_WINDOW_MS,
+      }),
+      wanted: WantedModels.create(),
+      pools: ConnectionPools.create({
+        connectionsFor: (service) => {
+          const spec = fleet.inForce?.configuration.services.get(service);
+          const most = spec?.maxConnections ?? Infinity;
+          if (!Number.isFinite(most)) return 1000;
+          const part = most * CONNECTION_SHARE / this.#exchange.liveCount;
+          return Math.max(MIN_CONNECTIONS, Math.floor(part));
+        },
+      }),
+      log,
+      metrics,
+    };
+  }
+
+  #startTasks(): void {
+    const { fleet, clock, log } = this.#ctx;
+    const store = this.#store;
+    const cfg = this.#cfg;
+    this.#supervisor.start({
+      name: "configuration",
+      restart: "always",
+      run: (signal) =>
+        watchConfiguration({
+          store,
+          fleet,
+          sleep,
+          log,
+          onAccepted: ({ limits, version }) => {
+            this.#publicServer.applyLimits(limits);
+            this.#ctx.metrics.configurationVersion.set(version);
+          },
+        }, signal),
+    });
+    this.#supervisor.start({
+      name: "servers",
+      restart: "always",
+      run: (signal) =>
+        watchServers({
+          store,
+          clock,
+          sleep,
+          log,
+          onList: (servers) => this.#takeServers(servers),
+        }, signal),
+    });
+    this.#supervisor.start({
+      name: "members",
+      restart: "always",
+      run: (signal) =>
+        keepMembership({
+          store,
+          instance: cfg.instance,
+          host: splitAddress(cfg.peer_listen).host,
+          clock,
+          sleep,
+          log,
+          onMember: (instance, host) =>
+            this.#exchange.addPeer(instance, host),
+        }, signal),
+    });
+    this.#supervisor.start({
+      name: "peers",
+      restart: "always",
+      run: (signal) => this.#exchange.run(signal),
+    });
+    this.#supervisor.start({
+      name: "lease",
+      restart: "always",
+      run: (signal) => this.#keepLease(signal),
+    });
+    this.#supervisor.start({
+      name: "placement",
+      restart: "always",
+      run: (signal) => this.#duty.run(signal),
+    });
+  }
+
+  async #keepLease(signal: AbortSignal): Promise<void> {
+    const { fleet } = this.#ctx;
+    while (!signal.aborted) {
+      if (!fleet.isStopping && this.#exchange.mayHoldDuty()) {
+        const wasHeld = this.#lease.held;
+        await this.#lease.renew();
+        if (this.#lease.held !== wasHeld) fleet.changed.notify();
+      }
+      await sleep(this.#cfg.lease_ms / RENEWALS_PER_LEASE, signal)
+        .catch(() => {});
+    }
+  }
+
+  #takeServers(servers: readonly BackendServer[]): void {
+    const { board, pools, fleet } = this.#ctx;
+    board.updateServers(servers);
+    pools.keepOnly(servers);
+    fleet.hasServers = true;
+    fleet.changed.notify();
+  }
+
+  get #isReady(): boolean {
+    const { fleet } = this.#ctx;
+    return fleet.inForce !== undefined && fleet.hasServers &&
+      !fleet.isStopping;
+  }
+
+  async #listenReadiness(): Promise<void> {
+    await this.#listenAt(
+      this.#cfg.readiness_listen,
+      createServer((req, res) => {
+        const isFound = req.url === READINESS_PATH;
+        res.writeHead(isFound && this.#isReady ? 200 : isFound ? 503 : 404, {
+          "content-length": "0",
+        });
+        res.end();
+      }),
+    );
+  }
+
+  async #listenMetrics(): Promise<void> {
+    const { metrics, log } = this.#ctx;
+    await this.#listenAt(
+      this.#cfg.metrics_listen,
+      createServer(async (_req, res) => {
+        metrics.droppedLines.set(log.dropped());
+        const text = await metrics.registry.metrics();
+        res.writeHead(200, { "content-type": metrics.registry.contentType });
+        res.end(text);
+      }),
+    );
+  }
+
+  async #listenAt(address: string, server: Server): Promise<void> {
+    const { host, port } = splitAddress(address);
+    this.#servers.push(server);
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen({ host, port }, resolve);
+    });
+  }
+}
+
+function createStore(
+  cfg: GatewaySettings,
+  metrics: GatewayMetrics,
+): StoreClient {
+  return StoreClient.create({
+    address: cfg.store_address,
+    dispatcher: new Pool(`http://${cfg.store_address}`, {
+      connections: STORE_CONNECTIONS,
+      pipelining: 1,
+      connectTimeout: STORE_CONNECT_TIMEOUT_MS,
+      bodyTimeout: 0,
+      headersTimeout: 0,
+    }),
+    onCall: (call, outcome) => metrics.storeCalls.inc({ call, outcome }),
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -0,0 +1,90 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const SECONDS_BUCKETS = [
+  0.01,
+  0.03,
+  0.06,
+  0.12,
+  0.25,
+  0.5,
+  0.8,
+  1.5,
+  4,
+  10,
+  20,
+];
+
+/** Metrics of a gateway. */
+export class GatewayMetrics {
+  /** Registry that the metrics address serves. */
+  readonly registry: Registry = new Registry();
+  /** Requests by route and outcome. */
+  readonly requests: Counter;
+  /** Attempts after the first, by the reason of the one before. */
+  readonly retries: Counter;
+  /** Time to the answer or first event by route, in seconds. */
+  readonly firstByte: Histogram;
+  /** Time that requests waited for a replica, in seconds. */
+  readonly wait: Histogram;
+  /** Calls to the store by call and outcome. */
+  readonly storeCalls: Counter;
+  /** Orders to engines by kind and outcome. */
+  readonly orders: Counter;
+  /** Datagrams by direction and outcome. */
+  readonly datagrams: Counter;
+  /** Replicas ejected by service. */
+  readonly ejections: Counter;
+  /** Configuration version in force. */
+  readonly configurationVersion: Gauge;
+  /** Log lines dropped. */
+  readonly droppedLines: Gauge;
+
+  private constructor() {
+    const registers = [this.registry];
+    const counter = (name: string, help: string, labelNames: string[]) =>
+      new Counter({ name: `banyanspool_${name}`, help, labelNames, registers });
+    const gauge = (name: string, help: string) =>
+      new Gauge({ name: `banyanspool_${name}`, help, registers });
+    const histogram = (name: string, help: string, labelNames: string[]) =>
+      new Histogram({
+        name: `banyanspool_${name}`,
+        help,
+        labelNames,
+        buckets: SECONDS_BUCKETS,
+        registers,
+      });
+    this.requests = counter("gateway_requests_total", "Requests", [
+      "route",
+      "outcome",
+    ]);
+    this.retries = counter("gateway_retries_total", "Retries", ["reason"]);
+    this.firstByte = histogram("gateway_first_byte_seconds", "First byte", [
+      "route",
+    ]);
+    this.wait = histogram("gateway_wait_seconds", "Wait for a replica", []);
+    this.storeCalls = counter("store_calls_total", "Store calls", [
+      "call",
+      "outcome",
+    ]);
+    this.orders = counter("engine_orders_total", "Orders to engines", [
+      "operation",
+      "outcome",
+    ]);
+    this.datagrams = counter("gateway_datagrams_total", "Datagrams", [
+      "direction",
+    ]);
+    this.ejections = counter("replica_ejections_total", "Ejections", [
+      "service",
+    ]);
+    this.configurationVersion = gauge(
+      "configuration_version",
+      "Version in force",
+    );
+    this.droppedLines = gauge("log_lines_dropped", "Log lines dropped");
+  }
+
+  /** Creates the metrics of one process. */
+  static create(): GatewayMetrics {
+    return new GatewayMetrics();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Entry that routes straight to replicas on the users' platform.
+ *
+ * @module
+ */
+export { Gateway } from "./gateway.ts";
+export type { GatewayOptions } from "./gateway.ts";
--- /dev/null
+++ b/packages/gateway/src/peer_exchange.ts
@@ -0,0 +1,225 @@
+import { createSocket, type Socket } from "node:dgram";
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import type { EventLog } from "@banyanspool/logger";
+import type { Clock, Sleep } from "@banyanspool/types";
+import { type GatewayState, GatewayStateSchema } from "@banyanspool/wire";
+
+/** Another gateway. */
+export interface Peer {
+  /** Name of its instance. */
+  readonly instance: string;
+  /** IP number. */
+  readonly host: string;
+  /** When it was last heard; -Infinity for never. */
+  readonly heardAt: number;
+}
+
+/** What a gateway tells, without who says it. */
+export type GatewayReport = Omit<
+  GatewayState,
+  "$typeName" | "$unknown" | "instance" | "incarnation" | "sequence"
+>;
+
+/** Options of {@link PeerExchange.create}. */
+export interface PeerExchangeOptions {
+  /** Name of this instance. */
+  readonly instance: string;
+  /** Unix time of this process's start, in ms. */
+  readonly incarnation: number;
+  /** IP number to listen on. */
+  readonly host: string;
+  /** Port; the same on all instances. */
+  readonly port: number;
+  /** Time source. */
+  readonly clock: Clock;
+  /** Waits. */
+  readonly sleep: Sleep;
+  /** Structured log. */
+  readonly log: EventLog;
+  /** What to tell a peer. */
+  readonly describe: (peer: string) => GatewayReport;
+  /** Called with each newer state of a peer. */
+  readonly onState: (state: GatewayState) => void;
+  /** Counts datagrams. */
+  readonly onDatagram: (direction: "sent" | "received" | "unreadable") => void;
+}
+
+interface KnownPeer {
+  host: string;
+  heardAt: number;
+  incarnation: bigint;
+  sequence: bigint;
+  isHeard: boolean;
+}
+
+/** Shortest time between two datagrams to each peer, in ms. */
+const BASE_INTERVAL_MS = 100;
+/** Added for each peer, so that the mesh grows slower than its square. */
+const INTERVAL_PER_PEER_MS = 10;
+/** A peer that was silent this long counts as lost. */
+const LOST_AFTER_MS = 3000;
+/** A peer that was silent this long is forgotten unless a row names it. */
+const FORGET_AFTER_MS = 60_000;
+
+/** Tells all gateways this one's state, and hears theirs, by datagrams. */
+export class PeerExchange {
+  readonly #options: PeerExchangeOptions;
+  readonly #socket: Socket;
+  readonly #peers: Map<string, KnownPeer> = new Map();
+  #sequence = 0n;
+
+  private constructor(options: PeerExchangeOptions) {
+    this.#options = options;
+    this.#socket = createSocket("udp4");
+  }
+
+  /** Creates an exchange that knows no peer. */
+  static create(options: PeerExchangeOptions): PeerExchange {
+    return new PeerExchange(options);
+  }
+
+  /** All known peers. */
+  get peers(): readonly Peer[] {
+    return [...this.#peers].map(([instance, { host, heardAt }]) => ({
+      instance,
+      host,
+      heardAt,
+    }));
+  }
+
+  /** Gateways that were heard lately, this one included. */
+  get liveCount(): number {
+    const now = this.#options.clock.now();
+    let count = 1;
+    for (const { heardAt } of this.#peers.values()) {
+      if (now - heardAt < LOST_AFTER_MS) count += 1;
+    }
+    return count;
+  }
+
+  /** Starts to listen. */
+  async listen(): Promise<void> {
+    const { host, port, log } = this.#options;
+    this.#socket.on("message", (bytes, from) => {
+      this.#receive(bytes, from.address);
+    });
+    this.#socket.on("error", (error) => {
+      log.write("datagram error", { detail: error.message });
+    });
+    await new Promise<void>((resolve) => {
+      this.#socket.bind(port, host, resolve);
+    });
+  }
+
+  /** Closes the socket. */
+  close(): void {
+    this.#socket.close();
+  }
+
+  /** Adds a peer that the member table names. */
+  addPeer(instance: string, host: string): void {
+    if (instance === this.#options.instance) return;
+    const known = this.#peers.get(instance);
+    if (known) {
+      // A row may be older than what the peer itself has said.
+      if (!known.isHeard) known.host = host;
+      return;
+    }
+    this.#peers.set(instance, {
+      host,
+      heardAt: -Infinity,
+      incarnation: 0n,
+      sequence: 0n,
+      isHeard: false,
+    });
+  }
+
+  /** Sends the state to all peers at once. */
+  announce(): void {
+    for (const [instance, { host }] of this.#peers) {
+      this.#send(instance, host);
+    }
+  }
+
+  /** Sends the state to one peer at once. */
+  announceTo(instance: string): void {
+    const peer = this.#peers.get(instance);
+    if (peer) this.#send(instance, peer.host);
+  }
+
+  /** Sends the state again and again until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.announce();
+      this.#dropSilent();
+      const intervalMs = BASE_INTERVAL_MS +
+        INTERVAL_PER_PEER_MS * this.#peers.size;
+      await this.#options.sleep(intervalMs, signal).catch(() => {});
+    }
+  }
+
+  #send(instance: string, host: string): void {
+    const { describe, incarnation, port, onDatagram } = this.#options;
+    this.#sequence += 1n;
+    const state = create(GatewayStateSchema, {
+      ...describe(instance),
+      instance: this.#options.instance,
+      incarnation: BigInt(incarnation),
+      sequence: this.#sequence,
+    });
+    onDatagram("sent");
+    this.#socket.send(toBinary(GatewayStateSchema, state), port, host);
+  }
+
+  #receive(bytes: Uint8Array, host: string): void {
+    const { onState, onDatagram, log, clock } = this.#options;
+    let state: GatewayState;
+    try {
+      state = fromBinary(GatewayStateSchema, bytes);
+    } catch {
+      onDatagram("unreadable");
+      return;
+    }
+    onDatagram("received");
+    if (state.instance === this.#options.instance) return;
+    const known = this.#peers.get(state.instance);
+    if (known && isOlder(state, known)) return;
+    const now = clock.now();
+    if (!known?.isHeard || now - known.heardAt > LOST_AFTER_MS) {
+      log.write("peer heard", {
+        peer: state.instance,
+        host,
+        incarnation: Number(state.incarnation),
+      });
+    }
+    this.#peers.set(state.instance, {
+      host,
+      heardAt: now,
+      incarnation: state.incarnation,
+      sequence: state.sequence,
+      isHeard: true,
+    });
+    onState(state);
+  }
+
+  #dropSilent(): void {
+    const now = this.#options.clock.now();
+    for (const [instance, peer] of this.#peers) {
+      const silentMs = now - peer.heardAt;
+      if (peer.isHeard && silentMs > LOST_AFTER_MS) {
+        peer.isHeard = false;
+        this.#options.log.write("peer lost", { peer: instance });
+      }
+      if (Number.isFinite(silentMs) && silentMs > FORGET_AFTER_MS) {
+        this.#peers.delete(instance);
+      }
+    }
+  }
+}
+
+function isOlder(state: GatewayState, known: KnownPeer): boolean {
+  if (state.incarnation !== known.incarnation) {
+    return state.incarnation < known.incarnation;
+  }
+  return state.sequence <= known.sequence;
+}
--- a/packages/limits/src/mod.ts
+++ b/packages/limits/src/mod.ts
@@ -16,3 +16,9 @@
   RateRefusal,
   SettleCall,
 } from "./limits.ts";
+export { FleetBucket } from "./fleet_bucket.ts";
+export type {
+  FleetBucketOptions,
+  TakeResult,
+  UseReport,
+} from "./fleet_bucket.ts";
--- a/packages/logger/src/mod.ts
+++ b/packages/logger/src/mod.ts
@@ -18,3 +18,5 @@
 export function enableLogs(pattern: string): void {
   createDebug.enable(pattern);
 }
+export { createEventLog } from "./event_log.ts";
+export type { EventFields, EventLog, EventLogOptions } from "./event_log.ts";
--- a/packages/entry/src/demand_meter.ts
+++ b/packages/placement/src/demand_meter.ts
@@ -1,13 +1,15 @@
 import type { Clock, ModelDemand } from "@banyanspool/types";
 
-const FAST_WINDOW_MS = 30_000;
-const SLOW_WINDOW_MS = 600_000;
 const NEGLIGIBLE_REPLICAS = 0.0005;
 
 /** Options of {@link DemandMeter.create}. */
 export interface DemandMeterOptions {
   /** Time source. */
   readonly clock: Clock;
+  /** Window of the fast average, in ms. */
+  readonly fastWindowMs: number;
+  /** Window of the slow average, in ms. */
+  readonly slowWindowMs: number;
 }
 
 interface Averages {
@@ -22,23 +24,23 @@
  * looking like an end.
  */
 export class DemandMeter {
-  readonly #clock: Clock;
+  readonly #options: DemandMeterOptions;
   readonly #averages: Map<string, Averages> = new Map();
 
-  private constructor(clock: Clock) {
-    this.#clock = clock;
+  private constructor(options: DemandMeterOptions) {
+    this.#options = options;
   }
 
   /** Creates a meter that has seen nothing. */
-  static create({ clock }: DemandMeterOptions): DemandMeter {
-    return new DemandMeter(clock);
+  static create(options: DemandMeterOptions): DemandMeter {
+    return new DemandMeter(options);
   }
 
   /** Counts a request by the time that it would keep one replica busy. */
   record(model: string, busyMs: number): void {
     const averages = this.#decay(model);
-    averages.fast += busyMs / FAST_WINDOW_MS;
-    averages.slow += busyMs / SLOW_WINDOW_MS;
+    averages.fast += busyMs / this.#options.fastWindowMs;
+    averages.slow += busyMs / this.#options.slowWindowMs;
   }
 
   /** Demand of all models that have any. */
@@ -56,11 +58,12 @@
   }
 
   #decay(model: string): Averages {
-    const now = this.#clock.now();
+    const { clock, fastWindowMs, slowWindowMs } = this.#options;
+    const now = clock.now();
     const averages = this.#averages.get(model) ?? { fast: 0, slow: 0, at: now };
     const elapsed = now - averages.at;
-    averages.fast *= Math.exp(-elapsed / FAST_WINDOW_MS);
-    averages.slow *= Math.exp(-elapsed / SLOW_WINDOW_MS);
+    averages.fast *= Math.exp(-elapsed / fastWindowMs);
+    averages.slow *= Math.exp(-elapsed / slowWindowMs);
     averages.at = now;
     this.#averages.set(model, averages);
     return averages;
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -10,5 +10,9 @@
   PlacementOptions,
   PlacementView,
 } from "./plan.ts";
+export { planAdapterLoad } from "./adapter_plan.ts";
+export type { AdapterHost, AdapterMove } from "./adapter_plan.ts";
+export { DemandMeter } from "./demand_meter.ts";
+export type { DemandMeterOptions } from "./demand_meter.ts";
 export { findRoomFor } from "./room.ts";
 export type { Room, RoomView } from "./room.ts";
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -9,7 +9,7 @@
   readonly weightsMib: number;
   /** KV cache of one full context, in MiB, without which it is of no use. */
   readonly contextKvMib: number;
-  /** Replicas that it should always have. */
+  /** Replicas that it should always have; 0 for one that may be unloaded. */
   readonly minReplicas: number;
   /** Replicas that the last half minute's demand would keep busy. */
   readonly fastReplicas: number;
@@ -144,6 +144,7 @@
   return [...working.models.values()]
     .filter((model) => {
       const count = counts.get(model.name) ?? 0;
+      if (model.minReplicas === 0) return false;
       return reason === "reach" ? count === 0 : count < model.minReplicas;
     })
     .sort((a, b) => demandOf(b) - demandOf(a))
--- a/packages/platform/src/lease.ts
+++ b/packages/platform/src/lease.ts
@@ -11,10 +11,15 @@
   readonly holder: string;
   /** Time that a renewal lasts, in ms. */
   readonly durationMs: number;
-  /** Time source. */
+  /** Time source of the holder. */
   readonly clock: Clock;
+  /** Time source of a rival, which must not run fast; `clock` if absent. */
+  readonly rivalClock?: Clock;
 }
 
+/** Stands in the row in place of a holder that gave the lease back. */
+const RELEASED = "";
+
 interface LeaseRow {
   readonly holder: string;
   readonly fencingToken: number;
@@ -64,7 +69,11 @@
     const current = row && JSON.parse(row.value) as LeaseRow;
     if (row && current?.holder !== holder) {
       this.#heldSince = undefined;
-      if (!this.#isAbandoned(row.version, durationMs * 2)) return false;
+      // A holder that gave the lease back is past its last use of it.
+      const waitMs = current?.holder === RELEASED
+        ? durationMs
+        : durationMs * 2;
+      if (!this.#isAbandoned(row.version, waitMs)) return false;
     }
     const fencingToken = current?.holder === holder
       ? current.fencingToken
@@ -88,8 +97,23 @@
     return this.held;
   }
 
+  /** Gives the lease back; the fencing token stays in the row. */
+  async release(): Promise<void> {
+    if (!this.held) return;
+    this.#heldSince = undefined;
+    const { table, key } = this.#options;
+    const read = await table.get(key);
+    if (!read.ok || !read.value) return;
+    const current = JSON.parse(read.value.value) as LeaseRow;
+    if (current.holder !== this.#options.holder) return;
+    await table.commit({
+      checks: [{ key, version: read.value.version }],
+      puts: [{ key, value: JSON.stringify({ ...current, holder: RELEASED }) }],
+    });
+  }
+
   #isAbandoned(version: number, afterMs: number): boolean {
-    const now = this.#options.clock.now();
+    const now = (this.#options.rivalClock ?? this.#options.clock).now();
     if (version !== this.#seenVersion) {
       this.#seenVersion = version;
       this.#seenAt = now;
--- a/packages/retry/src/budget.ts
+++ b/packages/retry/src/budget.ts
@@ -22,8 +22,8 @@
 export interface RetryBudgetOptions {
   /** Retries allowed for each request, on average. */
   readonly ratio: number;
-  /** Most retries that can be saved up. */
-  readonly burst: number;
+  /** Most retries that can be saved up, now. */
+  readonly burst: () => number;
 }
 
 /** Bounds retries to a fraction of the requests. */
@@ -33,7 +33,7 @@
 
   private constructor(options: RetryBudgetOptions) {
     this.#options = options;
-    this.#balance = options.burst;
+    this.#balance = options.burst();
   }
 
   /** Creates a full budget. */
@@ -44,11 +44,12 @@
   /** Counts a first attempt. */
   recordRequest(): void {
     const { ratio, burst } = this.#options;
-    this.#balance = Math.min(burst, this.#balance + ratio);
+    this.#balance = Math.min(burst(), this.#balance + ratio);
   }
 
   /** Takes one retry out of the budget; false if it is spent. */
   take(): boolean {
+    this.#balance = Math.min(this.#balance, this.#options.burst());
     if (this.#balance < 1) return false;
     this.#balance -= 1;
     return true;
--- a/packages/retry/src/budget_test.ts
+++ b/packages/retry/src/budget_test.ts
@@ -2,7 +2,7 @@
 import { computeBackoffMs, RetryBudget } from "./budget.ts";
 
 test("retries stay within their ratio of the requests", (t) => {
-  const budget = RetryBudget.create({ ratio: 0.1, burst: 5 });
+  const budget = RetryBudget.create({ ratio: 0.1, burst: () => 5 });
   let retries = 0;
   for (let request = 0; request < 1000; request += 1) {
     budget.recordRequest();
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -10,3 +10,16 @@
 export { PrefixHistory } from "./prefix_history.ts";
 export type { PrefixHistoryOptions } from "./prefix_history.ts";
 export { hashPrefixes } from "./prefix_hash.ts";
+export { rankByAffinity } from "./affinity.ts";
+export { OutlierDetector } from "./outlier_detector.ts";
+export type { Observation, OutlierDetectorOptions } from "./outlier_detector.ts";
+export { listNames, modelName, ReplicaBoard } from "./replica_board.ts";
+export type {
+  BoardChoice,
+  BoardDispatch,
+  BoardRequest,
+  Holdings,
+  ReplicaBoardOptions,
+  ReplicaWork,
+} from "./replica_board.ts";
+export { RouteTable } from "./route_table.ts";
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -53,6 +53,22 @@
   drain_ms: z.number().int().nonnegative().default(2000),
 });
 
+const gatewaySchema = z.object({
+  instance: z.string().min(1),
+  data_centre: z.string().min(1),
+  public_listen: address,
+  readiness_listen: address,
+  peer_listen: address,
+  metrics_listen: address,
+  store_address: address,
+  first_start: z.boolean().default(false),
+  grace_ms: z.number().positive(),
+  lease_ms: z.number().positive(),
+  retry_ratio: z.number().nonnegative(),
+  retry_burst: z.number().nonnegative(),
+  log_lines_per_s: z.number().positive().default(400),
+});
+
 const clientSchema = z.strictObject({
   platform_url: url,
   operator: z.string().min(1),
@@ -65,6 +81,8 @@
 export type AgentSettings = z.infer<typeof agentSchema>;
 /** Settings of one engine beside an agent. */
 export type EngineSettings = z.infer<typeof engineSchema>;
+/** Settings of a gateway. */
+export type GatewaySettings = z.infer<typeof gatewaySchema>;
 /** Settings of the operators' client. */
 export type ClientSettings = z.infer<typeof clientSchema>;
 
@@ -91,6 +109,11 @@
   return readSettings(file, agentSchema);
 }
 
+/** Reads and checks the settings of a gateway. */
+export function readGatewaySettings(file: string): GatewaySettings {
+  return readSettings(file, gatewaySchema);
+}
+
 /** Reads and checks the settings of the operators' client. */
 export function readClientSettings(file: string): ClientSettings {
   return readSettings(file, clientSchema);
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -4,7 +4,7 @@
  * @module
  */
 export type { Clock, Milliseconds, Random, Sleep, Timestamp } from "./time.ts";
-export { createSystemClock, sleep } from "./time.ts";
+export { createElapsedClock, createSystemClock, sleep } from "./time.ts";
 export type { AttemptKey, Ran, Refusal, RefusalCode } from "./refusal.ts";
 export {
   formatAttemptKey,
@@ -22,5 +22,20 @@
   RequestClass,
 } from "./fleet.ts";
 export { REQUEST_CLASSES } from "./fleet.ts";
+export type {
+  BackendServer,
+  CallerLimits,
+  CallerRequest,
+  EngineSpec,
+  FleetConfiguration,
+  OrganisationLimit,
+  PromptPart,
+  Repetition,
+  ResidentModel,
+  Route,
+  ServedModel,
+  ServiceSpec,
+  TrafficShare,
+} from "./gateway.ts";
 export { err, ok } from "./result.ts";
 export type { Err, Ok, Result } from "./result.ts";
--- a/packages/types/src/time.ts
+++ b/packages/types/src/time.ts
@@ -29,6 +29,26 @@
   return { now: () => performance.now(), wall: Date.now };
 }
 
+/**
+ * Creates a clock that also counts time for which the process was suspended.
+ * The monotonic clock leaves it out and the time of day may be set, so that
+ * the longer of the two is taken at each reading.
+ */
+export function createElapsedClock(): Clock {
+  let monotonic = performance.now();
+  let wall = Date.now();
+  let elapsed = 0;
+  function now(): Milliseconds {
+    const nextMonotonic = performance.now();
+    const nextWall = Date.now();
+    elapsed += Math.max(nextMonotonic - monotonic, nextWall - wall, 0);
+    monotonic = nextMonotonic;
+    wall = nextWall;
+    return elapsed;
+  }
+  return { now, wall: Date.now };
+}
+
 /** Waits on the operating system's timer. */
 export async function sleep(
   ms: Milliseconds,
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -72,3 +72,11 @@
   InternalServer,
   InternalServerOptions,
 } from "./internal_server.ts";
+export { GatewayStateSchema } from "./gen/banyanspool/v1/gateway_pb.ts";
+export type {
+  GatewayState,
+  HeldModels,
+  ModelDemandReport,
+  ReplicaHoldings,
+  ReplicaLoad,
+} from "./gen/banyanspool/v1/gateway_pb.ts";
