Reserve adapter places when a load is planned

Ruled out: late orders, all were accepted in sequence. Planned loads now count as places, and memory is checked again right before each load.

--- a/packages/gateway/src/admit_request.ts
+++ b/packages/gateway/src/admit_request.ts
@@ -76,18 +76,12 @@
   while (true) {
     const taken = ctx.bucket.take(organisation, cost);
     if (taken.kind === "taken") return undefined;
-    if (taken.kind === "neverFits") {
-      return refuse(
-        "rate_exceeded",
-        `The request's ${cost} tokens exceed the burst of ` +
-          `"${organisation.name}"`,
-      );
-    }
     if (ctx.clock.now() + taken.waitMs > giveUpAt || scope.signal.aborted) {
       const retryAfterMs = Math.min(LONGEST_RETRY_MS, taken.waitMs);
       return refuse(
         "rate_exceeded",
-        `Organisation "${organisation.name}" has used up its rate`,
+        `Organisation "${organisation.name}" has used up its rate: ${cost} ` +
+          `tokens would be there in ${Math.round(taken.waitMs)} ms`,
         { retryAfterMs: spreadRetryAfter(retryAfterMs, ctx.random) },
       );
     }
--- a/packages/gateway/src/engine_state.ts
+++ b/packages/gateway/src/engine_state.ts
@@ -11,6 +11,8 @@
   readonly adapters: Set<string>;
   /** Names that are about to be unloaded and must not be asked for. */
   readonly withdrawn: Set<string>;
+  /** Adapters whose load is planned, as `model/adapter`. */
+  readonly planned: Set<string>;
   /** Orders that it has accepted. */
   acceptedOrders: number;
   /** Models of which it has a copy at hand, so that a load is quick. */
@@ -32,6 +34,7 @@
     models: new Set(),
     adapters: new Set(),
     withdrawn: new Set(),
+    planned: new Set(),
     acceptedOrders: 0,
     atHand: new Set(),
     isSynced: false,
--- a/packages/gateway/src/placement_duty.ts
+++ b/packages/gateway/src/placement_duty.ts
@@ -8,6 +8,8 @@
 import {
   type AdapterHost,
   assemblePlacementPlan,
+  fitsAdapter,
+  fitsModel,
   planAdapterLoad,
   type PlacementModel,
   type PlacementMove,
@@ -72,6 +74,8 @@
 const WITHDRAW_MS = 40;
 /** Time that an adapter needs from order to use, in ms. */
 const ADAPTER_LOAD_MS = 12;
+/** An adapter stays this long after it was asked for, in ms. */
+const ADAPTER_STAY_MS = 300;
 /** An order is given up when its effect does not show within this, in ms. */
 const ORDER_LIMIT_MS = 12_000;
 /** Moves under way at the same time. */
@@ -79,11 +83,11 @@
 /** Share of a replica's time above which a further copy is looked for. */
 const BUSY_SHARE = 0.25;
 /** Least relief that is worth a load. */
-const MIN_GAIN = 0.03;
-/** Demand that a waiting request stands for, in replicas. */
-const WAITING_REPLICAS = 0.2;
+const MIN_GAIN = 0.05;
+/** Puts models that requests wait for before others, in replicas. */
+const WAITING_REPLICAS = 0.01;
 /** Slow demand above which a model keeps its last copy, in replicas. */
-const ASKED_REPLICAS = 0.0005;
+const ASKED_REPLICAS = 0.003;
 
 /**
  * Orders models and adapters to replicas while this process holds the lease.
@@ -222,7 +226,7 @@
     this.#options.log.write("model move", { ...move });
     this.#enqueue(state, async () => {
       try {
-        await this.#carryOut(state, move);
+        await this.#carryOut(state, move, engine);
       } finally {
         if (this.#moves.get(move.replica) === move) {
           this.#moves.delete(move.replica);
@@ -231,10 +235,18 @@
     });
   }
 
-  async #carryOut(state: EngineState, move: PlacementMove): Promise<void> {
+  async #carryOut(
+    state: EngineState,
+    move: PlacementMove,
+    engine: EngineSpec,
+  ): Promise<void> {
     for (const model of move.unload) {
+      if (!state.models.has(model)) continue;
       if (!await this.#unloadModel(state, model)) return;
     }
+    if (state.models.has(move.load) || !fitsModel(move.load, state, engine)) {
+      return;
+    }
     const outcome = await this.#order(state, {
       operation: "load",
       model: move.load,
@@ -300,16 +312,17 @@
       const { state } = hosts.find(({ host }) =>
         host.replica === move.replica
       )!;
-      this.#startAdapterLoad(state, name, move.evict);
+      this.#startAdapterLoad(state, { name, evict: move.evict }, engine);
     }
   }
 
   #startAdapterLoad(
     state: EngineState,
-    name: string,
-    evict: string | undefined,
+    { name, evict }: { name: string; evict?: string },
+    engine: EngineSpec,
   ): void {
     this.#adaptersUnderWay.add(name);
+    state.planned.add(name);
     if (evict !== undefined) {
       state.withdrawn.add(evict);
       this.#changed();
@@ -321,20 +334,25 @@
     });
     this.#enqueue(state, async () => {
       try {
-        await this.#loadAdapter(state, name, evict);
+        await this.#loadAdapter(state, { name, evict }, engine);
       } finally {
         this.#adaptersUnderWay.delete(name);
+        state.planned.delete(name);
+        if (evict !== undefined) state.withdrawn.delete(evict);
       }
     });
   }
 
   async #loadAdapter(
     state: EngineState,
-    name: string,
-    evict: string | undefined,
+    { name, evict }: { name: string; evict?: string },
+    engine: EngineSpec,
   ): Promise<void> {
-    if (evict !== undefined && !await this.#unloadAdapter(state, evict)) return;
+    if (evict !== undefined && state.adapters.has(evict)) {
+      if (!await this.#unloadAdapter(state, evict)) return;
+    }
     const [model = "", adapter = ""] = name.split("/");
+    if (!state.models.has(model) || !fitsAdapter(model, state, engine)) return;
     const outcome = await this.#order(state, {
       operation: "load",
       model,
@@ -357,7 +375,6 @@
       model,
       adapter,
     });
-    state.withdrawn.delete(name);
     if (outcome === "done") {
       state.adapters.delete(name);
       return true;
@@ -437,14 +454,23 @@
   }
 
   #describeHost(state: EngineState, engine: EngineSpec): AdapterHost {
-    const { adapters } = this.#options.board.workAt(state.server.id);
-    for (const adapter of adapters) {
-      this.#adapterUse.set(adapter, this.#options.clock.now());
+    const { board, clock, demand } = this.#options;
+    const { adapters } = board.workAt(state.server.id);
+    const now = clock.now();
+    for (const adapter of adapters) this.#adapterUse.set(adapter, now);
+    const inUse = new Set([...adapters, ...state.planned]);
+    const fleetDemand = demand();
+    for (const name of state.adapters) {
+      const isWanted = (fleetDemand.get(name)?.waiting ?? 0) > 0;
+      const usedAt = this.#adapterUse.get(name) ?? -Infinity;
+      if (isWanted || now - usedAt < ADAPTER_STAY_MS) inUse.add(name);
     }
+    const staying = [...state.adapters]
+      .filter((name) => !state.withdrawn.has(name));
     return {
       replica: state.server.id,
-      adapters: [...state.adapters],
-      inUse: new Set([...adapters, ...state.withdrawn]),
+      adapters: [...new Set([...staying, ...state.planned])],
+      inUse,
       lastUsed: this.#adapterUse,
       places: engine.adapterSlots,
       queuedOrders: state.queuedOrders,
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -157,6 +157,7 @@
       model: caller.model,
       adapter: caller.adapter,
       result: outcome.result,
+      detail: outcome.detail,
       status: outcome.status,
       replicas: outcome.replicas,
       waited_ms: Math.round(outcome.waitedMs),
--- a/packages/gateway/src/request_scope.ts
+++ b/packages/gateway/src/request_scope.ts
@@ -37,6 +37,8 @@
 export interface RequestOutcome {
   /** Short word for counters. */
   readonly result: "answered" | "broken" | "left" | Refusal["code"];
+  /** Why it was refused, in one sentence. */
+  readonly detail?: string;
   /** Replicas that it was sent to, in order. */
   readonly replicas: readonly string[];
   /** Status that the caller got. */
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -21,7 +21,7 @@
 const MIN_ATTEMPT_MS = 20;
 /** Milliseconds of a replica that reading a prompt token and writing one cost. */
 const PROMPT_TOKEN_BUSY_MS = 0.015;
-const OUTPUT_TOKEN_BUSY_MS = 0.35;
+const OUTPUT_TOKEN_BUSY_MS = 0.05;
 /** A replica's status from here on is its own failure. */
 const FIRST_FAILURE_STATUS = 500;
 
@@ -313,6 +313,7 @@
   answerRefusal(scope.res, refusal);
   return {
     result: isBroken ? "broken" : refusal.code,
+    detail: refusal.message,
     status: isBroken ? undefined : scope.res.statusCode,
     ...summarise(progress),
   };
--- a/packages/limits/src/fleet_bucket.ts
+++ b/packages/limits/src/fleet_bucket.ts
@@ -21,8 +21,7 @@
 /** Whether a request's tokens were taken. */
 export type TakeResult =
   | { readonly kind: "taken" }
-  | { readonly kind: "short"; readonly waitMs: number }
-  | { readonly kind: "neverFits" };
+  | { readonly kind: "short"; readonly waitMs: number };
 
 interface Bucket {
   limit: OrganisationLimit;
@@ -71,14 +70,17 @@
     return this.#own;
   }
 
-  /** Takes the tokens of a request, or says when they will be there. */
+  /**
+   * Takes the tokens of a request, or says when there will be some. The last
+   * request before the bucket is empty may go into debt, which the refill
+   * repays: otherwise small requests would keep large ones out for good.
+   */
   take(limit: OrganisationLimit, tokens: number): TakeResult {
     if (limit.ratePerS <= 0 && limit.burst <= 0) return { kind: "taken" };
     const bucket = this.#refill(limit);
-    if (tokens > limit.burst) return { kind: "neverFits" };
-    if (tokens > bucket.level) {
-      const missing = tokens - bucket.level;
-      return { kind: "short", waitMs: missing / limit.ratePerS * MS_PER_S };
+    if (bucket.level <= 0) {
+      const waitMs = (1 - bucket.level) / limit.ratePerS * MS_PER_S;
+      return { kind: "short", waitMs };
     }
     bucket.level -= tokens;
     this.#countOwn(limit.name, tokens);
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -14,5 +14,7 @@
 export type { AdapterHost, AdapterMove } from "./adapter_plan.ts";
 export { DemandMeter } from "./demand_meter.ts";
 export type { DemandMeterOptions } from "./demand_meter.ts";
+export { fitsAdapter, fitsModel } from "./memory_fit.ts";
+export type { HeldMemory, MemorySizes } from "./memory_fit.ts";
 export { findRoomFor } from "./room.ts";
 export type { Room, RoomView } from "./room.ts";
