Wait for a predecessor's order, and close connections that outlive a stop

Ruled out: late orders, the replica's count was right both times. Busy replicas are now planned on only after a report without an order in progress; a connection is closed at the end of its answer while stopping, and requests after the listener closed are refused as not run.

--- a/packages/gateway/src/placement_duty.ts
+++ b/packages/gateway/src/placement_duty.ts
@@ -172,6 +172,11 @@
       const known = this.#engines.get(server.id);
       if (known && known.server.startedAt === server.startedAt) {
         known.server = server;
+        // An order of an earlier holder may still be in progress, and what it
+        // loads shows only when it has ended.
+        if (known.isSynced && known.isBusy && known.queuedOrders === 0) {
+          this.#enqueue(known, () => this.#resync(known));
+        }
         continue;
       }
       const state = createEngineState(server);
@@ -195,12 +200,14 @@
     const ids = new Set(servers.map(({ id }) => id));
     const underWay = [...this.#moves.values()]
       .filter(({ replica }) => ids.has(replica));
-    const idle = reports.filter(({ replica }) => !this.#moves.has(replica));
+    const isIdle = ({ replica }: ReplicaReport) =>
+      !this.#moves.has(replica) && !this.#engines.get(replica)!.isBusy;
+    const idle = reports.filter(isIdle);
     const plan = assemblePlacementPlan({
       models: listModels(engine, demand),
       replicas: [
         ...idle,
-        ...reports.filter(({ replica }) => this.#moves.has(replica))
+        ...reports.filter((report) => !isIdle(report))
           .map((report) => ({ ...report, memoryMib: 0 })),
       ],
       underWay,
@@ -215,9 +222,7 @@
 
   #startMove(move: PlacementMove, engine: EngineSpec): void {
     const state = this.#engines.get(move.replica);
-    if (!state || state.queuedOrders > 0 || this.#moves.has(move.replica)) {
-      return;
-    }
+    if (!state || state.queuedOrders > 0 || state.isBusy) return;
     if (
       !state.atHand.has(move.load) &&
       !this.#allowance.take(engine.loadsPerS)
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -24,6 +24,7 @@
   readonly #ctx: GatewayContext;
   readonly #server: Server;
   #inFlight = 0;
+  #isClosed = false;
 
   private constructor(ctx: GatewayContext) {
     this.#ctx = ctx;
@@ -55,6 +56,7 @@
 
   /** Accepts no further connections and closes the idle ones. */
   closeIdle(): void {
+    this.#isClosed = true;
     this.#server.close();
     this.#server.closeIdleConnections();
   }
@@ -78,6 +80,10 @@
       // The caller left; the close event says the same.
     });
     if (this.#ctx.fleet.isStopping) res.setHeader("connection", "close");
+    // An answer that began before the stop did not announce the close.
+    res.once("finish", () => {
+      if (this.#ctx.fleet.isStopping) req.socket.destroySoon();
+    });
     try {
       await this.#serve(req, res);
     } catch (error) {
@@ -94,6 +100,12 @@
     const arrivedAt = ctx.clock.now();
     const caller = decodeCallerRequest(req.url ?? "/", req.headers);
     const { inForce } = ctx.fleet;
+    if (this.#isClosed) {
+      answerRefusal(res, refuse("draining", "This gateway is stopping", {
+        retryAfterMs: 0,
+      }));
+      return;
+    }
     const admitted = identify(inForce, caller);
     if (!admitted.ok) {
       answerRefusal(res, admitted.error);
