--- a/packages/gateway/src/engine_state.ts
+++ b/packages/gateway/src/engine_state.ts
@@ -13,6 +13,8 @@
   readonly withdrawn: Set<string>;
   /** Adapters whose load is planned, as `model/adapter`. */
   readonly planned: Set<string>;
+  /** When models were loaded by this holder. */
+  readonly loadedAt: Map<string, number>;
   /** Orders that it has accepted. */
   acceptedOrders: number;
   /** Models of which it has a copy at hand, so that a load is quick. */
@@ -35,6 +37,7 @@
     adapters: new Set(),
     withdrawn: new Set(),
     planned: new Set(),
+    loadedAt: new Map(),
     acceptedOrders: 0,
     atHand: new Set(),
     isSynced: false,
--- a/packages/gateway/src/placement_duty.ts
+++ b/packages/gateway/src/placement_duty.ts
@@ -84,6 +84,10 @@
 const BUSY_SHARE = 0.25;
 /** Least relief that is worth a load. */
 const MIN_GAIN = 0.05;
+/** A model stays at least this long after its load, in ms. */
+const MODEL_STAY_MS = 6000;
+/** Room for this many models for each that there is keeps all of them. */
+const ROOMY_FACTOR = 1.2;
 /** Puts models that requests wait for before others, in replicas. */
 const WAITING_REPLICAS = 0.01;
 /** Slow demand above which a model keeps its last copy, in replicas. */
@@ -204,13 +208,14 @@
       !this.#moves.has(replica) && !this.#engines.get(replica)!.isBusy;
     const idle = reports.filter(isIdle);
     const plan = assemblePlacementPlan({
-      models: listModels(engine, demand),
+      models: listModels(engine, demand, reports.length),
       replicas: [
         ...idle,
         ...reports.filter((report) => !isIdle(report))
           .map((report) => ({ ...report, memoryMib: 0 })),
       ],
       underWay,
+      staying: this.#listStaying(reports),
     }, {
       maxMoves: MAX_MOVES,
       busyShare: BUSY_SHARE,
@@ -220,6 +225,19 @@
     for (const move of plan) this.#startMove(move, engine);
   }
 
+  /** Models that were loaded only lately, as `replica model`. */
+  #listStaying(reports: readonly ReplicaReport[]): Set<string> {
+    const now = this.#options.clock.now();
+    const staying = new Set<string>();
+    for (const { replica } of reports) {
+      const { loadedAt } = this.#engines.get(replica)!;
+      for (const [model, at] of loadedAt) {
+        if (now - at < MODEL_STAY_MS) staying.add(`${replica} ${model}`);
+      }
+    }
+    return staying;
+  }
+
   #startMove(move: PlacementMove, engine: EngineSpec): void {
     const state = this.#engines.get(move.replica);
     if (!state || state.queuedOrders > 0 || state.isBusy) return;
@@ -261,6 +279,7 @@
       return;
     }
     await this.#awaitEffect(state, () => state.models.has(move.load));
+    state.loadedAt.set(move.load, this.#options.clock.now());
   }
 
   async #unloadModel(state: EngineState, model: string): Promise<boolean> {
@@ -486,7 +505,10 @@
 function listModels(
   engine: EngineSpec,
   demand: ReadonlyMap<string, FleetDemand>,
+  replicas: number,
 ): PlacementModel[] {
+  const isRoomy = replicas * countPlaces(engine) >=
+    engine.models.size * ROOMY_FACTOR;
   const waiting = new Map<string, number>();
   for (const [name, entry] of demand) {
     const model = name.split("/")[0]!;
@@ -501,13 +523,20 @@
       name,
       weightsMib: weightsMb,
       contextKvMib: 0,
-      minReplicas: Math.max(fast, slow) > ASKED_REPLICAS ? 1 : 0,
+      minReplicas: isRoomy || Math.max(fast, slow) > ASKED_REPLICAS ? 1 : 0,
       fastReplicas: fast,
       slowReplicas: slow,
     };
   });
 }
 
+/** Models of the average size that one replica holds. */
+function countPlaces(engine: EngineSpec): number {
+  let sumMb = 0;
+  for (const { weightsMb } of engine.models.values()) sumMb += weightsMb;
+  return Math.floor(engine.weightsMb * engine.models.size / sumMb);
+}
+
 function describeEngine(state: EngineState, engine: EngineSpec): ReplicaReport {
   const { server } = state;
   let weightsMib = 0;
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -75,7 +75,11 @@
   try {
     return await awaitHead(ctx, scope, { ...options, call });
   } catch (error) {
-    return describeFailure(scope, error as ReplicaCallError);
+    const failure = error as ReplicaCallError;
+    if (failure.failure === "notSent" && !scope.signal.aborted) {
+      ctx.board.markUnreachable(choice.server.id);
+    }
+    return describeFailure(scope, failure);
   }
 }
 
@@ -112,8 +116,9 @@
   if (!facts.notRun) return { kind: "started", call, head };
   await drain(call);
   const name = modelName(request);
-  if (facts.misdirected && name !== undefined) {
-    ctx.board.markRejected(choice.server.id, name);
+  if (name !== undefined) {
+    const reason = facts.misdirected ? "missing" : "busy";
+    ctx.board.markRejected(choice.server.id, { name, reason });
   }
   return { kind: "notRun", reason: `status ${head.status}`, sent: true };
 }
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -175,7 +175,11 @@
         observe("failure");
       }
       if (next === "given up") return endGivenUp(scope, progress, true);
-      progress.excluded.add(server.id);
+      // A replica that rejected a model may take it again soon, and may be the
+      // only one; the board skips it for a while.
+      if (outcome.kind !== "notRun" || request.model === undefined) {
+        progress.excluded.add(server.id);
+      }
       const mayGoOn = outcome.kind === "notRun"
         ? progress.rejections <= MAX_REJECTIONS
         : canRepeat;
@@ -199,6 +203,8 @@
       return "given up";
     case "notRun":
       progress.rejections += 1;
+      // What was never sent has reached no replica and is no retry.
+      if (!outcome.sent) progress.hasBudget = true;
       return "go on";
     default:
       progress.attempts += 1;
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -27,6 +27,8 @@
   readonly dataCentre?: string;
   /** Moves that are under way and not yet reported. */
   readonly underWay: readonly PlacementMove[];
+  /** Models that must stay at a replica for now, as `replica model`. */
+  readonly staying?: ReadonlySet<string>;
 }
 
 /** Limits and thresholds of a plan. */
@@ -165,6 +167,7 @@
     replicas: among,
     readyCounts: countReady([...working.replicas.values()]),
     kvShare: options.kvShare,
+    staying: view.staying,
   });
 }
 
--- a/packages/placement/src/room.ts
+++ b/packages/placement/src/room.ts
@@ -11,6 +11,8 @@
   readonly readyCounts?: ReadonlyMap<string, number>;
   /** Part of a replica's memory that must stay for the KV cache. */
   readonly kvShare: number;
+  /** Models that must stay at a replica for now, as `replica model`. */
+  readonly staying?: ReadonlySet<string>;
 }
 
 /** A replica with room, perhaps after unloading. */
@@ -36,7 +38,8 @@
     if (report.leaving || report.readyModels.includes(model)) continue;
     const needed = neededMib(wanted, report, view.kvShare);
     if (needed > report.memoryMib) continue;
-    const choice = chooseUnloads(report, { needed, byName, counts });
+    const { staying } = view;
+    const choice = chooseUnloads(report, { needed, byName, counts, staying });
     if (!choice) continue;
     const { weightsMib } = report;
     if (best && choice.loss > best.loss) continue;
@@ -65,10 +68,11 @@
 
 function chooseUnloads(
   report: ReplicaReport,
-  { needed, byName, counts }: {
+  { needed, byName, counts, staying }: {
     needed: number;
     byName: ReadonlyMap<string, PlacementModel>;
     counts: ReadonlyMap<string, number>;
+    staying: ReadonlySet<string> | undefined;
   },
 ): { unload: string[]; loss: number } | undefined {
   let freeMib = report.memoryMib - report.weightsMib;
@@ -77,6 +81,7 @@
   const candidates = report.readyModels
     .map((name) => byName.get(name))
     .filter((entry) => entry !== undefined)
+    .filter(({ name }) => !staying?.has(`${report.replica} ${name}`))
     .filter((entry) => (counts.get(entry.name) ?? 0) > entry.minReplicas)
     .map((entry) => ({ entry, demand: demandPerReplica(entry, counts) }))
     .sort((a, b) => a.demand - b.demand);
--- a/packages/routing/src/replica_board.ts
+++ b/packages/routing/src/replica_board.ts
@@ -93,8 +93,12 @@
 const PEER_WORK_AGE_MS = 1000;
 /** Holdings count while their holder repeats them. */
 const HOLDINGS_AGE_MS = 2500;
-/** How long a replica is skipped for a model that it has just rejected. */
-const REJECTED_MODEL_MS = 400;
+/** How long a replica is skipped for a model that it has rejected, in ms. */
+const REJECTED_MODEL_MS = 1200;
+/** The same for an adapter, or while an order is in progress, in ms. */
+const REJECTED_BRIEFLY_MS = 250;
+/** How long a replica is skipped after a connection to it failed, in ms. */
+const UNREACHABLE_MS = 600;
 /** Prompt tokens read in a ms before anything was learned. */
 const INITIAL_TOKENS_PER_MS = 30;
 const LEARNING_RATE = 0.05;
@@ -134,6 +138,7 @@
   readonly #inFlight: Set<InFlight> = new Set();
   readonly #peers: Map<string, PeerWork> = new Map();
   readonly #rejected: Map<string, number> = new Map();
+  readonly #unreachable: Map<string, number> = new Map();
   readonly #tokensPerMs: Map<string, number> = new Map();
   readonly #serviceMs: Map<string, number> = new Map();
   #servers: Map<string, BackendServer> = new Map();
@@ -161,6 +166,7 @@
     for (const [id, server] of this.#servers) {
       if (next.get(id)?.startedAt === server.startedAt) continue;
       this.outliers.forget(server.service, id);
+      this.#unreachable.delete(id);
     }
     this.#servers = next;
   }
@@ -179,12 +185,23 @@
     this.#peers.set(instance, { heardAt: this.#options.clock.now(), work });
   }
 
-  /** Skips a replica for a model that it has just rejected. */
-  markRejected(replica: string, name: string): void {
-    const until = this.#options.clock.now() + REJECTED_MODEL_MS;
+  /** Skips a replica for a model or adapter that it has just rejected. */
+  markRejected(
+    replica: string,
+    { name, reason }: { name: string; reason: "missing" | "busy" },
+  ): void {
+    const isLong = reason === "missing" && !name.includes("/");
+    const forMs = isLong ? REJECTED_MODEL_MS : REJECTED_BRIEFLY_MS;
+    const until = this.#options.clock.now() + forMs;
     this.#rejected.set(`${replica} ${name}`, until);
   }
 
+  /** Skips a replica to which no connection could be made. */
+  markUnreachable(replica: string): void {
+    const until = this.#options.clock.now() + UNREACHABLE_MS;
+    this.#unreachable.set(replica, until);
+  }
+
   /** Work of this entry by replica. */
   ownWork(): Map<string, ReplicaWork> {
     const work = new Map<string, ReplicaWork>();
@@ -238,8 +255,10 @@
       if (name !== undefined && !this.holds(server, name)) continue;
       usable.push(server);
     }
+    const now = this.#options.clock.now();
     const sound = usable.filter(({ service, id }) =>
-      !this.outliers.isEjected(service, id)
+      !this.outliers.isEjected(service, id) &&
+      (this.#unreachable.get(id) ?? 0) <= now
     );
     return sound.length > 0 ? sound : usable;
   }
