--- a/packages/bench/src/replay_entry.ts
+++ b/packages/bench/src/replay_entry.ts
@@ -78,7 +78,10 @@
   readonly #loader: ModelLoader;
   readonly #choose: Choose;
   readonly #random: () => number;
-  readonly #budget: RetryBudget = RetryBudget.create({ ratio: 0.1, burst: () => 20 });
+  readonly #budget: RetryBudget = RetryBudget.create({
+    ratio: 0.1,
+    burst: () => 20,
+  });
   #sequence = 0;
 
   /** Creates an entry that knows no replica. */
--- a/packages/entry/src/entry_parts.ts
+++ b/packages/entry/src/entry_parts.ts
@@ -106,7 +106,10 @@
     demand,
     services: ServiceRouter.create({ router, random }),
     loader: ModelLoader.create({ router, clock, sleep, document, advise }),
-    retryBudget: RetryBudget.create({ ratio: RETRY_RATIO, burst: () => RETRY_BURST }),
+    retryBudget: RetryBudget.create({
+      ratio: RETRY_RATIO,
+      burst: () => RETRY_BURST,
+    }),
     nextSequence: createCounter(),
     isDraining,
   };
--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -1,5 +1,5 @@
 import type { BackendServer } from "@banyanspool/types";
-import { Pool } from "undici";
+import { buildConnector, Pool } from "undici";
 
 /** Options of {@link ConnectionPools.create}. */
 export interface ConnectionPoolsOptions {
@@ -37,7 +37,7 @@
     const pool = new Pool(`http://${server.address}`, {
       connections: this.#options.connectionsFor(server.service),
       pipelining: 1,
-      connectTimeout: CONNECT_TIMEOUT_MS,
+      connect: connectToReplica,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       keepAliveMaxTimeout: LONGEST_KEEP_ALIVE_MS,
@@ -60,6 +60,28 @@
   }
 }
 
+const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+
+/**
+ * Connects so that a reset is always an error: the transport would take it
+ * for the end of an answer that has no length, although it may be torn.
+ */
+const connectToReplica: buildConnector.connector = (options, callback) => {
+  connect(options, (...result) => {
+    const [error, socket] = result;
+    if (error) {
+      callback(error, null);
+      return;
+    }
+    socket.prependListener("error", (failure: Error & { code?: string }) => {
+      if (failure.code === "ECONNRESET") failure.code = RESET_CODE;
+    });
+    callback(null, socket);
+  });
+};
+
+const RESET_CODE = "CONNECTION_RESET";
+
 function poolKey({ id, address, startedAt }: BackendServer): string {
   return `${id} ${address} ${startedAt}`;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -65,6 +65,8 @@
 const LEAVE_ROTATION_MS = 2600;
 /** Kept free before the process is killed, in ms. */
 const STOP_RESERVE_MS = 500;
+/** Time for the last answers to be written, in ms. */
+const LAST_ANSWERS_MS = 100;
 const STOP_POLL_MS = 50;
 
 /** A gateway: its servers and tasks, and who starts whom. */
@@ -150,10 +152,13 @@
     log.write("stop", { in_flight: this.#publicServer.inFlight });
     this.#exchange.announce();
     await Promise.race([
-      Promise.all([this.#lease.release(), leaveMembership({
-        store: this.#store,
-        instance: this.#cfg.instance,
-      })]),
+      Promise.all([
+        this.#lease.release(),
+        leaveMembership({
+          store: this.#store,
+          instance: this.#cfg.instance,
+        }),
+      ]),
       sleep(LEAVE_ROTATION_MS),
     ]);
     await sleep(Math.max(0, startedAt + LEAVE_ROTATION_MS - clock.now()));
@@ -162,6 +167,8 @@
       await sleep(STOP_POLL_MS);
     }
     log.write("stopped", { in_flight: this.#publicServer.inFlight });
+    this.#publicServer.giveUpAll();
+    await sleep(LAST_ANSWERS_MS);
     this.#publicServer.closeAll();
     for (const server of this.#servers) server.close();
     log.flush();
@@ -274,8 +281,7 @@
           clock,
           sleep,
           log,
-          onMember: (instance, host) =>
-            this.#exchange.addPeer(instance, host),
+          onMember: (instance, host) => this.#exchange.addPeer(instance, host),
         }, signal),
     });
     this.#supervisor.start({
--- a/packages/gateway/src/placement_duty.ts
+++ b/packages/gateway/src/placement_duty.ts
@@ -10,9 +10,9 @@
   assemblePlacementPlan,
   fitsAdapter,
   fitsModel,
-  planAdapterLoad,
   type PlacementModel,
   type PlacementMove,
+  planAdapterLoad,
 } from "@banyanspool/placement";
 import type { ReplicaBoard } from "@banyanspool/routing";
 import type {
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -25,6 +25,7 @@
   readonly #server: Server;
   #inFlight = 0;
   #isClosed = false;
+  readonly #running: Set<AbortController> = new Set();
 
   private constructor(ctx: GatewayContext) {
     this.#ctx = ctx;
@@ -61,6 +62,11 @@
     this.#server.closeIdleConnections();
   }
 
+  /** Gives all requests that still run their final answer. */
+  giveUpAll(): void {
+    for (const controller of this.#running) controller.abort();
+  }
+
   /** Closes everything. */
   closeAll(): void {
     this.#server.closeAllConnections();
@@ -101,9 +107,12 @@
     const caller = decodeCallerRequest(req.url ?? "/", req.headers);
     const { inForce } = ctx.fleet;
     if (this.#isClosed) {
-      answerRefusal(res, refuse("draining", "This gateway is stopping", {
-        retryAfterMs: 0,
-      }));
+      answerRefusal(
+        res,
+        refuse("draining", "This gateway is stopping", {
+          retryAfterMs: 0,
+        }),
+      );
       return;
     }
     const admitted = identify(inForce, caller);
@@ -119,6 +128,8 @@
     }
     const { route, organisation } = admitted.value;
     const left = new AbortController();
+    this.#running.add(left);
+    res.once("close", () => this.#running.delete(left));
     res.once("close", () => left.abort());
     const body = await readBody(
       req,
--- a/packages/gateway/src/replica_call.ts
+++ b/packages/gateway/src/replica_call.ts
@@ -167,7 +167,10 @@
   #fail(failure: CallFailure, error: Error): void {
     if (this.#error || this.#isWhole) return;
     const { code } = error as { code?: string };
-    this.#error = new ReplicaCallError(failure, code ?? error.message);
+    this.#error = new ReplicaCallError(
+      this.#isAborted ? "aborted" : failure,
+      code ?? error.message,
+    );
     this.#rejectHead(this.#error);
     this.#notify();
   }
--- /dev/null
+++ b/packages/gateway/src/replica_call_test.ts
@@ -0,0 +1,131 @@
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import test, { type ExecutionContext } from "ava";
+import type { BackendServer } from "@banyanspool/types";
+import { ConnectionPools } from "./connection_pools.ts";
+import { ReplicaCall, ReplicaCallError } from "./replica_call.ts";
+
+/** Starts a replica that answers each connection's bytes by a function. */
+async function startReplica(
+  t: ExecutionContext,
+  answer: (socket: Socket, request: string) => void,
+): Promise<BackendServer> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    socket.on("data", (bytes) => answer(socket, bytes.toString()));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  return {
+    id: "i-1",
+    service: "shop",
+    address: `127.0.0.1:${port}`,
+    dataCentre: "north",
+    slots: 1,
+    leaving: false,
+    startedAt: 1,
+    models: [],
+  };
+}
+
+function createPools(t: ExecutionContext): ConnectionPools {
+  const pools = ConnectionPools.create({ connectionsFor: () => 4 });
+  t.teardown(() => pools.keepOnly([]));
+  return pools;
+}
+
+function call(pools: ConnectionPools, replica: BackendServer): ReplicaCall {
+  return ReplicaCall.create({
+    dispatcher: pools.of(replica),
+    origin: `http://${replica.address}`,
+    method: "GET",
+    target: "/",
+    headers: ["Host", "a.example"],
+  });
+}
+
+async function readAll(started: ReplicaCall): Promise<string> {
+  await started.head;
+  let text = "";
+  for await (const chunk of started.body()) text += chunk.toString();
+  return text;
+}
+
+async function failureOf(started: ReplicaCall): Promise<string> {
+  try {
+    await readAll(started);
+    return "none";
+  } catch (error) {
+    return (error as ReplicaCallError).failure;
+  }
+}
+
+test("an answer without a length is whole when its connection ends", async (t) => {
+  const replica = await startReplica(t, (socket) => {
+    socket.end("HTTP/1.1 200 OK\r\n\r\nwhole");
+  });
+  t.is(await readAll(call(createPools(t), replica)), "whole");
+});
+
+test("an answer without a length is torn when its connection is reset", async (t) => {
+  const replica = await startReplica(t, (socket) => {
+    socket.write("HTTP/1.1 200 OK\r\n\r\ntor");
+    setTimeout(() => socket.resetAndDestroy(), 50);
+  });
+  t.is(await failureOf(call(createPools(t), replica)), "broken");
+});
+
+test("an answer shorter than its length is torn", async (t) => {
+  const replica = await startReplica(t, (socket) => {
+    socket.end("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ntorn");
+  });
+  t.is(await failureOf(call(createPools(t), replica)), "broken");
+});
+
+test("an extra answer after a whole one reaches nobody", async (t) => {
+  let requests = 0;
+  const replica = await startReplica(t, (socket) => {
+    requests += 1;
+    const text = `HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n${requests}`;
+    socket.write(requests === 1 ? text + text : text);
+  });
+  const shared = createPools(t);
+  t.is(await readAll(call(shared, replica)), "1");
+  t.is(await readAll(call(shared, replica)), "2");
+});
+
+test("a request is sent once, whatever becomes of its connection", async (t) => {
+  let requests = 0;
+  const replica = await startReplica(t, (socket) => {
+    requests += 1;
+    socket.resetAndDestroy();
+  });
+  t.is(await failureOf(call(createPools(t), replica)), "broken");
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  t.is(requests, 1);
+});
+
+test("a refused connection is known not to have sent anything", async (t) => {
+  const replica = await startReplica(t, () => {});
+  const nobody = { ...replica, address: "127.0.0.1:1" };
+  t.is(await failureOf(call(createPools(t), nobody)), "notSent");
+});
+
+test("a call that is given up closes its connection", async (t) => {
+  let markClosed = () => {};
+  const closed = new Promise<void>((resolve) => {
+    markClosed = resolve;
+  });
+  const replica = await startReplica(t, (socket) => {
+    socket.on("close", markClosed);
+    started.abort();
+  });
+  const started = call(createPools(t), replica);
+  await closed;
+  t.is(await failureOf(started), "aborted");
+});
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -1,7 +1,7 @@
 import {
+  type AnswerFacts,
   decodeAnswer,
   encodeForwardedHeaders,
-  type AnswerFacts,
 } from "@banyanspool/platform-adapter";
 import type { BoardChoice, BoardRequest } from "@banyanspool/routing";
 import { modelName } from "@banyanspool/routing";
--- a/packages/placement/src/memory_fit_test.ts
+++ b/packages/placement/src/memory_fit_test.ts
@@ -28,28 +28,33 @@
 });
 
 test("no sequence of loads that fit exceeds memory or places", (t) => {
-  fc.assert(fc.property(
-    fc.array(fc.tuple(
-      fc.constantFrom(...SIZES.models.keys()),
-      fc.option(fc.constantFrom("a1", "a2", "a3")),
-    )),
-    (loads) => {
-      const held = { models: new Set<string>(), adapters: new Set<string>() };
-      for (const [model, adapter] of loads) {
-        if (adapter !== null && held.models.has(model)) {
-          if (fitsAdapter(model, held, SIZES)) {
-            held.adapters.add(`${model}/${adapter}`);
+  fc.assert(
+    fc.property(
+      fc.array(fc.tuple(
+        fc.constantFrom(...SIZES.models.keys()),
+        fc.option(fc.constantFrom("a1", "a2", "a3")),
+      )),
+      (loads) => {
+        const held = { models: new Set<string>(), adapters: new Set<string>() };
+        for (const [model, adapter] of loads) {
+          if (adapter !== null && held.models.has(model)) {
+            if (fitsAdapter(model, held, SIZES)) {
+              held.adapters.add(`${model}/${adapter}`);
+            }
+            continue;
           }
-          continue;
+          if (held.models.has(model)) continue;
+          if (fitsModel(model, held, SIZES)) held.models.add(model);
         }
-        if (held.models.has(model)) continue;
-        if (fitsModel(model, held, SIZES)) held.models.add(model);
-      }
-      let sum = held.adapters.size;
-      for (const model of held.models) sum += SIZES.models.get(model)!.weightsMb;
-      return sum <= SIZES.weightsMb &&
-        held.adapters.size <= SIZES.adapterSlots;
-    },
-  ), { seed: 20261204 });
+        let sum = held.adapters.size;
+        for (const model of held.models) {
+          sum += SIZES.models.get(model)!.weightsMb;
+        }
+        return sum <= SIZES.weightsMb &&
+          held.adapters.size <= SIZES.adapterSlots;
+      },
+    ),
+    { seed: 20261204 },
+  );
   t.pass();
 });
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -12,7 +12,10 @@
 export { hashPrefixes } from "./prefix_hash.ts";
 export { rankByAffinity } from "./affinity.ts";
 export { OutlierDetector } from "./outlier_detector.ts";
-export type { Observation, OutlierDetectorOptions } from "./outlier_detector.ts";
+export type {
+  Observation,
+  OutlierDetectorOptions,
+} from "./outlier_detector.ts";
 export { listNames, modelName, ReplicaBoard } from "./replica_board.ts";
 export type {
   BoardChoice,
--- a/packages/routing/src/replica_board.ts
+++ b/packages/routing/src/replica_board.ts
@@ -1,4 +1,9 @@
-import type { BackendServer, Clock, PromptPart, Random } from "@banyanspool/types";
+import type {
+  BackendServer,
+  Clock,
+  PromptPart,
+  Random,
+} from "@banyanspool/types";
 import { OutlierDetector } from "./outlier_detector.ts";
 import { PrefixHistory } from "./prefix_history.ts";
 import { rankByAffinity } from "./affinity.ts";
@@ -130,6 +135,7 @@
  * work of all entries together is the load of a replica.
  */
 export class ReplicaBoard {
+  /** Replicas that fail more often than others. */
   readonly outliers: OutlierDetector;
   readonly #options: ReplicaBoardOptions;
   readonly #prefixes: PrefixHistory = PrefixHistory.create({
