See a reset right behind an answer without a length

Ruled out: the transport's own handling of resets, which had been mended; the relay, which saw a whole answer. The probe writes to the connection at its end and takes the error for a reset. Its test fails without it on a real kernel.

--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -1,5 +1,14 @@
 import type { BackendServer } from "@banyanspool/types";
-import { buildConnector, Pool } from "undici";
+import { Pool } from "undici";
+import { ResetProbe } from "./reset_probe.ts";
+
+/** Connections to one life of a replica. */
+export interface ReplicaConnections {
+  /** The connections. */
+  readonly pool: Pool;
+  /** Tells an end from a reset. */
+  readonly probe: ResetProbe;
+}
 
 /** Options of {@link ConnectionPools.create}. */
 export interface ConnectionPoolsOptions {
@@ -18,7 +27,7 @@
 /** Connections to each life of each replica. */
 export class ConnectionPools {
   readonly #options: ConnectionPoolsOptions;
-  readonly #pools: Map<string, Pool> = new Map();
+  readonly #pools: Map<string, ReplicaConnections> = new Map();
 
   private constructor(options: ConnectionPoolsOptions) {
     this.#options = options;
@@ -30,28 +39,30 @@
   }
 
   /** Connections to a replica. */
-  of(server: BackendServer): Pool {
+  of(server: BackendServer): ReplicaConnections {
     const key = poolKey(server);
     const known = this.#pools.get(key);
     if (known) return known;
+    const probe = ResetProbe.create();
     const pool = new Pool(`http://${server.address}`, {
       connections: this.#options.connectionsFor(server.service),
       pipelining: 1,
-      connect: connectToReplica,
+      connect: probe.connector(CONNECT_TIMEOUT_MS),
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       keepAliveMaxTimeout: LONGEST_KEEP_ALIVE_MS,
       bodyTimeout: 0,
       headersTimeout: 0,
     });
-    this.#pools.set(key, pool);
-    return pool;
+    const connections = { pool, probe };
+    this.#pools.set(key, connections);
+    return connections;
   }
 
   /** Closes the connections to replicas that are not listed any more. */
   keepOnly(servers: Iterable<BackendServer>): void {
     const keys = new Set([...servers].map(poolKey));
-    for (const [key, pool] of this.#pools) {
+    for (const [key, { pool }] of this.#pools) {
       if (keys.has(key)) continue;
       this.#pools.delete(key);
       // Requests in flight end first.
@@ -60,28 +71,6 @@
   }
 }
 
-const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-
-/**
- * Connects so that a reset is always an error: the transport would take it
- * for the end of an answer that has no length, although it may be torn.
- */
-const connectToReplica: buildConnector.connector = (options, callback) => {
-  connect(options, (...result) => {
-    const [error, socket] = result;
-    if (error) {
-      callback(error, null);
-      return;
-    }
-    socket.prependListener("error", (failure: Error & { code?: string }) => {
-      if (failure.code === "ECONNRESET") failure.code = RESET_CODE;
-    });
-    callback(null, socket);
-  });
-};
-
-const RESET_CODE = "CONNECTION_RESET";
-
 function poolKey({ id, address, startedAt }: BackendServer): string {
   return `${id} ${address} ${startedAt}`;
 }
--- a/packages/gateway/src/placement_duty.ts
+++ b/packages/gateway/src/placement_duty.ts
@@ -420,7 +420,7 @@
       expectedOrders,
       holder,
       fencingToken,
-    }, pools.of(state.server));
+    }, pools.of(state.server).pool);
     if (outcome === "accepted" || outcome === "done") {
       state.acceptedOrders += 1;
     }
@@ -444,7 +444,10 @@
   async #sync(state: EngineState): Promise<void> {
     const { pools, log, sleep } = this.#options;
     while (this.isHolder && this.#isKnown(state)) {
-      const read = await readEngineReport(state.server, pools.of(state.server));
+      const read = await readEngineReport(
+        state.server,
+        pools.of(state.server).pool,
+      );
       if (read.ok) {
         applyReport(state, read.value);
         this.#changed();
--- a/packages/gateway/src/replica_call.ts
+++ b/packages/gateway/src/replica_call.ts
@@ -1,5 +1,7 @@
 import type { AnswerHeaders } from "@banyanspool/platform-adapter";
 import type { Dispatcher } from "undici";
+import type { ReplicaConnections } from "./connection_pools.ts";
+import type { ResetProbe } from "./reset_probe.ts";
 
 /** The head of a replica's answer. */
 export interface AnswerHead {
@@ -34,7 +36,7 @@
 /** Options of {@link ReplicaCall.create}. */
 export interface ReplicaCallOptions {
   /** Connections to the replica. */
-  readonly dispatcher: Dispatcher;
+  readonly connections: ReplicaConnections;
   /** `http://` and the replica's address. */
   readonly origin: string;
   /** Request method. */
@@ -67,8 +69,11 @@
   #isAborted = false;
   #error: ReplicaCallError | undefined;
   #wake: (() => void) | undefined;
+  readonly #probe: ResetProbe;
+  #stopWatching: (() => void) | undefined;
 
-  private constructor() {
+  private constructor(probe: ResetProbe) {
+    this.#probe = probe;
     this.head = new Promise((resolve, reject) => {
       this.#resolveHead = resolve;
       this.#rejectHead = reject;
@@ -79,10 +84,10 @@
 
   /** Starts the call. */
   static create(options: ReplicaCallOptions): ReplicaCall {
-    const call = new ReplicaCall();
-    const { dispatcher, origin, method, target, headers, body } = options;
+    const { connections, origin, method, target, headers, body } = options;
+    const call = new ReplicaCall(connections.probe);
     try {
-      dispatcher.dispatch({
+      connections.pool.dispatch({
         origin,
         method: method as Dispatcher.HttpMethod,
         path: target,
@@ -136,6 +141,7 @@
     headers: AnswerHeaders,
   ): void {
     if (status < FIRST_FINAL_STATUS) return;
+    if (endsWithConnection(headers)) this.#stopWatching = this.#probe.watch();
     this.#resolveHead({ status, headers });
   }
 
@@ -152,6 +158,11 @@
 
   /** Called by the transport at the end of a whole answer. */
   onResponseEnd(): void {
+    if (this.#stopWatching && this.#probe.isReset) {
+      this.#fail("broken", new Error("reset"));
+      return;
+    }
+    this.#stopWatching?.();
     this.#isWhole = true;
     this.#notify();
   }
@@ -166,6 +177,7 @@
 
   #fail(failure: CallFailure, error: Error): void {
     if (this.#error || this.#isWhole) return;
+    this.#stopWatching?.();
     const { code } = error as { code?: string };
     this.#error = new ReplicaCallError(
       this.#isAborted ? "aborted" : failure,
@@ -181,3 +193,8 @@
     wake?.();
   }
 }
+
+function endsWithConnection(headers: AnswerHeaders): boolean {
+  return headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+}
--- a/packages/gateway/src/replica_call_test.ts
+++ b/packages/gateway/src/replica_call_test.ts
@@ -33,6 +33,11 @@
   };
 }
 
+function blockFor(ms: number): void {
+  const until = performance.now() + ms;
+  while (performance.now() < until);
+}
+
 function createPools(t: ExecutionContext): ConnectionPools {
   const pools = ConnectionPools.create({ connectionsFor: () => 4 });
   t.teardown(() => pools.keepOnly([]));
@@ -41,7 +46,7 @@
 
 function call(pools: ConnectionPools, replica: BackendServer): ReplicaCall {
   return ReplicaCall.create({
-    dispatcher: pools.of(replica),
+    connections: pools.of(replica),
     origin: `http://${replica.address}`,
     method: "GET",
     target: "/",
@@ -80,6 +85,18 @@
   t.is(await failureOf(call(createPools(t), replica)), "broken");
 });
 
+test("a reset right behind the bytes of such an answer is seen", async (t) => {
+  const replica = await startReplica(t, (socket) => {
+    // Both must be there when the caller's process looks.
+    socket.write("HTTP/1.1 200 OK\r\n\r\ntor");
+    socket.resetAndDestroy();
+    blockFor(30);
+  });
+  for (let i = 0; i < 10; i += 1) {
+    t.is(await failureOf(call(createPools(t), replica)), "broken");
+  }
+});
+
 test("an answer shorter than its length is torn", async (t) => {
   const replica = await startReplica(t, (socket) => {
     socket.end("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ntorn");
