--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -74,6 +74,11 @@
     await this.#peers.listen();
   }
 
+  /** Stops to listen. */
+  close(): void {
+    this.#peers.close();
+  }
+
   /** Adds a gateway that the member table names. */
   addPeer(instance: string, host: string): void {
     this.#peers.addPeer(instance, host);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,6 +36,8 @@
 export interface GatewayOptions {
   /** Checked settings. */
   readonly cfg: GatewaySettings;
+  /** Structured log; standard output if absent. */
+  readonly log?: EventLog;
 }
 
 /** Table of the placement lease. */
@@ -76,20 +78,29 @@
   readonly #supervisor: Supervisor;
   readonly #publicServer: PublicServer;
   readonly #store: StoreClient;
+  readonly #storePool: Pool;
   readonly #lease: Lease;
   readonly #duty: PlacementDuty;
   readonly #exchange: FleetExchange;
   readonly #servers: Server[] = [];
+  #isAbandoned = false;
 
-  private constructor(cfg: GatewaySettings) {
+  private constructor(cfg: GatewaySettings, log: EventLog) {
     this.#cfg = cfg;
     const clock = createSystemClock();
-    const log = createEventLog({
-      instance: cfg.instance,
-      maxLinesPerS: cfg.log_lines_per_s,
-    });
     const metrics = GatewayMetrics.create();
-    this.#store = createStore(cfg, metrics);
+    this.#storePool = new Pool(`http://${cfg.store_address}`, {
+      connections: STORE_CONNECTIONS,
+      pipelining: 1,
+      connectTimeout: STORE_CONNECT_TIMEOUT_MS,
+      bodyTimeout: 0,
+      headersTimeout: 0,
+    });
+    this.#store = StoreClient.create({
+      address: cfg.store_address,
+      dispatcher: this.#storePool,
+      onCall: (call, outcome) => metrics.storeCalls.inc({ call, outcome }),
+    });
     const fleet = FleetState.create();
     const host = splitAddress(cfg.peer_listen).host;
     this.#lease = Lease.create({
@@ -126,8 +137,12 @@
   }
 
   /** Builds a gateway that is not started. */
-  static create({ cfg }: GatewayOptions): Promise<Gateway> {
-    return Promise.resolve(new Gateway(cfg));
+  static create({ cfg, log }: GatewayOptions): Promise<Gateway> {
+    const eventLog = log ?? createEventLog({
+      instance: cfg.instance,
+      maxLinesPerS: cfg.log_lines_per_s,
+    });
+    return Promise.resolve(new Gateway(cfg, eventLog));
   }
 
   /** Starts servers and tasks. */
@@ -169,11 +184,27 @@
     log.write("stopped", { in_flight: this.#publicServer.inFlight });
     this.#publicServer.giveUpAll();
     await sleep(LAST_ANSWERS_MS);
-    this.#publicServer.closeAll();
-    for (const server of this.#servers) server.close();
+    await this.abandon();
     log.flush();
   }
 
+  /** Ends all tasks and connections at once. */
+  async abandon(): Promise<void> {
+    if (this.#isAbandoned) return;
+    this.#isAbandoned = true;
+    // Calls that wait for changes end with their connections.
+    await this.#storePool.destroy();
+    this.#publicServer.closeIdle();
+    this.#publicServer.closeAll();
+    for (const server of this.#servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+    await this.#supervisor.stop();
+    this.#exchange.close();
+    this.#ctx.pools.keepOnly([]);
+  }
+
   /** Notes that the settings file has changed. */
   reload(): void {
     // Addresses and bounds are read at the start; a new process gets new ones.
@@ -363,20 +394,3 @@
     });
   }
 }
-
-function createStore(
-  cfg: GatewaySettings,
-  metrics: GatewayMetrics,
-): StoreClient {
-  return StoreClient.create({
-    address: cfg.store_address,
-    dispatcher: new Pool(`http://${cfg.store_address}`, {
-      connections: STORE_CONNECTIONS,
-      pipelining: 1,
-      connectTimeout: STORE_CONNECT_TIMEOUT_MS,
-      bodyTimeout: 0,
-      headersTimeout: 0,
-    }),
-    onCall: (call, outcome) => metrics.storeCalls.inc({ call, outcome }),
-  });
-}
--- /dev/null
+++ b/packages/gateway/src/gateway_test.ts
@@ -0,0 +1,367 @@
+import { Agent, request } from "node:http";
+import test, { type ExecutionContext } from "ava";
+import {
+  FleetStandin,
+  STANDIN_HOST,
+  STANDIN_KEY,
+  type StandinConfiguration,
+} from "@banyanspool/platform-adapter/testing";
+import { Gateway } from "./gateway.ts";
+
+const SILENT = { write: () => {}, dropped: () => 0, flush: () => {} };
+let nextPort = 21_000;
+
+interface Answer {
+  readonly status: number;
+  readonly headers: Record<string, unknown>;
+  readonly body: string;
+  /** False if the connection ended before the answer did. */
+  readonly isWhole: boolean;
+}
+
+interface RunningGateway {
+  readonly gateway: Gateway;
+  readonly send: (
+    target: string,
+    options?: {
+      method?: string;
+      headers?: Record<string, string>;
+      body?: string;
+      agent?: Agent;
+    },
+  ) => Promise<Answer>;
+}
+
+async function startFleet(
+  t: ExecutionContext,
+  configuration?: StandinConfiguration,
+): Promise<FleetStandin> {
+  const fleet = await FleetStandin.create(configuration);
+  t.teardown(() => fleet.close());
+  return fleet;
+}
+
+/** Starts a gateway; those of one test share ports on different addresses. */
+async function startGateway(
+  t: ExecutionContext,
+  fleet: FleetStandin,
+  { host = "127.0.0.1", port = nextPort }: { host?: string; port?: number } =
+    {},
+): Promise<RunningGateway> {
+  nextPort = Math.max(nextPort, port + 10);
+  const gateway = await Gateway.create({
+    cfg: {
+      instance: `gateway-${host}`,
+      data_centre: "north",
+      public_listen: `${host}:${port}`,
+      readiness_listen: `${host}:${port + 1}`,
+      peer_listen: `${host}:${port + 2}`,
+      metrics_listen: `${host}:${port + 3}`,
+      store_address: fleet.store.address,
+      first_start: true,
+      grace_ms: 4000,
+      lease_ms: 1000,
+      retry_ratio: 0.2,
+      retry_burst: 50,
+      log_lines_per_s: 100,
+    },
+    log: SILENT,
+  });
+  await gateway.start();
+  t.teardown(() => gateway.abandon());
+  const send: RunningGateway["send"] = (target, options) =>
+    sendTo(host, port, target, options);
+  await waitFor(async () => {
+    const res = await sendTo(host, port + 1, "/v1/ready").catch(() =>
+      undefined
+    );
+    return res?.status === 200;
+  });
+  return { gateway, send };
+}
+
+let nextId = 0;
+
+function sendTo(
+  host: string,
+  port: number,
+  target: string,
+  { method = "GET", headers = {}, body, agent }: {
+    method?: string;
+    headers?: Record<string, string>;
+    body?: string;
+    agent?: Agent;
+  } = {},
+): Promise<Answer> {
+  nextId += 1;
+  return new Promise((resolve, reject) => {
+    const req = request({
+      host,
+      port,
+      path: target,
+      method,
+      agent,
+      headers: {
+        host: STANDIN_HOST,
+        "request-id": `request-${nextId}`,
+        authorization: `Bearer ${STANDIN_KEY}`,
+        ...headers,
+      },
+    }, async (res) => {
+      let text = "";
+      let isWhole = true;
+      try {
+        for await (const chunk of res) text += String(chunk);
+      } catch {
+        isWhole = false;
+      }
+      resolve({
+        status: res.statusCode ?? 0,
+        headers: res.headers,
+        body: text,
+        isWhole,
+      });
+    });
+    req.on("error", reject);
+    req.end(body);
+  });
+}
+
+async function waitFor(isThere: () => boolean | Promise<boolean>) {
+  for (let i = 0; i < 400; i += 1) {
+    if (await isThere()) return;
+    await new Promise((resolve) => setTimeout(resolve, 25));
+  }
+  throw new Error("Waited in vain");
+}
+
+const chat = (model: string) => ({
+  method: "POST",
+  body: "{}",
+  headers: {
+    model,
+    "token-usage": "100,20",
+    "prompt-prefix": "a:50,b:50",
+    "deadline-ms": "3000",
+  },
+});
+
+function event(id: number): string {
+  return `id: ${id}\ndata: piece ${id}\n\n`;
+}
+
+test("a request reaches a replica without its key and comes back unchanged", async (t) => {
+  const fleet = await startFleet(t);
+  const desk = await fleet.addReplica({
+    id: "i-1",
+    service: "desk",
+    answer: (req, res) => void res.writeHead(201).end(`got ${req.body}`),
+  });
+  const { send } = await startGateway(t, fleet);
+  const res = await send("/book/a?b=c", {
+    method: "POST",
+    body: "two pallets",
+    headers: { tenant: "someone else", hold: "x", "deadline-ms": "900" },
+  });
+  t.is(res.status, 201);
+  t.is(res.body, "got two pallets");
+  t.is(res.headers["response-stamp"], "stamp-of-i-1");
+  const [seen] = desk.ran;
+  t.is(seen!.target, "/book/a?b=c");
+  t.is(seen!.headers["tenant"], "acme");
+  t.is(seen!.headers["authorization"], undefined);
+  t.is(seen!.headers["hold"], undefined);
+  t.is(seen!.headers["expect-instance"], "i-1");
+  const left = Number(seen!.headers["deadline-ms"]);
+  t.true(left > 0 && left <= 900);
+});
+
+test("keys and routes are checked by the newest configuration", async (t) => {
+  const fleet = await startFleet(t);
+  await fleet.addReplica({ id: "i-1", service: "desk" });
+  const { send } = await startGateway(t, fleet);
+  t.is((await send("/nowhere/")).status, 404);
+  t.is((await send("/look/", { headers: { authorization: "" } })).status, 401);
+  t.is((await send("/open/", { headers: { authorization: "" } })).status, 200);
+  t.is((await send("/look/")).status, 200);
+  fleet.configure({ version: 5, keys: ["another"] });
+  await waitFor(async () => (await send("/look/")).status === 401);
+  fleet.configure({ version: 3 });
+  await new Promise((resolve) => setTimeout(resolve, 300));
+  t.is((await send("/look/")).status, 401, "an older version is never taken");
+});
+
+test("a lost answer of a request that may not be repeated: unknown, sent once", async (t) => {
+  const fleet = await startFleet(t);
+  const replicas = await Promise.all(
+    ["i-1", "i-2"].map((id) =>
+      fleet.addReplica({
+        id,
+        service: "desk",
+        answer: (_req, res) => void res.destroy(),
+      })
+    ),
+  );
+  const { send } = await startGateway(t, fleet);
+  const res = await send("/book/", { method: "POST", body: "x" });
+  t.is(res.status, 502);
+  t.is(JSON.parse(res.body).error.ran, "unknown");
+  t.is(replicas.flatMap(({ ran }) => ran).length, 1);
+});
+
+test("a safe request is repeated elsewhere, and a rejected one too", async (t) => {
+  const fleet = await startFleet(t);
+  const answer = (id: string) => ({
+    id,
+    service: "desk",
+    answer: (_req: unknown, res: import("node:http").ServerResponse) => {
+      if (fails.has(id)) res.destroy();
+      else if (rejects.has(id)) {
+        res.writeHead(503, { "not-executed": "1" }).end();
+      } else res.end(id);
+    },
+  });
+  const fails = new Set(["i-1"]);
+  const rejects = new Set<string>();
+  await fleet.addReplica(answer("i-1"));
+  await fleet.addReplica(answer("i-2"));
+  const { send } = await startGateway(t, fleet);
+  for (let i = 0; i < 6; i += 1) {
+    t.is((await send("/look/")).body, "i-2");
+  }
+  fails.clear();
+  rejects.add("i-2");
+  for (let i = 0; i < 6; i += 1) {
+    const res = await send("/book/", { method: "POST", body: "x" });
+    t.is(res.body, "i-1");
+  }
+});
+
+test("a silent replica: the final answer comes at the route's time-out", async (t) => {
+  const fleet = await startFleet(t, { timeoutMs: 400 });
+  await fleet.addReplica({ id: "i-1", service: "desk", answer: () => {} });
+  const { send } = await startGateway(t, fleet);
+  const startedAt = performance.now();
+  const res = await send("/book/", { method: "POST", body: "x" });
+  t.is(res.status, 504);
+  const tookMs = performance.now() - startedAt;
+  t.true(tookMs > 350, `took ${tookMs} ms`);
+});
+
+test("a stream that breaks off goes on at another replica, piece by piece", async (t) => {
+  const fleet = await startFleet(t);
+  const answer = (
+    req: { headers: Record<string, unknown> },
+    res: import("node:http").ServerResponse,
+  ) => {
+    const last = Number(req.headers["last-event-id"] ?? 0);
+    res.writeHead(200, { "content-type": "text/event-stream" });
+    if (last > 0) {
+      res.end(event(last + 1) + event(last + 2));
+      return;
+    }
+    res.write(event(1) + event(2) + "id: 3\nda");
+    setTimeout(() => res.destroy(), 50);
+  };
+  for (const id of ["i-1", "i-2"]) {
+    await fleet.addReplica({ id, service: "pool", holds: ["m1"], answer });
+  }
+  const { send } = await startGateway(t, fleet);
+  const res = await send("/chat/", chat("m1"));
+  t.true(res.isWhole);
+  t.is(res.body, [1, 2, 3, 4].map(event).join(""));
+});
+
+test("a stream that can't go on does not look whole", async (t) => {
+  const fleet = await startFleet(t);
+  await fleet.addReplica({
+    id: "i-1",
+    service: "pool",
+    holds: ["m1"],
+    answer: (_req, res) => {
+      res.write(event(1) + "id: 2\nda");
+      setTimeout(() => res.destroy(), 50);
+    },
+  });
+  const { send } = await startGateway(t, fleet);
+  const res = await send("/chat/", chat("m1"));
+  t.false(res.isWhole);
+  t.is(res.body, event(1));
+});
+
+test("a model and an adapter that no replica holds are loaded on demand", async (t) => {
+  const fleet = await startFleet(t);
+  const replica = await fleet.addReplica({
+    id: "i-1",
+    service: "pool",
+    holds: ["m1"],
+    answer: (_req, res) => void res.end(event(1)),
+  });
+  const { send } = await startGateway(t, fleet);
+  t.is((await send("/chat/", chat("m2"))).status, 200);
+  t.is((await send("/chat/", chat("m2/a1"))).status, 200);
+  t.deepEqual(replica.orders, ["load m2", "load m2/a1"]);
+});
+
+test("two gateways together keep an organisation to its rate", async (t) => {
+  const fleet = await startFleet(t, { ratePerS: 100, burst: 200 });
+  await fleet.addReplica({ id: "i-1", service: "desk" });
+  const port = nextPort;
+  const first = await startGateway(t, fleet, { port });
+  const second = await startGateway(t, fleet, { host: "127.0.0.2", port });
+  await new Promise((resolve) => setTimeout(resolve, 600));
+  const headers = { "token-usage": "20,20" };
+  let served = 0;
+  const startedAt = performance.now();
+  for (let i = 0; i < 60; i += 1) {
+    for (const { send } of [first, second]) {
+      if ((await send("/look/", { headers })).status === 200) served += 40;
+    }
+    await new Promise((resolve) => setTimeout(resolve, 25));
+  }
+  const elapsedS = (performance.now() - startedAt) / 1000;
+  // Each gateway may go one request into debt before it hears of the other.
+  t.true(served <= 200 + 100 * elapsedS + 2 * 200, `${served} tokens`);
+  t.true(served >= 200, `${served} tokens`);
+});
+
+test("a planned stop ends what runs and closes the connection behind it", async (t) => {
+  const fleet = await startFleet(t);
+  await fleet.addReplica({
+    id: "i-1",
+    service: "pool",
+    holds: ["m1"],
+    answer: async (_req, res) => {
+      for (let id = 1; id <= 8; id += 1) {
+        res.write(event(id));
+        await new Promise((resolve) => setTimeout(resolve, 100));
+      }
+      res.end();
+    },
+  });
+  const { gateway, send } = await startGateway(t, fleet);
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  t.teardown(() => agent.destroy());
+  const running = send("/chat/", { ...chat("m1"), agent });
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  const stopped = gateway.stop();
+  const res = await running;
+  t.true(res.isWhole);
+  t.is(res.body.split("\n\n").length, 9);
+  await stopped;
+  await t.throwsAsync(send("/chat/", chat("m1")));
+});
+
+test("the store is away: requests go on, and a new configuration follows", async (t) => {
+  const fleet = await startFleet(t);
+  await fleet.addReplica({ id: "i-1", service: "desk" });
+  const { send } = await startGateway(t, fleet);
+  fleet.store.fault = "busy";
+  await new Promise((resolve) => setTimeout(resolve, 1200));
+  t.is((await send("/look/")).status, 200);
+  fleet.configure({ version: 4, keys: ["another"] });
+  fleet.store.forgetHistory();
+  fleet.store.fault = "none";
+  await waitFor(async () => (await send("/look/")).status === 401);
+  t.pass();
+});
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -57,6 +57,7 @@
 
   /** Accepts no further connections and closes the idle ones. */
   closeIdle(): void {
+    if (this.#isClosed) return;
     this.#isClosed = true;
     this.#server.close();
     this.#server.closeIdleConnections();
