--- a/packages/gateway/src/engine_state.ts
+++ b/packages/gateway/src/engine_state.ts
@@ -15,6 +15,8 @@
   readonly planned: Set<string>;
   /** When models were loaded by this holder. */
   readonly loadedAt: Map<string, number>;
+  /** When this holder first saw it in the list. */
+  readonly listedAt: number;
   /** Orders that it has accepted. */
   acceptedOrders: number;
   /** Models of which it has a copy at hand, so that a load is quick. */
@@ -30,7 +32,10 @@
 }
 
 /** Creates the state of a replica that has not been asked yet. */
-export function createEngineState(server: BackendServer): EngineState {
+export function createEngineState(
+  server: BackendServer,
+  listedAt: number,
+): EngineState {
   return {
     server,
     models: new Set(),
@@ -38,6 +43,7 @@
     withdrawn: new Set(),
     planned: new Set(),
     loadedAt: new Map(),
+    listedAt,
     acceptedOrders: 0,
     atHand: new Set(),
     isSynced: false,
--- a/packages/gateway/src/placement_duty.ts
+++ b/packages/gateway/src/placement_duty.ts
@@ -70,6 +70,10 @@
 const ROUND_MS = 150;
 /** Reports are some hundred ms old; an order shows in them after this. */
 const REPORT_LAG_MS = 350;
+/** How often the report is read while an order is being carried out, in ms. */
+const REPORT_INTERVAL_MS = 100;
+/** Time for the reports of listed replicas before plans go without them, in ms. */
+const FIRST_REPORTS_MS = 1500;
 /** Time for entries to stop sending what is about to be unloaded, in ms. */
 const WITHDRAW_MS = 40;
 /** Time that an adapter needs from order to use, in ms. */
@@ -183,7 +187,7 @@
         }
         continue;
       }
-      const state = createEngineState(server);
+      const state = createEngineState(server, this.#options.clock.now());
       this.#engines.set(server.id, state);
       this.#moves.delete(server.id);
       this.#enqueue(state, () => this.#sync(state));
@@ -196,6 +200,7 @@
   }
 
   #planModels(engine: EngineSpec, servers: readonly BackendServer[]): void {
+    if (this.#isReportMissing(servers)) return;
     const demand = this.#options.demand();
     const reports = servers.flatMap((server) => {
       const state = this.#engines.get(server.id);
@@ -225,6 +230,16 @@
     for (const move of plan) this.#startMove(move, engine);
   }
 
+  /** Whether a replica was listed only now and has not been asked yet. */
+  #isReportMissing(servers: readonly BackendServer[]): boolean {
+    const now = this.#options.clock.now();
+    return servers.some(({ id, leaving }) => {
+      const state = this.#engines.get(id);
+      if (!state || leaving || state.isSynced) return false;
+      return now - state.listedAt < FIRST_REPORTS_MS;
+    });
+  }
+
   /** Models that were loaded only lately, as `replica model`. */
   #listStaying(reports: readonly ReplicaReport[]): Set<string> {
     const now = this.#options.clock.now();
@@ -308,9 +323,19 @@
   ): Promise<boolean> {
     const { clock } = this.#options;
     const giveUpAt = clock.now() + ORDER_LIMIT_MS;
+    const orders = state.acceptedOrders;
     while (this.isHolder && clock.now() < giveUpAt && this.#isKnown(state)) {
-      await this.#resync(state);
-      if (!state.isBusy) return isDone();
+      await this.#options.sleep(REPORT_INTERVAL_MS);
+      const read = await readEngineReport(
+        state.server,
+        this.#options.pools.of(state.server).pool,
+      );
+      // An older report doesn't know of the order yet.
+      if (!read.ok || read.value.acceptedOrders < orders) continue;
+      if (read.value.busy) continue;
+      applyReport(state, read.value);
+      this.#changed();
+      return isDone();
     }
     return false;
   }
