--- a/packages/gateway/src/placement_duty.ts
+++ b/packages/gateway/src/placement_duty.ts
@@ -8,6 +8,7 @@
 import {
   type AdapterHost,
   assemblePlacementPlan,
+  chooseProtectedModels,
   fitsAdapter,
   fitsModel,
   type PlacementModel,
@@ -90,12 +91,8 @@
 const MIN_GAIN = 0.05;
 /** A model stays at least this long after its load, in ms. */
 const MODEL_STAY_MS = 6000;
-/** Room for this many models for each that there is keeps all of them. */
-const ROOMY_FACTOR = 1.2;
 /** Puts models that requests wait for before others, in replicas. */
 const WAITING_REPLICAS = 0.01;
-/** Slow demand above which a model keeps its last copy, in replicas. */
-const ASKED_REPLICAS = 0.003;
 
 /**
  * Orders models and adapters to replicas while this process holds the lease.
@@ -213,7 +210,7 @@
       !this.#moves.has(replica) && !this.#engines.get(replica)!.isBusy;
     const idle = reports.filter(isIdle);
     const plan = assemblePlacementPlan({
-      models: listModels(engine, demand, reports.length),
+      models: listModels(engine, demand, reports),
       replicas: [
         ...idle,
         ...reports.filter((report) => !isIdle(report))
@@ -533,15 +530,24 @@
 function listModels(
   engine: EngineSpec,
   demand: ReadonlyMap<string, FleetDemand>,
-  replicas: number,
+  reports: readonly ReplicaReport[],
 ): PlacementModel[] {
-  const isRoomy = replicas * countPlaces(engine) >=
-    engine.models.size * ROOMY_FACTOR;
   const waiting = new Map<string, number>();
   for (const [name, entry] of demand) {
     const model = name.split("/")[0]!;
     waiting.set(model, (waiting.get(model) ?? 0) + entry.waiting);
   }
+  const held = new Set(reports.flatMap(({ readyModels }) => readyModels));
+  const staying = reports.filter(({ leaving }) => !leaving);
+  const isProtected = chooseProtectedModels(
+    [...engine.models.keys()].map((name) => ({
+      name,
+      demand: demandOf(demand.get(name)),
+      waiting: waiting.get(name) ?? 0,
+      isHeld: held.has(name),
+    })),
+    staying.length * countPlaces(engine),
+  );
   return [...engine.models.values()].map(({ name, weightsMb }) => {
     const asked = demand.get(name);
     const fast = (asked?.fastReplicas ?? 0) +
@@ -551,13 +557,17 @@
       name,
       weightsMib: weightsMb,
       contextKvMib: 0,
-      minReplicas: isRoomy || Math.max(fast, slow) > ASKED_REPLICAS ? 1 : 0,
+      minReplicas: isProtected.has(name) ? 1 : 0,
       fastReplicas: fast,
       slowReplicas: slow,
     };
   });
 }
 
+function demandOf(asked: FleetDemand | undefined): number {
+  return Math.max(asked?.fastReplicas ?? 0, asked?.slowReplicas ?? 0);
+}
+
 /** Models of the average size that one replica holds. */
 function countPlaces(engine: EngineSpec): number {
   let sumMb = 0;
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -16,5 +16,7 @@
 export type { DemandMeterOptions } from "./demand_meter.ts";
 export { fitsAdapter, fitsModel } from "./memory_fit.ts";
 export type { HeldMemory, MemorySizes } from "./memory_fit.ts";
+export { chooseProtectedModels } from "./protect.ts";
+export type { ProtectedCandidate } from "./protect.ts";
 export { findRoomFor } from "./room.ts";
 export type { Room, RoomView } from "./room.ts";
