--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -30,6 +30,8 @@
 const HOLDER_AGE_MS = 2000;
 /** Gateways that watch the lease while its holder is there. */
 const CANDIDATES = 3;
+/** Requests in flight with which a replica still answers quickly. */
+const COMFORTABLE_REQUESTS = 20;
 const NO_DEMAND = { fastReplicas: 0, slowReplicas: 0, waiting: 0 };
 
 /** What gateways tell each other, and where it goes. */
@@ -172,6 +174,15 @@
     for (const demand of ctx.demand.read()) {
       own.set(demand.model, { ...demand, waiting: 0 });
     }
+    // Requests pile up at replicas that are slower than the estimate.
+    for (const [name, requests] of ctx.board.inFlightByModel()) {
+      const before = own.get(name) ?? { model: name, ...NO_DEMAND };
+      const fastReplicas = Math.max(
+        before.fastReplicas,
+        requests / COMFORTABLE_REQUESTS,
+      );
+      own.set(name, { ...before, fastReplicas });
+    }
     for (const [name, waiting] of ctx.wanted.waiting) {
       const before = own.get(name) ?? { model: name, ...NO_DEMAND };
       own.set(name, { ...before, waiting });
@@ -194,6 +205,11 @@
         prefillTokens: Math.round(work.prefillTokens),
         kvTokens: work.kvTokens,
         adapters: [...work.adapters],
+        models: [...work.models].map(([model, requests]) => ({
+          $typeName: "banyanspool.v1.ModelInFlight",
+          model,
+          requests,
+        })),
       })),
       use: [...ctx.bucket.ownTotals].map(([organisation, tokens]) => ({
         $typeName: "banyanspool.v1.OrganisationUse",
@@ -228,7 +244,12 @@
     const now = ctx.clock.now();
     ctx.board.updatePeer(
       state.instance,
-      new Map(state.loads.map((load) => [load.replica, load])),
+      new Map(state.loads.map((load) => [load.replica, {
+        ...load,
+        models: new Map(
+          load.models.map(({ model, requests }) => [model, requests]),
+        ),
+      }])),
     );
     ctx.bucket.recordReport({
       instance: state.instance,
--- a/packages/gateway/src/member_table.ts
+++ b/packages/gateway/src/member_table.ts
@@ -1,7 +1,7 @@
 import type { StoreClient } from "@banyanspool/platform-adapter";
 import type { EventLog } from "@banyanspool/logger";
 import type { Clock, Sleep } from "@banyanspool/types";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Options of {@link keepMembership}. */
 export interface MembershipOptions {
--- a/packages/gateway/src/placement_duty.ts
+++ b/packages/gateway/src/placement_duty.ts
@@ -218,6 +218,7 @@
       ],
       underWay,
       staying: this.#listStaying(reports),
+      inUse: this.#countUse(reports),
     }, {
       maxMoves: MAX_MOVES,
       busyShare: BUSY_SHARE,
@@ -250,6 +251,18 @@
     return staying;
   }
 
+  /** Requests in flight by `replica model`. */
+  #countUse(reports: readonly ReplicaReport[]): Map<string, number> {
+    const use = new Map<string, number>();
+    for (const { replica } of reports) {
+      const { models } = this.#options.board.workAt(replica);
+      for (const [model, requests] of models) {
+        use.set(`${replica} ${model}`, requests);
+      }
+    }
+    return use;
+  }
+
   #startMove(move: PlacementMove, engine: EngineSpec): void {
     const state = this.#engines.get(move.replica);
     if (!state || state.queuedOrders > 0 || state.isBusy) return;
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -29,6 +29,8 @@
   readonly underWay: readonly PlacementMove[];
   /** Models that must stay at a replica for now, as `replica model`. */
   readonly staying?: ReadonlySet<string>;
+  /** Requests that use a model at a replica, by `replica model`. */
+  readonly inUse?: ReadonlyMap<string, number>;
 }
 
 /** Limits and thresholds of a plan. */
@@ -168,6 +170,7 @@
     readyCounts: countReady([...working.replicas.values()]),
     kvShare: options.kvShare,
     staying: view.staying,
+    inUse: view.inUse,
   });
 }
 
--- a/packages/placement/src/room.ts
+++ b/packages/placement/src/room.ts
@@ -13,6 +13,8 @@
   readonly kvShare: number;
   /** Models that must stay at a replica for now, as `replica model`. */
   readonly staying?: ReadonlySet<string>;
+  /** Requests that use a model at a replica, by `replica model`. */
+  readonly inUse?: ReadonlyMap<string, number>;
 }
 
 /** A replica with room, perhaps after unloading. */
@@ -23,6 +25,9 @@
   readonly unload: readonly string[];
 }
 
+/** What each request that an unload must wait for counts, in replicas. */
+const IN_USE_LOSS = 0.1;
+
 /**
  * Finds the replica that can take a model at the least loss: one with free
  * memory if there is any, else the one that must unload the least demand.
@@ -38,8 +43,14 @@
     if (report.leaving || report.readyModels.includes(model)) continue;
     const needed = neededMib(wanted, report, view.kvShare);
     if (needed > report.memoryMib) continue;
-    const { staying } = view;
-    const choice = chooseUnloads(report, { needed, byName, counts, staying });
+    const { staying, inUse } = view;
+    const choice = chooseUnloads(report, {
+      needed,
+      byName,
+      counts,
+      staying,
+      inUse,
+    });
     if (!choice) continue;
     const { weightsMib } = report;
     if (best && choice.loss > best.loss) continue;
@@ -68,11 +79,12 @@
 
 function chooseUnloads(
   report: ReplicaReport,
-  { needed, byName, counts, staying }: {
+  { needed, byName, counts, staying, inUse }: {
     needed: number;
     byName: ReadonlyMap<string, PlacementModel>;
     counts: ReadonlyMap<string, number>;
     staying: ReadonlySet<string> | undefined;
+    inUse: ReadonlyMap<string, number> | undefined;
   },
 ): { unload: string[]; loss: number } | undefined {
   let freeMib = report.memoryMib - report.weightsMib;
@@ -83,7 +95,12 @@
     .filter((entry) => entry !== undefined)
     .filter(({ name }) => !staying?.has(`${report.replica} ${name}`))
     .filter((entry) => (counts.get(entry.name) ?? 0) > entry.minReplicas)
-    .map((entry) => ({ entry, demand: demandPerReplica(entry, counts) }))
+    .map((entry) => {
+      const requests = inUse?.get(`${report.replica} ${entry.name}`) ?? 0;
+      const demand = demandPerReplica(entry, counts) +
+        requests * IN_USE_LOSS;
+      return { entry, demand };
+    })
     .sort((a, b) => a.demand - b.demand);
   for (const { entry, demand } of candidates) {
     if (freeMib >= needed) break;
--- a/packages/routing/src/replica_board.ts
+++ b/packages/routing/src/replica_board.ts
@@ -18,6 +18,8 @@
   readonly kvTokens: number;
   /** Adapters in use, as `model/adapter`. */
   readonly adapters: readonly string[];
+  /** Requests sent and not answered to the end, by model. */
+  readonly models: ReadonlyMap<string, number>;
 }
 
 /** What a replica holds, by the holder of the placement lease. */
@@ -84,6 +86,7 @@
   readonly server: BackendServer;
   readonly prefillTokens: number;
   readonly kvTokens: number;
+  readonly model?: string;
   readonly adapter?: string;
   readonly sentAt: number;
   isStarted: boolean;
@@ -218,6 +221,15 @@
     return work;
   }
 
+  /** Requests of this entry in flight, by model. */
+  inFlightByModel(): Map<string, number> {
+    let sum = new Map<string, number>();
+    for (const { model } of this.#inFlight) {
+      if (model !== undefined) sum = addCounts(sum, new Map([[model, 1]]));
+    }
+    return sum;
+  }
+
   /** Work of all entries at a replica. */
   workAt(replica: string): ReplicaWork {
     let sum: ReplicaWork = NO_WORK;
@@ -233,6 +245,7 @@
         prefillTokens: sum.prefillTokens + theirs.prefillTokens,
         kvTokens: sum.kvTokens + theirs.kvTokens,
         adapters: [...sum.adapters, ...theirs.adapters],
+        models: addCounts(sum.models, theirs.models),
       };
     }
     return sum;
@@ -254,17 +267,17 @@
   /** Replicas that may be sent a request now. */
   candidates(request: BoardRequest): BackendServer[] {
     const name = modelName(request);
+    const now = this.#options.clock.now();
     const usable: BackendServer[] = [];
     for (const server of this.#servers.values()) {
       if (server.service !== request.service || server.leaving) continue;
       if (request.excluded.has(server.id)) continue;
+      if ((this.#unreachable.get(server.id) ?? 0) > now) continue;
       if (name !== undefined && !this.holds(server, name)) continue;
       usable.push(server);
     }
-    const now = this.#options.clock.now();
     const sound = usable.filter(({ service, id }) =>
-      !this.outliers.isEjected(service, id) &&
-      (this.#unreachable.get(id) ?? 0) <= now
+      !this.outliers.isEjected(service, id)
     );
     return sound.length > 0 ? sound : usable;
   }
@@ -295,6 +308,7 @@
       server,
       prefillTokens: choice.freshTokens,
       kvTokens: request.promptTokens + request.outputTokens,
+      model: request.model,
       adapter: request.adapter && modelName(request),
       sentAt: this.#options.clock.now(),
       isStarted: false,
@@ -425,6 +439,7 @@
   prefillTokens: 0,
   kvTokens: 0,
   adapters: [],
+  models: new Map(),
 };
 
 function addInFlight(sum: ReplicaWork, entry: InFlight): ReplicaWork {
@@ -434,9 +449,21 @@
       (entry.isStarted ? 0 : entry.prefillTokens),
     kvTokens: sum.kvTokens + entry.kvTokens,
     adapters: entry.adapter ? [...sum.adapters, entry.adapter] : sum.adapters,
+    models: entry.model === undefined
+      ? sum.models
+      : addCounts(sum.models, new Map([[entry.model, 1]])),
   };
 }
 
+function addCounts(
+  a: ReadonlyMap<string, number>,
+  b: ReadonlyMap<string, number>,
+): Map<string, number> {
+  const sum = new Map(a);
+  for (const [name, count] of b) sum.set(name, (sum.get(name) ?? 0) + count);
+  return sum;
+}
+
 /** Names what a request needs: `model` or `model/adapter`. */
 export function modelName(
   { model, adapter }: { model?: string; adapter?: string },
--- a/packages/routing/src/replica_board_test.ts
+++ b/packages/routing/src/replica_board_test.ts
@@ -56,6 +56,7 @@
     prefillTokens: 60_000,
     kvTokens: 60_000,
     adapters: [],
+    models: new Map([["m", 5]]),
   };
   board.updatePeer("other", new Map([["r1", busy]]));
   t.is(board.choose(request())?.server.id, "r2");
@@ -134,6 +135,14 @@
   }
 });
 
+test("a replica that can't be reached is tried again after a while", (t) => {
+  const { board, advance } = createBoard([server("r1")]);
+  board.markUnreachable("r1");
+  t.is(board.choose(request()), undefined);
+  advance(700);
+  t.is(board.choose(request())?.server.id, "r1");
+});
+
 test("an ejected replica is used only where no other is left", (t) => {
   const { board } = createBoard([server("r1"), server("r2")]);
   for (let i = 0; i < 3; i += 1) {
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -5,7 +5,7 @@
  */
 import { readFileSync } from "node:fs";
 import { parse, TomlError } from "smol-toml";
-import { z } from "zod";
+import * as z from "zod";
 
 const address = z.string().regex(
   /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -77,6 +77,7 @@
   GatewayState,
   HeldModels,
   ModelDemandReport,
+  ModelInFlight,
   ReplicaHoldings,
   ReplicaLoad,
 } from "./gen/banyanspool/v1/gateway_pb.ts";
