--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -227,8 +227,10 @@
       const share = shares.get(target)!;
       const gain = relief - ((share + newPart) ** 2 - share ** 2);
       if (gain <= bestGain) continue;
-      if (!findRoom(model, [target], { view, working, options })) continue;
-      bestGain = gain;
+      const room = findRoom(model, [target], { view, working, options });
+      // What makes way is missed as well.
+      if (!room || gain - room.lostDemand <= bestGain) continue;
+      bestGain = gain - room.lostDemand;
       best = { model, target };
     }
   }
--- a/packages/placement/src/room.ts
+++ b/packages/placement/src/room.ts
@@ -23,6 +23,8 @@
   readonly report: ReplicaReport;
   /** Models to unload first, each of which is ready elsewhere too. */
   readonly unload: readonly string[];
+  /** Demand that the unloaded copies serve now, in replicas. */
+  readonly lostDemand: number;
 }
 
 /** What each request that an unload must wait for counts, in replicas. */
@@ -57,7 +59,8 @@
     // Among equals the emptiest one, so that models spread over the replicas.
     const isEqual = best && choice.loss === best.loss;
     if (isEqual && weightsMib >= best!.weightsMib) continue;
-    const room = { report, unload: choice.unload };
+    const { unload, lostDemand } = choice;
+    const room = { report, unload, lostDemand };
     best = { room, loss: choice.loss, weightsMib };
   }
   return best?.room;
@@ -86,10 +89,10 @@
     staying: ReadonlySet<string> | undefined;
     inUse: ReadonlyMap<string, number> | undefined;
   },
-): { unload: string[]; loss: number } | undefined {
+): { unload: string[]; loss: number; lostDemand: number } | undefined {
   let freeMib = report.memoryMib - report.weightsMib;
   const unload: string[] = [];
-  let loss = 0;
+  let lostDemand = 0;
   const candidates = report.readyModels
     .map((name) => byName.get(name))
     .filter((entry) => entry !== undefined)
@@ -106,9 +109,10 @@
     if (freeMib >= needed) break;
     freeMib += entry.weightsMib;
     unload.push(entry.name);
-    loss += 1 + demand;
+    lostDemand += demand;
   }
-  return freeMib >= needed ? { unload, loss } : undefined;
+  if (freeMib < needed) return undefined;
+  return { unload, lostDemand, loss: unload.length + lostDemand };
 }
 
 /** Weights, and KV memory without which the model would only crowd others. */
