Let gateways tell each other what they read first in the store

Reads now grow rarer with the number of gateways that are heard, and whoever reads a change first tells the others by the versions of the rows. Ruled out: a single reader, which may freeze.

--- a/packages/gateway/src/configuration_watch.ts
+++ b/packages/gateway/src/configuration_watch.ts
@@ -1,4 +1,5 @@
 import {
+  type Changes,
   CONFIGURATION_KEY,
   CONFIGURATION_TABLE,
   decodeConfiguration,
@@ -6,7 +7,9 @@
   type StoredRow,
 } from "@banyanspool/platform-adapter";
 import type { EventLog } from "@banyanspool/logger";
-import type { FleetConfiguration, Sleep } from "@banyanspool/types";
+import type { StoreError } from "@banyanspool/platform";
+import type { FleetConfiguration, Result, Sleep } from "@banyanspool/types";
+import type { ChangeSignal } from "./change_signal.ts";
 import type { FleetState } from "./fleet_state.ts";
 
 /** Options of {@link watchConfiguration}. */
@@ -17,6 +20,10 @@
   readonly fleet: FleetState;
   /** Waits. */
   readonly sleep: Sleep;
+  /** Gateways that were heard lately, this one included. */
+  readonly liveCount: () => number;
+  /** Notified when another gateway has a newer configuration. */
+  readonly kick: ChangeSignal;
   /** Structured log. */
   readonly log: EventLog;
   /** Called with each newer configuration. */
@@ -24,10 +31,13 @@
 }
 
 /**
- * How long one call waits for a change, in ms. A connection that has gone
- * silent is noticed within this and a second.
+ * How long one call waits for a change, in ms for each gateway. A connection
+ * that has gone silent is noticed at the end of the wait, and the first of the
+ * gateways to notice tells the others of a newer version.
  */
-const WAIT_MS = 4000;
+const WAIT_PER_GATEWAY_MS = 500;
+const SHORTEST_WAIT_MS = 2000;
+const LONGEST_WAIT_MS = 12_000;
 const RETRY_MS = 300;
 
 /** Keeps the newest configuration in force until the signal is aborted. */
@@ -41,10 +51,11 @@
   while (!signal.aborted) {
     const res = after === undefined
       ? await store.readTable(CONFIGURATION_TABLE)
-      : await store.waitForChanges(CONFIGURATION_TABLE, {
-        after,
-        waitMs: WAIT_MS,
-      });
+      : await waitForChange(options, after);
+    if (res === "kicked") {
+      after = undefined;
+      continue;
+    }
     if (!res.ok) {
       if (!isLost) {
         log.write("store lost", { table: CONFIGURATION_TABLE, ...res.error });
@@ -67,6 +78,40 @@
   }
 }
 
+/** Another gateway's version must be ahead for a while, as ours may be coming. */
+const KICK_DELAY_MS = 250;
+
+async function waitForChange(
+  options: ConfigurationWatchOptions,
+  after: number,
+): Promise<Result<Changes, StoreError> | "kicked"> {
+  const waitMs = Math.min(
+    LONGEST_WAIT_MS,
+    Math.max(SHORTEST_WAIT_MS, options.liveCount() * WAIT_PER_GATEWAY_MS),
+  );
+  const isOver = new AbortController();
+  try {
+    return await Promise.race([
+      options.store.waitForChanges(CONFIGURATION_TABLE, { after, waitMs }),
+      waitForKick(options, isOver.signal),
+    ]);
+  } finally {
+    isOver.abort();
+  }
+}
+
+async function waitForKick(
+  { kick, fleet, sleep }: ConfigurationWatchOptions,
+  signal: AbortSignal,
+): Promise<"kicked"> {
+  while (true) {
+    await kick.wait(LONGEST_WAIT_MS * 2, signal);
+    const before = fleet.version;
+    await sleep(KICK_DELAY_MS, signal).catch(() => {});
+    if (signal.aborted || fleet.version === before) return "kicked";
+  }
+}
+
 function acceptRow(
   row: StoredRow,
   { fleet, log, onAccepted }: ConfigurationWatchOptions,
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -2,10 +2,11 @@
 import { type Holdings, rankByAffinity } from "@banyanspool/routing";
 import { type GatewaySettings, splitAddress } from "@banyanspool/settings";
 import { createSystemClock, sleep } from "@banyanspool/types";
-import type { GatewayState } from "@banyanspool/wire";
+import type { GatewayState, ServerNews } from "@banyanspool/wire";
 import type { GatewayContext } from "./context.ts";
 import { type GatewayReport, PeerExchange } from "./peer_exchange.ts";
 import type { FleetDemand, PlacementDuty } from "./placement_duty.ts";
+import type { ServerChange, ServerRoster } from "./server_roster.ts";
 
 /** Options of {@link FleetExchange.create}. */
 export interface FleetExchangeOptions {
@@ -17,6 +18,12 @@
   readonly duty: PlacementDuty;
   /** Lease of the duty. */
   readonly lease: Lease;
+  /** Replicas, which other gateways bring news of. */
+  readonly roster: ServerRoster;
+  /** Called when news of another gateway changed the roster. */
+  readonly onNews: () => void;
+  /** Called when another gateway has a newer configuration. */
+  readonly onNewerConfiguration: () => void;
 }
 
 interface HeardDemand {
@@ -29,7 +36,9 @@
 /** A holder of the duty counts as present until it is silent this long. */
 const HOLDER_AGE_MS = 2000;
 /** Gateways that watch the lease while its holder is there. */
-const CANDIDATES = 3;
+const CANDIDATES = 2;
+/** News of replicas are repeated for this long, as datagrams may be lost. */
+const NEWS_MS = 1500;
 /** Requests in flight with which a replica still answers quickly. */
 const COMFORTABLE_REQUESTS = 20;
 const NO_DEMAND = { fastReplicas: 0, slowReplicas: 0, waiting: 0 };
@@ -41,6 +50,7 @@
   readonly #demand: Map<string, HeardDemand> = new Map();
   #holder: { instance: string; token: bigint; heardAt: number } | undefined;
   #isPublishing = false;
+  #news: { readonly change: ServerChange; readonly until: number }[] = [];
 
   private constructor(options: FleetExchangeOptions) {
     this.#options = options;
@@ -139,6 +149,18 @@
   /** Tells all gateways what replicas offer, soon and once for many changes. */
   publishOffers(): void {
     this.#applyOwnOffers();
+    this.#announceSoon();
+  }
+
+  /** Tells all gateways what this one was the first to read. */
+  publishNews(change: ServerChange): void {
+    const now = this.#options.ctx.clock.now();
+    this.#news = this.#news.filter(({ until }) => until > now);
+    this.#news.push({ change, until: now + NEWS_MS });
+    this.#announceSoon();
+  }
+
+  #announceSoon(): void {
     if (this.#isPublishing) return;
     this.#isPublishing = true;
     setImmediate(() => {
@@ -195,7 +217,11 @@
   ): GatewayReport {
     const { ctx, duty, lease } = this.#options;
     if (duty.isHolder) this.#applyOwnOffers();
+    const now = ctx.clock.now();
     return {
+      news: this.#news
+        .filter(({ until }) => until > now)
+        .map(({ change }) => encodeNews(change)),
       configurationVersion: BigInt(ctx.fleet.version),
       leaving: ctx.fleet.isStopping,
       loads: [...ctx.board.ownWork()].map(([replica, work]) => ({
@@ -273,6 +299,19 @@
     this.#demand.set(state.instance, { heardAt: now, demand });
     if (hasNewWant(demand, before?.demand)) ctx.fleet.changed.notify();
     this.#takeHoldings(state, now);
+    this.#takeNews(state);
+    if (Number(state.configurationVersion) > ctx.fleet.version) {
+      this.#options.onNewerConfiguration();
+    }
+  }
+
+  #takeNews(state: GatewayState): void {
+    const { roster, onNews } = this.#options;
+    let isNew = false;
+    for (const news of state.news) {
+      if (roster.apply(decodeNews(news))) isNew = true;
+    }
+    if (isNew) onNews();
   }
 
   #takeHoldings(state: GatewayState, now: number): void {
@@ -316,3 +355,52 @@
   }
   return false;
 }
+
+function encodeNews(change: ServerChange): ServerNews {
+  if (change.kind === "gone") {
+    return {
+      $typeName: "banyanspool.v1.ServerNews",
+      id: change.id,
+      version: BigInt(change.version),
+      gone: true,
+      service: "",
+      address: "",
+      dataCentre: "",
+      slots: 0,
+      leaving: true,
+      startedAt: 0n,
+    };
+  }
+  const { server, version } = change.listed;
+  return {
+    $typeName: "banyanspool.v1.ServerNews",
+    id: server.id,
+    version: BigInt(version),
+    gone: false,
+    service: server.service,
+    address: server.address,
+    dataCentre: server.dataCentre,
+    slots: server.slots,
+    leaving: server.leaving,
+    startedAt: BigInt(server.startedAt),
+  };
+}
+
+/** What it holds is left out: the placement holder tells that. */
+function decodeNews(news: ServerNews): ServerChange {
+  const version = Number(news.version);
+  if (news.gone) return { kind: "gone", id: news.id, version };
+  const { id, service, address, dataCentre, slots, leaving } = news;
+  const startedAt = Number(news.startedAt);
+  const server = {
+    id,
+    service,
+    address,
+    dataCentre,
+    slots,
+    leaving,
+    startedAt,
+    models: [],
+  };
+  return { kind: "listed", listed: { server, version } };
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,13 +13,13 @@
 import { type GatewaySettings, splitAddress } from "@banyanspool/settings";
 import { Supervisor } from "@banyanspool/supervisor";
 import {
-  type BackendServer,
   type Clock,
   createElapsedClock,
   createSystemClock,
   sleep,
 } from "@banyanspool/types";
 import { Pool } from "undici";
+import { ChangeSignal } from "./change_signal.ts";
 import { watchConfiguration } from "./configuration_watch.ts";
 import { ConnectionPools } from "./connection_pools.ts";
 import type { GatewayContext } from "./context.ts";
@@ -29,6 +29,7 @@
 import { keepMembership, leaveMembership } from "./member_table.ts";
 import { PlacementDuty } from "./placement_duty.ts";
 import { PublicServer } from "./public_server.ts";
+import { ServerRoster } from "./server_roster.ts";
 import { watchServers } from "./server_watch.ts";
 import { WantedModels } from "./wanted_models.ts";
 
@@ -82,6 +83,8 @@
   readonly #lease: Lease;
   readonly #duty: PlacementDuty;
   readonly #exchange: FleetExchange;
+  readonly #roster: ServerRoster;
+  readonly #configurationKick: ChangeSignal = ChangeSignal.create();
   readonly #servers: Server[] = [];
   #isAbandoned = false;
 
@@ -126,11 +129,18 @@
       log,
       metrics,
     });
+    this.#roster = ServerRoster.create({
+      log,
+      onChange: (change) => this.#exchange.publishNews(change),
+    });
     this.#exchange = FleetExchange.create({
       cfg,
       ctx: this.#ctx,
       duty: this.#duty,
       lease: this.#lease,
+      roster: this.#roster,
+      onNews: () => this.#takeServers(),
+      onNewerConfiguration: () => this.#configurationKick.notify(),
     });
     this.#publicServer = PublicServer.create(this.#ctx);
     this.#supervisor = Supervisor.create({ name: "gateway", sleep });
@@ -282,6 +292,8 @@
           store,
           fleet,
           sleep,
+          liveCount: () => this.#exchange.liveCount,
+          kick: this.#configurationKick,
           log,
           onAccepted: ({ limits, version }) => {
             this.#publicServer.applyLimits(limits);
@@ -295,10 +307,15 @@
       run: (signal) =>
         watchServers({
           store,
+          roster: this.#roster,
+          liveCount: () => this.#exchange.liveCount,
           clock,
           sleep,
           log,
-          onList: (servers) => this.#takeServers(servers),
+          onRead: () => {
+            fleet.hasServers = true;
+            this.#takeServers();
+          },
         }, signal),
     });
     this.#supervisor.start({
@@ -345,11 +362,11 @@
     }
   }
 
-  #takeServers(servers: readonly BackendServer[]): void {
+  #takeServers(): void {
     const { board, pools, fleet } = this.#ctx;
+    const { servers } = this.#roster;
     board.updateServers(servers);
     pools.keepOnly(servers);
-    fleet.hasServers = true;
     fleet.changed.notify();
   }
 
--- a/packages/gateway/src/member_table.ts
+++ b/packages/gateway/src/member_table.ts
@@ -23,7 +23,7 @@
 
 const MEMBER_TABLE = "banyanspool_members";
 /** New gateways announce themselves; the rows are for those that can't know. */
-const READ_INTERVAL_MS = 10_000;
+const READ_INTERVAL_MS = 30_000;
 /** Reads soon after the start, when all gateways write their rows, in ms. */
 const EARLY_READS_MS = [0, 1500, 4000];
 const RETRY_MS = 500;
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -80,4 +80,5 @@
   ModelInFlight,
   ReplicaHoldings,
   ReplicaLoad,
+  ServerNews,
 } from "./gen/banyanspool/v1/gateway_pb.ts";
