--- /dev/null
+++ b/packages/gateway/src/adapter_mover.ts
@@ -0,0 +1,182 @@
+import type { EventLog } from "@banyanspool/logger";
+import {
+  type AdapterHost,
+  fitsAdapter,
+  planAdapterLoad,
+} from "@banyanspool/placement";
+import type { ReplicaBoard } from "@banyanspool/routing";
+import type {
+  BackendServer,
+  Clock,
+  EngineSpec,
+  Sleep,
+} from "@banyanspool/types";
+import type { EngineDesk } from "./engine_desk.ts";
+import type { EngineState } from "./engine_state.ts";
+import type { FleetDemand } from "./placement_models.ts";
+
+/** Options of {@link AdapterMover.create}. */
+export interface AdapterMoverOptions {
+  /** Gives the orders. */
+  readonly desk: EngineDesk;
+  /** Time source. */
+  readonly clock: Clock;
+  /** Waits. */
+  readonly sleep: Sleep;
+  /** Work at replicas. */
+  readonly board: ReplicaBoard;
+  /** Demand by `model` or `model/adapter`. */
+  readonly demand: () => ReadonlyMap<string, FleetDemand>;
+  /** Whether a model is on its way to or from a replica. */
+  readonly isMoving: (replica: string) => boolean;
+  /** Structured log. */
+  readonly log: EventLog;
+}
+
+/** Time for entries to stop sending what is about to be unloaded, in ms. */
+const WITHDRAW_MS = 40;
+/** Time that an adapter needs from order to use, in ms. */
+const ADAPTER_LOAD_MS = 12;
+/** An adapter stays this long after it was asked for, in ms. */
+const ADAPTER_STAY_MS = 300;
+
+/** Loads adapters that requests wait for. */
+export class AdapterMover {
+  readonly #options: AdapterMoverOptions;
+  readonly #underWay: Set<string> = new Set();
+  readonly #lastUsed: Map<string, number> = new Map();
+
+  private constructor(options: AdapterMoverOptions) {
+    this.#options = options;
+  }
+
+  /** Creates a mover without loads under way. */
+  static create(options: AdapterMoverOptions): AdapterMover {
+    return new AdapterMover(options);
+  }
+
+  /** Forgets loads under way, as another process may have given orders. */
+  clear(): void {
+    this.#underWay.clear();
+  }
+
+  /** Plans and starts the next loads of one service. */
+  plan(engine: EngineSpec, servers: readonly BackendServer[]): void {
+    const { desk, clock, demand, isMoving } = this.#options;
+    for (const [name, { waiting }] of demand()) {
+      if (!name.includes("/") || waiting === 0) continue;
+      if (this.#underWay.has(name)) continue;
+      const [model = ""] = name.split("/");
+      if (!engine.models.has(model)) continue;
+      const hosts = servers.flatMap((server) => {
+        const state = desk.get(server.id);
+        if (!state?.isSynced || server.leaving) return [];
+        if (!state.models.has(model) || state.withdrawn.has(model)) return [];
+        if (state.isBusy || isMoving(server.id)) return [];
+        return [{ state, host: this.#describeHost(state, engine) }];
+      });
+      this.#lastUsed.set(name, clock.now());
+      if (hosts.some(({ state }) => state.adapters.has(name))) continue;
+      const move = planAdapterLoad(hosts.map(({ host }) => host));
+      if (!move) continue;
+      const { state } = hosts.find(({ host }) =>
+        host.replica === move.replica
+      )!;
+      this.#startAdapterLoad(state, { name, evict: move.evict }, engine);
+    }
+  }
+
+  #startAdapterLoad(
+    state: EngineState,
+    { name, evict }: { name: string; evict?: string },
+    engine: EngineSpec,
+  ): void {
+    const { desk, log } = this.#options;
+    this.#underWay.add(name);
+    state.planned.add(name);
+    if (evict !== undefined) {
+      state.withdrawn.add(evict);
+      desk.notify();
+    }
+    log.write("adapter load", {
+      adapter: name,
+      replica: state.server.id,
+      evict,
+    });
+    desk.enqueue(state, async () => {
+      try {
+        await this.#loadAdapter(state, { name, evict }, engine);
+      } finally {
+        this.#underWay.delete(name);
+        state.planned.delete(name);
+        if (evict !== undefined) state.withdrawn.delete(evict);
+      }
+    });
+  }
+
+  async #loadAdapter(
+    state: EngineState,
+    { name, evict }: { name: string; evict?: string },
+    engine: EngineSpec,
+  ): Promise<void> {
+    const { desk, sleep } = this.#options;
+    if (evict !== undefined && state.adapters.has(evict)) {
+      if (!await this.#unloadAdapter(state, evict)) return;
+    }
+    const [model = "", adapter = ""] = name.split("/");
+    if (!state.models.has(model) || !fitsAdapter(model, state, engine)) return;
+    const outcome = await desk.order(state, {
+      operation: "load",
+      model,
+      adapter,
+    });
+    if (outcome !== "accepted" && outcome !== "done") {
+      await desk.resync(state);
+      return;
+    }
+    await sleep(ADAPTER_LOAD_MS);
+    state.adapters.add(name);
+    desk.notify();
+  }
+
+  async #unloadAdapter(state: EngineState, name: string): Promise<boolean> {
+    const { desk, sleep } = this.#options;
+    await sleep(WITHDRAW_MS);
+    const [model = "", adapter = ""] = name.split("/");
+    const outcome = await desk.order(state, {
+      operation: "unload",
+      model,
+      adapter,
+    });
+    if (outcome === "done") {
+      state.adapters.delete(name);
+      return true;
+    }
+    await desk.resync(state);
+    return outcome === "accepted" && !state.adapters.has(name);
+  }
+
+  #describeHost(state: EngineState, engine: EngineSpec): AdapterHost {
+    const { board, clock, demand } = this.#options;
+    const { adapters } = board.workAt(state.server.id);
+    const now = clock.now();
+    for (const adapter of adapters) this.#lastUsed.set(adapter, now);
+    const inUse = new Set([...adapters, ...state.planned]);
+    const fleetDemand = demand();
+    for (const name of state.adapters) {
+      const isWanted = (fleetDemand.get(name)?.waiting ?? 0) > 0;
+      const usedAt = this.#lastUsed.get(name) ?? -Infinity;
+      if (isWanted || now - usedAt < ADAPTER_STAY_MS) inUse.add(name);
+    }
+    const staying = [...state.adapters]
+      .filter((name) => !state.withdrawn.has(name));
+    return {
+      replica: state.server.id,
+      adapters: [...new Set([...staying, ...state.planned])],
+      inUse,
+      lastUsed: this.#lastUsed,
+      places: engine.adapterSlots,
+      queuedOrders: state.queuedOrders,
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/engine_desk.ts
@@ -0,0 +1,223 @@
+import type { EventLog } from "@banyanspool/logger";
+import type { Lease } from "@banyanspool/platform";
+import {
+  type OrderOutcome,
+  readEngineReport,
+  sendEngineOrder,
+} from "@banyanspool/platform-adapter";
+import type { BackendServer, Clock, Sleep } from "@banyanspool/types";
+import type { ConnectionPools } from "./connection_pools.ts";
+import {
+  applyReport,
+  createEngineState,
+  type EngineState,
+  listOffered,
+} from "./engine_state.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+
+/** Options of {@link EngineDesk.create}. */
+export interface EngineDeskOptions {
+  /** Lease without which no order is given. */
+  readonly lease: Lease;
+  /** Name by which orders are given. */
+  readonly holder: string;
+  /** Time source. */
+  readonly clock: Clock;
+  /** Waits. */
+  readonly sleep: Sleep;
+  /** Connections to replicas. */
+  readonly pools: ConnectionPools;
+  /** Called when what replicas offer has changed. */
+  readonly onOffered: () => void;
+  /** Structured log. */
+  readonly log: EventLog;
+  /** Metrics. */
+  readonly metrics: GatewayMetrics;
+}
+
+/** What an order asks of an engine. */
+export interface DeskOrder {
+  /** What to do. */
+  readonly operation: "load" | "unload";
+  /** Model. */
+  readonly model: string;
+  /** Adapter of that model, if the order concerns only it. */
+  readonly adapter?: string;
+}
+
+/** Reports are some hundred ms old; an order shows in them after this. */
+const REPORT_LAG_MS = 350;
+/** How often the report is read while an order is being carried out, in ms. */
+const REPORT_INTERVAL_MS = 100;
+/** An order is given up when its effect does not show within this, in ms. */
+const ORDER_LIMIT_MS = 12_000;
+
+/**
+ * Gives orders to engines and keeps what is known of each. Orders to one
+ * replica are given one after the other, each under the number of orders that
+ * the replica has accepted, so that a late one is rejected.
+ */
+export class EngineDesk {
+  readonly #options: EngineDeskOptions;
+  readonly #engines: Map<string, EngineState> = new Map();
+  #version = 0;
+
+  private constructor(options: EngineDeskOptions) {
+    this.#options = options;
+  }
+
+  /** Creates a desk that knows no engine. */
+  static create(options: EngineDeskOptions): EngineDesk {
+    return new EngineDesk(options);
+  }
+
+  /** Whether this process may give orders now. */
+  get isHolder(): boolean {
+    return this.#options.lease.held;
+  }
+
+  /** Rises with each change of what replicas offer. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** What each replica offers; only of those that have reported. */
+  offered(): { server: BackendServer; names: string[] }[] {
+    return [...this.#engines.values()]
+      .filter(({ isSynced }) => isSynced)
+      .map((state) => ({ server: state.server, names: listOffered(state) }));
+  }
+
+  /** State of a replica's engine, if it is known. */
+  get(replica: string): EngineState | undefined {
+    return this.#engines.get(replica);
+  }
+
+  /** Forgets everything, as another process may have given orders. */
+  clear(): void {
+    this.#engines.clear();
+  }
+
+  /** Starts to know listed replicas and forgets those that are gone. */
+  follow(servers: ReadonlyMap<string, BackendServer>): void {
+    for (const server of servers.values()) this.#followOne(server);
+    for (const id of this.#engines.keys()) {
+      if (!servers.has(id)) this.#engines.delete(id);
+    }
+  }
+
+  #followOne(server: BackendServer): void {
+    const known = this.#engines.get(server.id);
+    if (known?.server.startedAt !== server.startedAt) {
+      const state = createEngineState(server, this.#options.clock.now());
+      this.#engines.set(server.id, state);
+      this.enqueue(state, () => this.#sync(state));
+      return;
+    }
+    known.server = server;
+    // An order of an earlier holder may still be in progress, and what it
+    // loads shows only when it has ended.
+    if (known.isSynced && known.isBusy && known.queuedOrders === 0) {
+      this.enqueue(known, () => this.resync(known));
+    }
+  }
+
+  /** Sends an order, if the lease still allows it. */
+  async order(
+    state: EngineState,
+    order: DeskOrder,
+  ): Promise<OrderOutcome | "lease lost"> {
+    const { lease, holder, pools, log, metrics } = this.#options;
+    if (!lease.held || !this.#isKnown(state)) return "lease lost";
+    const { fencingToken } = lease;
+    const expectedOrders = state.acceptedOrders;
+    const outcome = await sendEngineOrder(state.server, {
+      ...order,
+      expectedOrders,
+      holder,
+      fencingToken,
+    }, pools.of(state.server).pool);
+    if (outcome === "accepted" || outcome === "done") {
+      state.acceptedOrders += 1;
+    }
+    metrics.orders.inc({ operation: order.operation, outcome });
+    log.write("engine order", {
+      replica: state.server.id,
+      ...order,
+      expected_orders: expectedOrders,
+      fencing_token: fencingToken,
+      outcome,
+    });
+    return outcome;
+  }
+
+  /** Reads the report once it must show what happened before. */
+  async resync(state: EngineState): Promise<void> {
+    await this.#options.sleep(REPORT_LAG_MS);
+    await this.#sync(state);
+  }
+
+  /** Reads reports until the engine is idle and a condition holds. */
+  async awaitEffect(
+    state: EngineState,
+    isDone: () => boolean,
+  ): Promise<boolean> {
+    const { clock } = this.#options;
+    const giveUpAt = clock.now() + ORDER_LIMIT_MS;
+    const orders = state.acceptedOrders;
+    while (this.isHolder && clock.now() < giveUpAt && this.#isKnown(state)) {
+      await this.#options.sleep(REPORT_INTERVAL_MS);
+      const read = await readEngineReport(
+        state.server,
+        this.#options.pools.of(state.server).pool,
+      );
+      // An older report doesn't know of the order yet.
+      if (!read.ok || read.value.acceptedOrders < orders) continue;
+      if (read.value.busy) continue;
+      applyReport(state, read.value);
+      this.notify();
+      return isDone();
+    }
+    return false;
+  }
+
+  /** Runs a task behind all others of the replica. */
+  enqueue(state: EngineState, task: () => Promise<void>): void {
+    state.queuedOrders += 1;
+    state.orders = state.orders.then(task).catch((error) => {
+      this.#options.log.write("engine task failed", { error: String(error) });
+    }).finally(() => {
+      state.queuedOrders -= 1;
+    });
+  }
+
+  /** Tells that what replicas offer has changed. */
+  notify(): void {
+    this.#version += 1;
+    this.#options.onOffered();
+  }
+
+  async #sync(state: EngineState): Promise<void> {
+    const { pools, log, sleep } = this.#options;
+    while (this.isHolder && this.#isKnown(state)) {
+      const read = await readEngineReport(
+        state.server,
+        pools.of(state.server).pool,
+      );
+      if (read.ok) {
+        applyReport(state, read.value);
+        this.notify();
+        return;
+      }
+      log.write("engine report missing", {
+        replica: state.server.id,
+        detail: read.error,
+      });
+      await sleep(REPORT_LAG_MS);
+    }
+  }
+
+  #isKnown(state: EngineState): boolean {
+    return this.#engines.get(state.server.id) === state;
+  }
+}
--- a/packages/gateway/src/engine_state.ts
+++ b/packages/gateway/src/engine_state.ts
@@ -20,7 +20,7 @@
   /** Orders that it has accepted. */
   acceptedOrders: number;
   /** Models of which it has a copy at hand, so that a load is quick. */
-  atHand: ReadonlySet<string>;
+  localCopies: ReadonlySet<string>;
   /** Whether the state rests on a report of this life. */
   isSynced: boolean;
   /** Whether a model order is being carried out. */
@@ -45,7 +45,7 @@
     loadedAt: new Map(),
     listedAt,
     acceptedOrders: 0,
-    atHand: new Set(),
+    localCopies: new Set(),
     isSynced: false,
     isBusy: false,
     orders: Promise.resolve(),
@@ -63,7 +63,7 @@
   }
   for (const adapter of report.arriving) state.adapters.add(adapter);
   state.acceptedOrders = report.acceptedOrders;
-  state.atHand = new Set(report.atHand);
+  state.localCopies = new Set(report.localCopies);
   state.isBusy = report.busy;
   state.isSynced = true;
 }
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -5,7 +5,8 @@
 import type { GatewayState, ServerNews } from "@banyanspool/wire";
 import type { GatewayContext } from "./context.ts";
 import { type GatewayReport, PeerExchange } from "./peer_exchange.ts";
-import type { FleetDemand, PlacementDuty } from "./placement_duty.ts";
+import type { EngineDesk } from "./engine_desk.ts";
+import type { FleetDemand } from "./placement_models.ts";
 import type { ServerChange, ServerRoster } from "./server_roster.ts";
 
 /** Options of {@link FleetExchange.create}. */
@@ -14,8 +15,8 @@
   readonly cfg: GatewaySettings;
   /** Where what is heard goes. */
   readonly ctx: GatewayContext;
-  /** The duty, which this process may hold. */
-  readonly duty: PlacementDuty;
+  /** What this process has ordered, if it holds the lease. */
+  readonly desk: EngineDesk;
   /** Lease of the duty. */
   readonly lease: Lease;
   /** Replicas, which other gateways bring news of. */
@@ -170,10 +171,10 @@
   }
 
   #applyOwnOffers(): void {
-    const { ctx, duty } = this.#options;
-    if (!duty.isHolder) return;
+    const { ctx, desk } = this.#options;
+    if (!desk.isHolder) return;
     const holdings = new Map<string, Holdings>();
-    for (const { server, names } of duty.offered()) {
+    for (const { server, names } of desk.offered()) {
       const { id, startedAt } = server;
       holdings.set(id, { startedAt, names: new Set(names) });
     }
@@ -182,8 +183,8 @@
   }
 
   #tellHolder(): void {
-    const { duty, ctx } = this.#options;
-    if (duty.isHolder) {
+    const { desk, ctx } = this.#options;
+    if (desk.isHolder) {
       ctx.fleet.changed.notify();
       return;
     }
@@ -215,8 +216,8 @@
   #describe(
     peer: string,
   ): GatewayReport {
-    const { ctx, duty, lease } = this.#options;
-    if (duty.isHolder) this.#applyOwnOffers();
+    const { ctx, desk, lease } = this.#options;
+    if (desk.isHolder) this.#applyOwnOffers();
     const now = ctx.clock.now();
     return {
       news: this.#news
@@ -251,11 +252,11 @@
           fastReplicas: demand.fastReplicas,
           slowReplicas: demand.slowReplicas,
         })),
-      heldModels: !duty.isHolder ? undefined : {
+      heldModels: !desk.isHolder ? undefined : {
         $typeName: "banyanspool.v1.HeldModels",
         fencingToken: BigInt(lease.fencingToken),
-        version: BigInt(duty.version),
-        replicas: duty.offered().map(({ server, names }) => ({
+        version: BigInt(desk.version),
+        replicas: desk.offered().map(({ server, names }) => ({
           $typeName: "banyanspool.v1.ReplicaHoldings",
           replica: server.id,
           startedAt: BigInt(server.startedAt),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import { watchConfiguration } from "./configuration_watch.ts";
 import { ConnectionPools } from "./connection_pools.ts";
 import type { GatewayContext } from "./context.ts";
+import { EngineDesk } from "./engine_desk.ts";
 import { FleetState } from "./fleet_state.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
@@ -116,19 +117,25 @@
       rivalClock: clock,
     });
     this.#ctx = this.#createContext({ clock, log, metrics, fleet });
-    this.#duty = PlacementDuty.create({
+    const desk = EngineDesk.create({
       lease: this.#lease,
       holder: cfg.instance,
       clock,
       sleep,
-      fleet,
-      board: this.#ctx.board,
       pools: this.#ctx.pools,
-      demand: () => this.#exchange.fleetDemand(),
       onOffered: () => this.#exchange.publishOffers(),
       log,
       metrics,
     });
+    this.#duty = PlacementDuty.create({
+      desk,
+      clock,
+      sleep,
+      fleet,
+      board: this.#ctx.board,
+      demand: () => this.#exchange.fleetDemand(),
+      log,
+    });
     this.#roster = ServerRoster.create({
       log,
       onChange: (change) => this.#exchange.publishNews(change),
@@ -136,7 +143,7 @@
     this.#exchange = FleetExchange.create({
       cfg,
       ctx: this.#ctx,
-      duty: this.#duty,
+      desk,
       lease: this.#lease,
       roster: this.#roster,
       onNews: () => this.#takeServers(),
--- /dev/null
+++ b/packages/gateway/src/model_mover.ts
@@ -0,0 +1,214 @@
+import type { EventLog } from "@banyanspool/logger";
+import {
+  assemblePlacementPlan,
+  fitsModel,
+  type PlacementMove,
+} from "@banyanspool/placement";
+import type { ReplicaBoard } from "@banyanspool/routing";
+import type {
+  BackendServer,
+  Clock,
+  EngineSpec,
+  ReplicaReport,
+  Sleep,
+} from "@banyanspool/types";
+import type { EngineDesk } from "./engine_desk.ts";
+import { type EngineState, listOffered } from "./engine_state.ts";
+import { LoadAllowance } from "./load_allowance.ts";
+import {
+  describeEngine,
+  type FleetDemand,
+  listModels,
+} from "./placement_models.ts";
+
+/** Options of {@link ModelMover.create}. */
+export interface ModelMoverOptions {
+  /** Gives the orders. */
+  readonly desk: EngineDesk;
+  /** Time source. */
+  readonly clock: Clock;
+  /** Waits. */
+  readonly sleep: Sleep;
+  /** Work at replicas. */
+  readonly board: ReplicaBoard;
+  /** Demand by `model` or `model/adapter`. */
+  readonly demand: () => ReadonlyMap<string, FleetDemand>;
+  /** Structured log. */
+  readonly log: EventLog;
+}
+
+/** Time for the reports of listed replicas before plans go without them, in ms. */
+const FIRST_REPORTS_MS = 1500;
+/** Time for entries to stop sending what is about to be unloaded, in ms. */
+const WITHDRAW_MS = 40;
+/** Moves under way at the same time. */
+const MAX_MOVES = 6;
+/** Share of a replica's time above which a further copy is looked for. */
+const BUSY_SHARE = 0.25;
+/** Least relief that is worth a load. */
+const MIN_GAIN = 0.05;
+/** A model stays at least this long after its load, in ms. */
+const MODEL_STAY_MS = 6000;
+
+/** Moves models to where the demand is. */
+export class ModelMover {
+  readonly #options: ModelMoverOptions;
+  readonly #moves: Map<string, { move: PlacementMove; state: EngineState }> =
+    new Map();
+  readonly #allowance: LoadAllowance;
+
+  private constructor(options: ModelMoverOptions) {
+    this.#options = options;
+    this.#allowance = LoadAllowance.create({ clock: options.clock });
+  }
+
+  /** Creates a mover without moves under way. */
+  static create(options: ModelMoverOptions): ModelMover {
+    return new ModelMover(options);
+  }
+
+  /** Whether a model is on its way to or from a replica. */
+  isMoving(replica: string): boolean {
+    const current = this.#moves.get(replica);
+    return current !== undefined &&
+      current.state === this.#options.desk.get(replica);
+  }
+
+  /** Plans and starts the next moves of one service. */
+  plan(engine: EngineSpec, servers: readonly BackendServer[]): void {
+    if (this.#isReportMissing(servers)) return;
+    const { desk } = this.#options;
+    const demand = this.#options.demand();
+    const reports = servers.flatMap((server) => {
+      const state = desk.get(server.id);
+      return state?.isSynced ? [describeEngine(state, engine)] : [];
+    });
+    const ids = new Set(servers.map(({ id }) => id));
+    const underWay = [...this.#moves.values()]
+      .map(({ move }) => move)
+      .filter(({ replica }) => ids.has(replica) && this.isMoving(replica));
+    const isIdle = ({ replica }: ReplicaReport) =>
+      !this.isMoving(replica) && !desk.get(replica)!.isBusy;
+    const idle = reports.filter(isIdle);
+    const plan = assemblePlacementPlan({
+      models: listModels(engine, demand, reports),
+      replicas: [
+        ...idle,
+        ...reports.filter((report) => !isIdle(report))
+          .map((report) => ({ ...report, memoryMib: 0 })),
+      ],
+      underWay,
+      staying: this.#listStaying(reports),
+      inUse: this.#countUse(reports),
+    }, {
+      maxMoves: MAX_MOVES,
+      busyShare: BUSY_SHARE,
+      kvShare: 0,
+      minGain: MIN_GAIN,
+    });
+    for (const move of plan) this.#startMove(move, engine);
+  }
+
+  /** Whether a replica was listed only now and has not been asked yet. */
+  #isReportMissing(servers: readonly BackendServer[]): boolean {
+    const { desk, clock } = this.#options;
+    const now = clock.now();
+    return servers.some(({ id, leaving }) => {
+      const state = desk.get(id);
+      if (!state || leaving || state.isSynced) return false;
+      return now - state.listedAt < FIRST_REPORTS_MS;
+    });
+  }
+
+  /** Models that were loaded only lately, as `replica model`. */
+  #listStaying(reports: readonly ReplicaReport[]): Set<string> {
+    const { desk, clock } = this.#options;
+    const now = clock.now();
+    const staying = new Set<string>();
+    for (const { replica } of reports) {
+      const { loadedAt } = desk.get(replica)!;
+      for (const [model, at] of loadedAt) {
+        if (now - at < MODEL_STAY_MS) staying.add(`${replica} ${model}`);
+      }
+    }
+    return staying;
+  }
+
+  /** Requests in flight by `replica model`. */
+  #countUse(reports: readonly ReplicaReport[]): Map<string, number> {
+    const use = new Map<string, number>();
+    for (const { replica } of reports) {
+      const { models } = this.#options.board.workAt(replica);
+      for (const [model, requests] of models) {
+        use.set(`${replica} ${model}`, requests);
+      }
+    }
+    return use;
+  }
+
+  #startMove(move: PlacementMove, engine: EngineSpec): void {
+    const { desk, log } = this.#options;
+    const state = desk.get(move.replica);
+    if (!state || state.queuedOrders > 0 || state.isBusy) return;
+    if (
+      !state.localCopies.has(move.load) &&
+      !this.#allowance.take(engine.loadsPerS)
+    ) return;
+    this.#moves.set(move.replica, { move, state });
+    log.write("model move", { ...move });
+    desk.enqueue(state, async () => {
+      try {
+        await this.#carryOut(state, move, engine);
+      } finally {
+        if (this.#moves.get(move.replica)?.move === move) {
+          this.#moves.delete(move.replica);
+        }
+      }
+    });
+  }
+
+  async #carryOut(
+    state: EngineState,
+    move: PlacementMove,
+    engine: EngineSpec,
+  ): Promise<void> {
+    const { desk, clock } = this.#options;
+    for (const model of move.unload) {
+      if (!state.models.has(model)) continue;
+      if (!await this.#unloadModel(state, model)) return;
+    }
+    if (state.models.has(move.load) || !fitsModel(move.load, state, engine)) {
+      return;
+    }
+    const outcome = await desk.order(state, {
+      operation: "load",
+      model: move.load,
+    });
+    if (outcome !== "accepted" && outcome !== "done") {
+      await desk.resync(state);
+      return;
+    }
+    await desk.awaitEffect(state, () => state.models.has(move.load));
+    state.loadedAt.set(move.load, clock.now());
+  }
+
+  async #unloadModel(state: EngineState, model: string): Promise<boolean> {
+    const { desk, sleep } = this.#options;
+    const names = listOffered(state)
+      .filter((name) => name === model || name.startsWith(`${model}/`));
+    for (const name of names) state.withdrawn.add(name);
+    desk.notify();
+    await sleep(WITHDRAW_MS);
+    try {
+      const outcome = await desk.order(state, { operation: "unload", model });
+      if (outcome !== "accepted" && outcome !== "done") {
+        await desk.resync(state);
+        return false;
+      }
+      return await desk.awaitEffect(state, () => !state.models.has(model));
+    } finally {
+      for (const name of names) state.withdrawn.delete(name);
+      desk.notify();
+    }
+  }
+}
