--- /dev/null
+++ b/packages/gateway/src/final_answers.ts
@@ -0,0 +1,102 @@
+import type { Refusal } from "@banyanspool/types";
+import { refuse } from "@banyanspool/types";
+import type { GatewayContext } from "./context.ts";
+import type { Progress } from "./progress.ts";
+import { answerRefusal, spreadRetryAfter } from "./refusals.ts";
+import type { RequestOutcome, RequestScope } from "./request_scope.ts";
+import type { AttemptOutcome } from "./send_attempt.ts";
+
+/** When to come back after a rejection, in ms. */
+export const REJECTED_RETRY_MS = 300;
+
+/** Says why a request gets no further attempt. */
+export function refuseAfter(
+  ctx: GatewayContext,
+  outcome: AttemptOutcome,
+): Refusal {
+  if (outcome.kind === "notRun") {
+    return refuse("overloaded", "The replicas rejected the request", {
+      retryAfterMs: spreadRetryAfter(REJECTED_RETRY_MS, ctx.random),
+    });
+  }
+  return refuse("outcome_unknown", "The replica's answer was lost", {
+    ran: "unknown",
+  });
+}
+
+/** Ends a request for which no further attempt is made. */
+export function giveUp(
+  scope: RequestScope,
+  refusal: Refusal,
+  progress: Progress,
+): RequestOutcome {
+  if (scope.signal.aborted) {
+    return endGivenUp(scope, progress, progress.mayHaveRun);
+  }
+  if (!progress.mayHaveRun) return refuseRequest(scope, refusal, progress);
+  return refuseRequest(
+    scope,
+    refuse("outcome_unknown", refusal.message, { ran: "unknown" }),
+    progress,
+  );
+}
+
+/** Ends a request whose caller has left or whose final answer is due. */
+export function endGivenUp(
+  scope: RequestScope,
+  progress: Progress,
+  mayHaveRun: boolean,
+): RequestOutcome {
+  if (scope.res.destroyed) return { result: "left", ...summarise(progress) };
+  return refuseRequest(
+    scope,
+    refuse("deadline_passed", "The request's time is over", {
+      ran: mayHaveRun ? "unknown" : "no",
+      retryAfterMs: mayHaveRun ? undefined : REJECTED_RETRY_MS,
+    }),
+    progress,
+  );
+}
+
+/** Ends a request whose answer broke off and can't go on elsewhere. */
+export function breakOff(
+  scope: RequestScope,
+  progress: Progress,
+): RequestOutcome {
+  if (!scope.res.headersSent) {
+    return refuseRequest(
+      scope,
+      refuse("outcome_unknown", "The replica's answer broke off", {
+        ran: "unknown",
+      }),
+      progress,
+    );
+  }
+  // An answer that ended early must not look whole.
+  scope.res.destroy();
+  return { result: "broken", ...summarise(progress) };
+}
+
+/** Answers with a refusal, or closes the connection of a torn answer. */
+export function refuseRequest(
+  scope: RequestScope,
+  refusal: Refusal,
+  progress: Progress,
+): RequestOutcome {
+  const isBroken = scope.res.headersSent;
+  answerRefusal(scope.res, refusal);
+  return {
+    result: isBroken ? "broken" : refusal.code,
+    detail: refusal.message,
+    status: isBroken ? undefined : scope.res.statusCode,
+    ...summarise(progress),
+  };
+}
+
+/** What the log and the counters need of the progress. */
+export function summarise(
+  progress: Progress,
+): Pick<RequestOutcome, "replicas" | "waitedMs" | "firstByteMs"> {
+  const { replicas, waitedMs, firstByteMs } = progress;
+  return { replicas, waitedMs, firstByteMs };
+}
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -2,11 +2,12 @@
 import { type Holdings, rankByAffinity } from "@banyanspool/routing";
 import { type GatewaySettings, splitAddress } from "@banyanspool/settings";
 import { createSystemClock, sleep } from "@banyanspool/types";
-import type { GatewayState, ServerNews } from "@banyanspool/wire";
+import type { GatewayState } from "@banyanspool/wire";
 import type { GatewayContext } from "./context.ts";
 import { type GatewayReport, PeerExchange } from "./peer_exchange.ts";
 import type { EngineDesk } from "./engine_desk.ts";
 import type { FleetDemand } from "./placement_models.ts";
+import { decodeNews, encodeNews } from "./server_news.ts";
 import type { ServerChange, ServerRoster } from "./server_roster.ts";
 
 /** Options of {@link FleetExchange.create}. */
@@ -356,52 +357,3 @@
   }
   return false;
 }
-
-function encodeNews(change: ServerChange): ServerNews {
-  if (change.kind === "gone") {
-    return {
-      $typeName: "banyanspool.v1.ServerNews",
-      id: change.id,
-      version: BigInt(change.version),
-      gone: true,
-      service: "",
-      address: "",
-      dataCentre: "",
-      slots: 0,
-      leaving: true,
-      startedAt: 0n,
-    };
-  }
-  const { server, version } = change.listed;
-  return {
-    $typeName: "banyanspool.v1.ServerNews",
-    id: server.id,
-    version: BigInt(version),
-    gone: false,
-    service: server.service,
-    address: server.address,
-    dataCentre: server.dataCentre,
-    slots: server.slots,
-    leaving: server.leaving,
-    startedAt: BigInt(server.startedAt),
-  };
-}
-
-/** What it holds is left out: the placement holder tells that. */
-function decodeNews(news: ServerNews): ServerChange {
-  const version = Number(news.version);
-  if (news.gone) return { kind: "gone", id: news.id, version };
-  const { id, service, address, dataCentre, slots, leaving } = news;
-  const startedAt = Number(news.startedAt);
-  const server = {
-    id,
-    service,
-    address,
-    dataCentre,
-    slots,
-    leaving,
-    startedAt,
-    models: [],
-  };
-  return { kind: "listed", listed: { server, version } };
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,19 +1,10 @@
-import { createServer, type Server } from "node:http";
-import { FleetBucket } from "@banyanspool/limits";
+import type { Server } from "node:http";
 import { createEventLog, type EventLog } from "@banyanspool/logger";
-import { DemandMeter } from "@banyanspool/placement";
 import { Lease } from "@banyanspool/platform";
-import {
-  createTableStore,
-  READINESS_PATH,
-  StoreClient,
-} from "@banyanspool/platform-adapter";
-import { RetryBudget } from "@banyanspool/retry";
-import { ReplicaBoard } from "@banyanspool/routing";
+import { createTableStore, StoreClient } from "@banyanspool/platform-adapter";
 import { type GatewaySettings, splitAddress } from "@banyanspool/settings";
 import { Supervisor } from "@banyanspool/supervisor";
 import {
-  type Clock,
   createElapsedClock,
   createSystemClock,
   sleep,
@@ -21,8 +12,8 @@
 import { Pool } from "undici";
 import { ChangeSignal } from "./change_signal.ts";
 import { watchConfiguration } from "./configuration_watch.ts";
-import { ConnectionPools } from "./connection_pools.ts";
 import type { GatewayContext } from "./context.ts";
+import { createContext } from "./create_context.ts";
 import { EngineDesk } from "./engine_desk.ts";
 import { FleetState } from "./fleet_state.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
@@ -32,7 +23,7 @@
 import { PublicServer } from "./public_server.ts";
 import { ServerRoster } from "./server_roster.ts";
 import { watchServers } from "./server_watch.ts";
-import { WantedModels } from "./wanted_models.ts";
+import { listenMetrics, listenReadiness } from "./status_servers.ts";
 
 /** Options of {@link Gateway.create}. */
 export interface GatewayOptions {
@@ -54,17 +45,6 @@
 /** Connections to the store: two waiting calls and a few short ones. */
 const STORE_CONNECTIONS = 6;
 const STORE_CONNECT_TIMEOUT_MS = 800;
-/** Follows a shift of demand within seconds. */
-const DEMAND_FAST_WINDOW_MS = 3000;
-/** Keeps a model in place through a lull between its requests. */
-const DEMAND_SLOW_WINDOW_MS = 15_000;
-/** Part of an organisation's burst that a new process has at once. */
-const INITIAL_BURST_SHARE = 0.25;
-/** Part of the fleet's retry budget that is used. */
-const BUDGET_SHARE = 0.8;
-/** Part of a replica's connections that all gateways use together. */
-const CONNECTION_SHARE = 0.8;
-const MIN_CONNECTIONS = 8;
 /** Time for the balancer to send no more connections after a stop began, in ms. */
 const LEAVE_ROTATION_MS = 2600;
 /** Kept free before the process is killed, in ms. */
@@ -116,7 +96,14 @@
       clock: createElapsedClock(),
       rivalClock: clock,
     });
-    this.#ctx = this.#createContext({ clock, log, metrics, fleet });
+    this.#ctx = createContext({
+      cfg,
+      clock,
+      log,
+      metrics,
+      fleet,
+      liveCount: () => this.#exchange.liveCount,
+    });
     const desk = EngineDesk.create({
       lease: this.#lease,
       holder: cfg.instance,
@@ -164,13 +151,15 @@
 
   /** Starts servers and tasks. */
   async start(): Promise<void> {
-    const { log } = this.#ctx;
+    const { log, metrics } = this.#ctx;
     const cfg = this.#cfg;
     log.write("start", { data_centre: cfg.data_centre, pid: process.pid });
     await this.#exchange.listen();
     this.#startTasks();
-    await this.#listenReadiness();
-    await this.#listenMetrics();
+    this.#servers.push(
+      await listenReadiness(cfg.readiness_listen, () => this.#isReady),
+      await listenMetrics(cfg.metrics_listen, { metrics, log }),
+    );
     const { host, port } = splitAddress(cfg.public_listen);
     await this.#publicServer.listen(host, port);
   }
@@ -228,65 +217,6 @@
     this.#ctx.log.write("reload", {});
   }
 
-  #createContext(
-    { clock, log, metrics, fleet }: {
-      clock: Clock;
-      log: EventLog;
-      metrics: GatewayMetrics;
-      fleet: FleetState;
-    },
-  ): GatewayContext {
-    const cfg = this.#cfg;
-    const engineOf = (service: string) =>
-      fleet.inForce?.configuration.services.get(service)?.engine;
-    const budgets = new Map<string, RetryBudget>();
-    const burst = () =>
-      cfg.retry_burst * BUDGET_SHARE / this.#exchange.liveCount;
-    return {
-      clock,
-      sleep,
-      random: Math.random,
-      fleet,
-      board: ReplicaBoard.create({
-        clock,
-        random: Math.random,
-        dataCentre: cfg.data_centre,
-        kvCapacityOf: (service) => engineOf(service)?.kvCapacityTokens,
-      }),
-      bucket: FleetBucket.create({
-        clock,
-        initialShare: cfg.first_start ? 1 : INITIAL_BURST_SHARE,
-      }),
-      retryBudget: (service) => {
-        const known = budgets.get(service);
-        if (known) return known;
-        const budget = RetryBudget.create({
-          ratio: cfg.retry_ratio * BUDGET_SHARE,
-          burst,
-        });
-        budgets.set(service, budget);
-        return budget;
-      },
-      demand: DemandMeter.create({
-        clock,
-        fastWindowMs: DEMAND_FAST_WINDOW_MS,
-        slowWindowMs: DEMAND_SLOW_WINDOW_MS,
-      }),
-      wanted: WantedModels.create(),
-      pools: ConnectionPools.create({
-        connectionsFor: (service) => {
-          const spec = fleet.inForce?.configuration.services.get(service);
-          const most = spec?.maxConnections ?? Infinity;
-          if (!Number.isFinite(most)) return 1000;
-          const part = most * CONNECTION_SHARE / this.#exchange.liveCount;
-          return Math.max(MIN_CONNECTIONS, Math.floor(part));
-        },
-      }),
-      log,
-      metrics,
-    };
-  }
-
   #startTasks(): void {
     const { fleet, clock, log } = this.#ctx;
     const store = this.#store;
@@ -382,39 +312,4 @@
     return fleet.inForce !== undefined && fleet.hasServers &&
       !fleet.isStopping;
   }
-
-  async #listenReadiness(): Promise<void> {
-    await this.#listenAt(
-      this.#cfg.readiness_listen,
-      createServer((req, res) => {
-        const isFound = req.url === READINESS_PATH;
-        res.writeHead(isFound && this.#isReady ? 200 : isFound ? 503 : 404, {
-          "content-length": "0",
-        });
-        res.end();
-      }),
-    );
-  }
-
-  async #listenMetrics(): Promise<void> {
-    const { metrics, log } = this.#ctx;
-    await this.#listenAt(
-      this.#cfg.metrics_listen,
-      createServer(async (_req, res) => {
-        metrics.droppedLines.set(log.dropped());
-        const text = await metrics.registry.metrics();
-        res.writeHead(200, { "content-type": metrics.registry.contentType });
-        res.end(text);
-      }),
-    );
-  }
-
-  async #listenAt(address: string, server: Server): Promise<void> {
-    const { host, port } = splitAddress(address);
-    this.#servers.push(server);
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen({ host, port }, resolve);
-    });
-  }
 }
--- /dev/null
+++ b/packages/gateway/src/status_servers.ts
@@ -0,0 +1,47 @@
+import { createServer, type Server } from "node:http";
+import type { EventLog } from "@banyanspool/logger";
+import { READINESS_PATH } from "@banyanspool/platform-adapter";
+import { splitAddress } from "@banyanspool/settings";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+
+/** Answers the balancer, which asks whether to send connections here. */
+export async function listenReadiness(
+  address: string,
+  isReady: () => boolean,
+): Promise<Server> {
+  return await listen(
+    address,
+    createServer((req, res) => {
+      const isFound = req.url === READINESS_PATH;
+      res.writeHead(isFound && isReady() ? 200 : isFound ? 503 : 404, {
+        "content-length": "0",
+      });
+      res.end();
+    }),
+  );
+}
+
+/** Serves the metrics as Prometheus reads them. */
+export async function listenMetrics(
+  address: string,
+  { metrics, log }: { metrics: GatewayMetrics; log: EventLog },
+): Promise<Server> {
+  return await listen(
+    address,
+    createServer(async (_req, res) => {
+      metrics.droppedLines.set(log.dropped());
+      const text = await metrics.registry.metrics();
+      res.writeHead(200, { "content-type": metrics.registry.contentType });
+      res.end(text);
+    }),
+  );
+}
+
+async function listen(address: string, server: Server): Promise<Server> {
+  const { host, port } = splitAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen({ host, port }, resolve);
+  });
+  return server;
+}
