--- /dev/null
+++ b/packages/cli/bin/banyanspool.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
