Wait until a restarted agent is used before its answers are lost

Cause of five failures of once_test beside load: the test before it restarts an agent, and requests were all refused as not run while the entries still passed that agent over, so that none was unknown; the test then ended before it put its faults back, and four tests after it failed by that. Ruled out: a request that ran and was called not run; every count of runs was right. The assertion stays; the test waits for its precondition and cleans up in a teardown.

--- a/packages/system-tests/src/once_test.ts
+++ b/packages/system-tests/src/once_test.ts
@@ -141,8 +141,14 @@
 test.serial("a refusal after an attempt that may have run does not say not run", async (t) => {
   const { deployment } = t.context;
   const [loses, dies] = deployment.agents;
+  await deployment.waitUntilAgentServes(loses!);
   await deployment.setServiceFaults(loses!, { loseAnswers: 100 });
   await dies!.child.kill();
+  t.teardown(async () => {
+    await deployment.setServiceFaults(loses!, { loseAnswers: 0 });
+    await deployment.restartAgent(dies!);
+    await deployment.waitUntilReachable();
+  });
   const calls = Array.from({ length: 6 }, (_, index) => ({
     ...createCall(t.context, index % 2),
     path: "/stock",
@@ -153,9 +159,6 @@
     if (answer.ran === "no") t.is(runs, 0, answer.text);
   }
   t.true(answers.some(({ ran }) => ran === "unknown"));
-  await deployment.setServiceFaults(loses!, { loseAnswers: 0 });
-  await deployment.restartAgent(dies!);
-  await deployment.waitUntilReachable();
 });
 
 test.serial("a caller's own retry by another entry runs nothing twice", async (t) => {
--- a/packages/testbed/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -169,6 +169,25 @@
     }
   }
 
+  /**
+   * Waits until each entry sends requests to one agent's plain service, as a
+   * restarted agent is passed over at first.
+   */
+  async waitUntilAgentServes(agent: AgentHandle): Promise<void> {
+    const countSeen = async () => {
+      const state = await getJson<{ seen: string }>(`${agent.serviceUrl}/runs`);
+      return state.seen.length;
+    };
+    for (const { url, instance } of this.entries) {
+      const before = await countSeen();
+      await waitUntil(`${instance} uses the agent`, async () => {
+        const res = await request(`${url}/notices`);
+        await res.body.text();
+        return await countSeen() > before;
+      });
+    }
+  }
+
   /** Rows of the platform's list. */
   get listed(): readonly LiveInstance[] {
     return this.#listed;
