--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -47,6 +47,7 @@
     scope.arrivedAt + callerPatienceMs(scope.route) - ANSWER_RESERVE_MS,
   );
   const name = modelName(request);
+  if (!isServable(scope, request)) return err(refuseUnknownModel(request));
   let stopWanting: (() => void) | undefined;
   try {
     while (!scope.signal.aborted) {
@@ -65,6 +66,18 @@
   return err(refuse("cancelled", "The caller left or the time is over"));
 }
 
+/** Whether the service's engine lists the model at all. */
+function isServable({ inForce }: RequestScope, request: BoardRequest): boolean {
+  const { services } = inForce.configuration;
+  const engine = services.get(request.service)?.engine;
+  if (!engine || request.model === undefined) return true;
+  return engine.models.has(request.model);
+}
+
+function refuseUnknownModel({ model, service }: BoardRequest): Refusal {
+  return refuse("no_replica", `Service "${service}" has no model "${model}"`);
+}
+
 function checkWait(
   ctx: GatewayContext,
   scope: RequestScope,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -263,7 +263,6 @@
           store,
           instance: cfg.instance,
           host: splitAddress(cfg.peer_listen).host,
-          clock,
           sleep,
           log,
           onMember: (instance, host) => this.#exchange.addPeer(instance, host),
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -303,6 +303,17 @@
   t.deepEqual(replica.orders, ["load m2", "load m2/a1"]);
 });
 
+test("a model that the service does not list is refused at once", async (t) => {
+  const fleet = await startFleet(t);
+  await fleet.addReplica({ id: "i-1", service: "pool", holds: ["m1"] });
+  const { send } = await startGateway(t, fleet);
+  const startedAt = performance.now();
+  const res = await send("/chat/", chat("unheard-of"));
+  t.is(res.status, 503);
+  t.is(JSON.parse(res.body).error.ran, "no");
+  t.true(performance.now() - startedAt < 1500);
+});
+
 test("two gateways together keep an organisation to its rate", async (t) => {
   const fleet = await startFleet(t, { ratePerS: 100, burst: 200 });
   await fleet.addReplica({ id: "i-1", service: "desk" });
--- a/packages/gateway/src/member_table.ts
+++ b/packages/gateway/src/member_table.ts
@@ -1,6 +1,6 @@
 import type { StoreClient } from "@banyanspool/platform-adapter";
 import type { EventLog } from "@banyanspool/logger";
-import type { Clock, Sleep } from "@banyanspool/types";
+import type { Sleep } from "@banyanspool/types";
 import * as z from "zod";
 
 /** Options of {@link keepMembership}. */
@@ -11,8 +11,6 @@
   readonly instance: string;
   /** IP number of this instance. */
   readonly host: string;
-  /** Time source. */
-  readonly clock: Clock;
   /** Waits. */
   readonly sleep: Sleep;
   /** Structured log. */
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from "node:http";
-import type { Refusal, RefusalCode } from "@banyanspool/types";
+import type { Refusal } from "@banyanspool/types";
 import { HTTP_STATUS_BY_CODE } from "@banyanspool/types";
 
 const MS_PER_S = 1000;
@@ -38,13 +38,3 @@
   if (ran === "no") return status;
   return code === "deadline_passed" ? 504 : 502;
 }
-
-/** Codes after which a caller's own retry can help. */
-export const RETRY_HELPS: ReadonlySet<RefusalCode> = new Set<RefusalCode>([
-  "deadline_passed",
-  "no_replica",
-  "not_ready",
-  "overloaded",
-  "rate_exceeded",
-  "retry_budget_spent",
-]);
