--- /dev/null
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -0,0 +1,34 @@
+import test from "ava";
+import type { Route } from "@banyanspool/types";
+import { callerPatienceMs } from "./acquire_replica.ts";
+import { spreadRetryAfter } from "./refusals.ts";
+
+function route(options: Partial<Route>): Route {
+  return {
+    name: "r",
+    host: "a.example",
+    prefix: "/",
+    shares: [],
+    repetition: "never",
+    streaming: true,
+    timeoutMs: 15_000,
+    targetMs: 500,
+    pauseTargetMs: 400,
+    priority: 0,
+    maxAttempts: 1,
+    open: false,
+    ...options,
+  };
+}
+
+test("callers wait longest for streams with slow targets", (t) => {
+  t.is(callerPatienceMs(route({})), 3200);
+  t.is(callerPatienceMs(route({ targetMs: 4000 })), 16_000);
+  t.is(callerPatienceMs(route({ targetMs: 100, pauseTargetMs: 0 })), 2000);
+  t.is(callerPatienceMs(route({ streaming: false })), 15_000);
+});
+
+test("refused callers are spread over a quarter of the delay", (t) => {
+  t.is(spreadRetryAfter(400, () => 0), 400);
+  t.is(spreadRetryAfter(400, () => 0.999), 500);
+});
--- a/packages/platform/src/lease_test.ts
+++ b/packages/platform/src/lease_test.ts
@@ -66,3 +66,41 @@
   state.now += 10 * DURATION_MS;
   t.false(await leases[1]!.renew(), "its first look proves nothing");
 });
+
+function createTimedLeases() {
+  const state = { now: 0 };
+  const platform = MemoryPlatform.create();
+  const [first, second] = ["a", "b"].map((holder) =>
+    Lease.create({
+      table: platform.table,
+      key: "duty",
+      holder,
+      durationMs: 600,
+      takeoverMs: 850,
+      clock: { now: () => state.now, wall: () => state.now },
+    })
+  );
+  return { state, first: first!, second: second! };
+}
+
+test("a rival takes an unrenewed lease after its own takeover time", async (t) => {
+  const { state, first, second } = createTimedLeases();
+  t.true(await first.renew());
+  t.false(await second.renew());
+  state.now = 840;
+  t.false(await second.renew());
+  state.now = 860;
+  t.false(first.held);
+  t.true(await second.renew());
+});
+
+test("a lease that was given back is taken sooner, under a higher token", async (t) => {
+  const { state, first, second } = createTimedLeases();
+  await first.renew();
+  await first.release();
+  t.false(first.held);
+  t.false(await second.renew());
+  state.now = 260;
+  t.true(await second.renew());
+  t.is(second.fencingToken, 2);
+});
