--- a/packages/gateway/src/configuration_watch.ts
+++ b/packages/gateway/src/configuration_watch.ts
@@ -11,6 +11,7 @@
 import type { FleetConfiguration, Result, Sleep } from "@banyanspool/types";
 import type { ChangeSignal } from "./change_signal.ts";
 import type { FleetState } from "./fleet_state.ts";
+import { StoreHealth } from "./store_health.ts";
 
 /** Options of {@link watchConfiguration}. */
 export interface ConfigurationWatchOptions {
@@ -47,7 +48,7 @@
 ): Promise<void> {
   const { store, sleep, log } = options;
   let after: number | undefined;
-  let isLost = false;
+  const health = StoreHealth.create(log, CONFIGURATION_TABLE);
   while (!signal.aborted) {
     const res = after === undefined
       ? await store.readTable(CONFIGURATION_TABLE)
@@ -57,17 +58,13 @@
       continue;
     }
     if (!res.ok) {
-      if (!isLost) {
-        log.write("store lost", { table: CONFIGURATION_TABLE, ...res.error });
-      }
-      isLost = true;
+      health.markLost(res.error);
       // What changed while nothing was heard may be missing from the feed.
       after = undefined;
       await sleep(RETRY_MS, signal).catch(() => {});
       continue;
     }
-    if (isLost) log.write("store regained", { table: CONFIGURATION_TABLE });
-    isLost = false;
+    health.markRead();
     if ("kind" in res.value && res.value.kind === "historyLost") {
       log.write("store history lost", { table: CONFIGURATION_TABLE, after });
       after = undefined;
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -218,7 +218,7 @@
     peer: string,
   ): GatewayReport {
     const { ctx, desk, lease } = this.#options;
-    if (desk.isHolder) this.#applyOwnOffers();
+    this.#applyOwnOffers();
     const now = ctx.clock.now();
     return {
       news: this.#news
--- a/packages/gateway/src/server_watch.ts
+++ b/packages/gateway/src/server_watch.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from "@banyanspool/logger";
 import type { Clock, Sleep } from "@banyanspool/types";
 import type { ServerRoster } from "./server_roster.ts";
+import { StoreHealth } from "./store_health.ts";
 
 /** Options of {@link watchServers}. */
 export interface ServerWatchOptions {
@@ -41,21 +42,17 @@
   signal: AbortSignal,
 ): Promise<void> {
   const { store, roster, clock, sleep, log, onRead } = options;
-  let isLost = false;
+  const health = StoreHealth.create(log, SERVERS_TABLE);
   while (!signal.aborted) {
     const startedAt = clock.now();
     const res = await store.readTable(SERVERS_TABLE);
     if (!res.ok) {
-      if (!isLost) {
-        log.write("store lost", { table: SERVERS_TABLE, ...res.error });
-      }
-      isLost = true;
+      health.markLost(res.error);
       roster.markOutage();
       await sleep(RETRY_MS, signal).catch(() => {});
       continue;
     }
-    if (isLost) log.write("store regained", { table: SERVERS_TABLE });
-    isLost = false;
+    health.markRead();
     const listed = res.value.rows.flatMap((row) => {
       const server = decodeBackendServer(row);
       return server ? [{ server, version: row.version }] : [];
--- a/packages/routing/src/replica_board.ts
+++ b/packages/routing/src/replica_board.ts
@@ -78,7 +78,7 @@
   readonly random: Random;
   /** Data centre of this process. */
   readonly dataCentre: string;
-  /** Requests that one replica of the service processes at once. */
+  /** Tokens that the KV memory of a service's replicas holds, if known. */
   readonly kvCapacityOf: (service: string) => number | undefined;
 }
 
