Count limits in a sliding window over all gateways; describe the exchange once

The limit (8484 tokens a second, burst 68874) was kept as a token bucket, which allows the burst only once; the platform's rules state it as rate times window plus burst in any eight seconds. Ruled out: a wrong limit (the line 'configuration in force' now names changed limits, and they matched), shares between gateways (all 88 refusals were of the organisation whose limit had been lowered). Change: FleetWindow counts tokens in a sliding window of limit_window_ms. Near the limit each gateway takes only its part of the rest before it has told the others; a lowered limit is reached over one window; a silent gateway counts with an even share. The exchange builds its report once an announcement instead of once a peer, and a gateway that holds the duty applies its own offers once.

--- a/packages/gateway/src/admit_request.ts
+++ b/packages/gateway/src/admit_request.ts
@@ -74,7 +74,7 @@
   if (!organisation) return undefined;
   const giveUpAt = ctx.clock.now() + route.targetMs * REFILL_WAIT_SHARE;
   while (true) {
-    const taken = ctx.bucket.take(organisation, cost);
+    const taken = ctx.limits.take(organisation, cost);
     if (taken.kind === "taken") return undefined;
     if (ctx.clock.now() + taken.waitMs > giveUpAt || scope.signal.aborted) {
       const retryAfterMs = Math.min(LONGEST_RETRY_MS, taken.waitMs);
--- a/packages/gateway/src/configuration_watch.ts
+++ b/packages/gateway/src/configuration_watch.ts
@@ -120,11 +120,27 @@
     return;
   }
   const before = fleet.version;
+  const limitsBefore = fleet.inForce?.configuration.organisations;
   if (!fleet.accept(configuration)) return;
   log.write("configuration in force", {
     version: configuration.version,
     before,
     routes: configuration.routes.length,
+    limits: changedLimits(configuration, limitsBefore),
   });
   onAccepted(configuration);
 }
+
+/** Limits that differ from those before, as `rate+burst` by organisation. */
+function changedLimits(
+  { organisations }: FleetConfiguration,
+  before: FleetConfiguration["organisations"] | undefined,
+): Record<string, string> {
+  const changed: Record<string, string> = {};
+  for (const [name, { ratePerS, burst }] of organisations) {
+    const known = before?.get(name);
+    if (known?.ratePerS === ratePerS && known.burst === burst) continue;
+    changed[name] = `${ratePerS}+${burst}`;
+  }
+  return changed;
+}
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -1,4 +1,4 @@
-import { FleetBucket } from "@banyanspool/limits";
+import { FleetWindow } from "@banyanspool/limits";
 import type { EventLog } from "@banyanspool/logger";
 import { DemandMeter } from "@banyanspool/placement";
 import { RetryBudget } from "@banyanspool/retry";
@@ -58,9 +58,14 @@
       dataCentre: cfg.data_centre,
       kvCapacityOf: (service) => engineOf(service)?.kvCapacityTokens,
     }),
-    bucket: FleetBucket.create({
+    limits: FleetWindow.create({
       clock,
+      windowMs: cfg.limit_window_ms,
       initialShare: cfg.first_start ? 1 : INITIAL_BURST_SHARE,
+      overage: cfg.limit_overage,
+      slackTokens: cfg.limit_slack,
+      liveCount,
+      random: Math.random,
     }),
     retryBudget: (service) => {
       const known = budgets.get(service);
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -64,9 +64,9 @@
       host,
       port,
       clock: createSystemClock(),
-      sleep,
       log: ctx.log,
-      describe: (peer) => this.#describe(peer),
+      describe: () => this.#describe(),
+      describeTo: (peer) => this.#describeTo(peer),
       onState: (state) => this.#takeState(state),
       onDatagram: (direction) => ctx.metrics.datagrams.inc({ direction }),
     });
@@ -100,12 +100,18 @@
 
   /** Sends the state to all at once. */
   announce(): void {
+    this.#applyOwnOffers();
     this.#peers.announce();
+    this.#options.ctx.limits.markTold();
   }
 
   /** Sends the state again and again until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    await this.#peers.run(signal);
+    while (!signal.aborted) {
+      this.announce();
+      this.#peers.dropSilent();
+      await sleep(this.#peers.intervalMs, signal).catch(() => {});
+    }
   }
 
   /**
@@ -167,7 +173,7 @@
     this.#isPublishing = true;
     setImmediate(() => {
       this.#isPublishing = false;
-      this.#peers.announce();
+      this.announce();
     });
   }
 
@@ -214,11 +220,22 @@
     return own;
   }
 
-  #describe(
-    peer: string,
-  ): GatewayReport {
+  /** The holder of the duty alone hears what is wanted here. */
+  #describeTo(peer: string): Partial<GatewayReport> | undefined {
+    if (this.#holder?.instance !== peer) return undefined;
+    return {
+      demand: [...this.#ownDemand().values()].map((demand) => ({
+        $typeName: "banyanspool.v1.ModelDemandReport",
+        name: demand.model,
+        waiting: demand.waiting,
+        fastReplicas: demand.fastReplicas,
+        slowReplicas: demand.slowReplicas,
+      })),
+    };
+  }
+
+  #describe(): GatewayReport {
     const { ctx, desk, lease } = this.#options;
-    this.#applyOwnOffers();
     const now = ctx.clock.now();
     return {
       news: this.#news
@@ -239,20 +256,12 @@
           requests,
         })),
       })),
-      use: [...ctx.bucket.ownTotals].map(([organisation, tokens]) => ({
+      use: [...ctx.limits.ownTotals].map(([organisation, tokens]) => ({
         $typeName: "banyanspool.v1.OrganisationUse",
         organisation,
         tokens: BigInt(Math.round(tokens)),
       })),
-      demand: this.#holder?.instance !== peer
-        ? []
-        : [...this.#ownDemand().values()].map((demand) => ({
-          $typeName: "banyanspool.v1.ModelDemandReport",
-          name: demand.model,
-          waiting: demand.waiting,
-          fastReplicas: demand.fastReplicas,
-          slowReplicas: demand.slowReplicas,
-        })),
+      demand: [],
       heldModels: !desk.isHolder ? undefined : {
         $typeName: "banyanspool.v1.HeldModels",
         fencingToken: BigInt(lease.fencingToken),
@@ -279,7 +288,7 @@
         ),
       }])),
     );
-    ctx.bucket.recordReport({
+    ctx.limits.recordReport({
       instance: state.instance,
       incarnation: Number(state.incarnation),
       totals: new Map(
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -1,7 +1,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { EventLog } from "@banyanspool/logger";
-import type { Clock, Sleep } from "@banyanspool/types";
+import type { Clock } from "@banyanspool/types";
 import { type GatewayState, GatewayStateSchema } from "@banyanspool/wire";
 
 /** Another gateway. */
@@ -32,12 +32,12 @@
   readonly port: number;
   /** Time source. */
   readonly clock: Clock;
-  /** Waits. */
-  readonly sleep: Sleep;
   /** Structured log. */
   readonly log: EventLog;
-  /** What to tell a peer. */
-  readonly describe: (peer: string) => GatewayReport;
+  /** What to tell all peers; asked once for each announcement. */
+  readonly describe: () => GatewayReport;
+  /** What to tell one peer besides, if anything. */
+  readonly describeTo: (peer: string) => Partial<GatewayReport> | undefined;
   /** Called with each newer state of a peer. */
   readonly onState: (state: GatewayState) => void;
   /** Counts datagrams. */
@@ -136,39 +136,57 @@
 
   /** Sends the state to all peers at once. */
   announce(): void {
+    const report = this.#options.describe();
+    const bytes = this.#encode(report);
     for (const [instance, { host }] of this.#peers) {
-      this.#send(instance, host);
+      const extra = this.#options.describeTo(instance);
+      this.#send(extra ? this.#encode({ ...report, ...extra }) : bytes, host);
     }
   }
 
   /** Sends the state to one peer at once. */
   announceTo(instance: string): void {
     const peer = this.#peers.get(instance);
-    if (peer) this.#send(instance, peer.host);
+    if (!peer) return;
+    const { describe, describeTo } = this.#options;
+    const report = { ...describe(), ...describeTo(instance) };
+    this.#send(this.#encode(report), peer.host);
   }
 
-  /** Sends the state again and again until the signal is aborted. */
-  async run(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      this.announce();
-      this.#dropSilent();
-      const intervalMs = BASE_INTERVAL_MS +
-        INTERVAL_PER_PEER_MS * this.#peers.size;
-      await this.#options.sleep(intervalMs, signal).catch(() => {});
+  /** Time until the next announcement to all, in ms. */
+  get intervalMs(): number {
+    return BASE_INTERVAL_MS + INTERVAL_PER_PEER_MS * this.#peers.size;
+  }
+
+  /** Notes peers that have fallen silent, and forgets those long gone. */
+  dropSilent(): void {
+    const now = this.#options.clock.now();
+    for (const [instance, peer] of this.#peers) {
+      const silentMs = now - peer.heardAt;
+      if (peer.isHeard && silentMs > LOST_AFTER_MS) {
+        peer.isHeard = false;
+        this.#options.log.write("peer lost", { peer: instance });
+      }
+      if (Number.isFinite(silentMs) && silentMs > FORGET_AFTER_MS) {
+        this.#peers.delete(instance);
+      }
     }
   }
 
-  #send(instance: string, host: string): void {
-    const { describe, incarnation, port, onDatagram } = this.#options;
+  #encode(report: GatewayReport): Uint8Array {
     this.#sequence += 1n;
     const state = create(GatewayStateSchema, {
-      ...describe(instance),
+      ...report,
       instance: this.#options.instance,
-      incarnation: BigInt(incarnation),
+      incarnation: BigInt(this.#options.incarnation),
       sequence: this.#sequence,
     });
-    onDatagram("sent");
-    this.#socket.send(toBinary(GatewayStateSchema, state), port, host);
+    return toBinary(GatewayStateSchema, state);
+  }
+
+  #send(bytes: Uint8Array, host: string): void {
+    this.#options.onDatagram("sent");
+    this.#socket.send(bytes, this.#options.port, host);
   }
 
   #receive(bytes: Uint8Array, host: string): void {
@@ -201,20 +219,6 @@
     });
     onState(state);
   }
-
-  #dropSilent(): void {
-    const now = this.#options.clock.now();
-    for (const [instance, peer] of this.#peers) {
-      const silentMs = now - peer.heardAt;
-      if (peer.isHeard && silentMs > LOST_AFTER_MS) {
-        peer.isHeard = false;
-        this.#options.log.write("peer lost", { peer: instance });
-      }
-      if (Number.isFinite(silentMs) && silentMs > FORGET_AFTER_MS) {
-        this.#peers.delete(instance);
-      }
-    }
-  }
 }
 
 function isOlder(state: GatewayState, known: KnownPeer): boolean {
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -62,7 +62,7 @@
   if (refusal) return refuseRequest(scope, refusal, progress);
   const outcome = await runAttempts(startServing(ctx, scope, progress));
   if (progress.replicas.length === 0 && scope.organisation) {
-    ctx.bucket.refund(scope.organisation, scope.cost);
+    ctx.limits.refund(scope.organisation, scope.cost);
   }
   return outcome;
 }
--- /dev/null
+++ b/packages/limits/src/fleet_window.ts
@@ -0,0 +1,277 @@
+import type { Clock, OrganisationLimit } from "@banyanspool/types";
+
+/** What one entry tells the others of its use. */
+export interface UseReport {
+  /** Name of the entry's instance. */
+  readonly instance: string;
+  /** Incarnation of its process. */
+  readonly incarnation: number;
+  /** Tokens that it has admitted since its start, by organisation. */
+  readonly totals: ReadonlyMap<string, number>;
+}
+
+/** Options of {@link FleetWindow.create}. */
+export interface FleetWindowOptions {
+  /** Time source. */
+  readonly clock: Clock;
+  /** Length of the sliding window, in ms. */
+  readonly windowMs: number;
+  /** Part of a burst that is there at the start, before others were heard. */
+  readonly initialShare: number;
+  /** Part of what a window allows that approximate counting may go beyond. */
+  readonly overage: number;
+  /** Tokens that it may go beyond besides. */
+  readonly slackTokens: number;
+  /** Entries that were heard lately, this one included. */
+  readonly liveCount: () => number;
+  /** Random numbers from 0 to 1. */
+  readonly random: () => number;
+}
+
+/** Whether a request's tokens were taken. */
+export type TakeResult =
+  | { readonly kind: "taken" }
+  | { readonly kind: "short"; readonly waitMs: number };
+
+interface OrganisationUse {
+  limit: OrganisationLimit;
+  /** What the window allowed before the limit was last changed. */
+  allowedBefore: number;
+  changedAt: number;
+  /** Tokens admitted in each slot of the window; slots are reused in turn. */
+  readonly slots: Float64Array;
+  newestSlot: number;
+  sum: number;
+  /** Tokens of `sum` that this entry has not yet told the others. */
+  untold: number;
+  /** Drawn anew with each report, from 0 to 1. */
+  lot: number;
+}
+
+interface Peer {
+  incarnation: number;
+  heardAt: number;
+  readonly totals: Map<string, number>;
+}
+
+/** Use is forgotten in steps of a sixty-fourth of the window. */
+const SLOTS_PER_WINDOW = 64;
+/** One more, as a slot is only forgotten when all of it has left the window. */
+const SLOTS = SLOTS_PER_WINDOW + 1;
+/** Reports come a few times a second; three missed ones count as silence. */
+const SILENT_AFTER_MS = 600;
+/** Time from then on in which its even share comes to count as used. */
+const ASSUME_WITHIN_MS = 1000;
+/** An entry that was silent this long has stopped or serves nobody. */
+const GONE_AFTER_MS = 10_000;
+/** Requests up to this part of what a window allows count as small. */
+const SMALL_SHARE = 0.01;
+/** Small requests may go this part beyond what a window allows. */
+const SMALL_OVERAGE = 0.1;
+/** Part of the tolerance that entries may use up between two reports. */
+const UNTOLD_TOLERANCE = 0.5;
+const MS_PER_S = 1000;
+
+/**
+ * Rate and burst of each organisation over all entries: in any window of the
+ * given length, the rate over that window and one burst. Every entry counts
+ * what it admits and what the others say they admitted. Near the limit each
+ * takes no more than an even share of what is left before it has told the
+ * others, by lot where that is less than a request, so that many entries don't
+ * all spend the same rest. An entry that falls silent is taken to use an even
+ * share until it is heard again, so that two sides of a partition don't both
+ * spend the whole limit.
+ */
+export class FleetWindow {
+  readonly #options: FleetWindowOptions;
+  readonly #slotMs: number;
+  readonly #createdAt: number;
+  readonly #uses: Map<string, OrganisationUse> = new Map();
+  readonly #peers: Map<string, Peer> = new Map();
+  readonly #own: Map<string, number> = new Map();
+
+  private constructor(options: FleetWindowOptions) {
+    this.#options = options;
+    this.#slotMs = options.windowMs / SLOTS_PER_WINDOW;
+    this.#createdAt = options.clock.now();
+  }
+
+  /** Creates windows that know no other entry. */
+  static create(options: FleetWindowOptions): FleetWindow {
+    return new FleetWindow(options);
+  }
+
+  /** Tokens that this entry has admitted since its start. */
+  get ownTotals(): ReadonlyMap<string, number> {
+    return this.#own;
+  }
+
+  /** Notes that all other entries are being told the totals. */
+  markTold(): void {
+    for (const use of this.#uses.values()) {
+      use.untold = 0;
+      use.lot = this.#options.random();
+    }
+  }
+
+  /**
+   * Takes the tokens of a request, or says when there will be some. The last
+   * request before the window is full may go beyond it: otherwise small
+   * requests would keep large ones out for good. Small ones need not wait for
+   * that one to leave the window, up to a tenth more: a booking of a few
+   * tokens isn't held up by the documents of the same organisation.
+   */
+  take(limit: OrganisationLimit, tokens: number): TakeResult {
+    if (limit.ratePerS <= 0 && limit.burst <= 0) return { kind: "taken" };
+    const use = this.#advance(limit);
+    const allowed = this.#allowedNow(use);
+    const isSmall = tokens <= allowed * SMALL_SHARE;
+    const ceiling = isSmall ? allowed * (1 + SMALL_OVERAGE) : allowed;
+    const excess = use.sum + this.#assumedOfSilent(allowed) - ceiling;
+    if (excess >= 0) {
+      return { kind: "short", waitMs: this.#waitFor(use, excess) };
+    }
+    if (!isSmall && !this.#isWithinShare(use, tokens, allowed)) {
+      return { kind: "short", waitMs: this.#slotMs };
+    }
+    this.#count(use, tokens);
+    this.#countOwn(limit.name, tokens);
+    use.untold += tokens;
+    return { kind: "taken" };
+  }
+
+  /** Gives back the tokens of a request that was never sent on. */
+  refund(limit: OrganisationLimit, tokens: number): void {
+    const use = this.#uses.get(limit.name);
+    if (!use) return;
+    this.#count(use, -tokens);
+    this.#countOwn(limit.name, -tokens);
+    use.untold -= tokens;
+  }
+
+  /** Takes in what another entry reports. */
+  recordReport({ instance, incarnation, totals }: UseReport): void {
+    const now = this.#options.clock.now();
+    const peer = this.#peers.get(instance);
+    if (!peer) {
+      this.#peers.set(instance, {
+        incarnation,
+        heardAt: now,
+        totals: new Map(totals),
+      });
+      return;
+    }
+    if (peer.incarnation !== incarnation) peer.totals.clear();
+    for (const [organisation, total] of totals) {
+      const used = total - (peer.totals.get(organisation) ?? 0);
+      peer.totals.set(organisation, total);
+      const use = this.#uses.get(organisation);
+      if (!use || used === 0) continue;
+      this.#count(this.#advance(use.limit), used);
+    }
+    peer.incarnation = incarnation;
+    peer.heardAt = now;
+  }
+
+  /** Whether this entry's part of the rest is enough, by lot if it is less. */
+  #isWithinShare(
+    { sum, untold, lot }: OrganisationUse,
+    tokens: number,
+    allowed: number,
+  ): boolean {
+    const { overage, slackTokens, liveCount } = this.#options;
+    const tolerance = allowed * overage + slackTokens;
+    const rest = allowed - sum + untold + tolerance * UNTOLD_TOLERANCE;
+    const share = rest / liveCount() - untold;
+    return share >= tokens || lot * tokens < share;
+  }
+
+  #countOwn(organisation: string, tokens: number): void {
+    this.#own.set(organisation, (this.#own.get(organisation) ?? 0) + tokens);
+  }
+
+  #count(use: OrganisationUse, tokens: number): void {
+    const slot = use.newestSlot % SLOTS;
+    use.slots[slot] = (use.slots[slot] ?? 0) + tokens;
+    use.sum += tokens;
+  }
+
+  /** Drops what has left the window, and notes a changed limit. */
+  #advance(limit: OrganisationLimit): OrganisationUse {
+    const now = this.#options.clock.now();
+    const newestSlot = Math.floor(now / this.#slotMs);
+    const use = this.#uses.get(limit.name) ?? this.#createUse(limit);
+    if (
+      use.limit.ratePerS !== limit.ratePerS || use.limit.burst !== limit.burst
+    ) {
+      const allowed = this.#allowedNow(use);
+      use.limit = limit;
+      // A raised limit holds at once; a lowered one over the next window.
+      use.allowedBefore = Math.max(allowed, this.#target(limit));
+      use.changedAt = now;
+    }
+    const passed = Math.min(SLOTS, newestSlot - use.newestSlot);
+    for (let i = 1; i <= passed; i += 1) {
+      const slot = (use.newestSlot + i) % SLOTS;
+      use.sum -= use.slots[slot] ?? 0;
+      use.slots[slot] = 0;
+    }
+    use.newestSlot = newestSlot;
+    return use;
+  }
+
+  #createUse(limit: OrganisationLimit): OrganisationUse {
+    const created: OrganisationUse = {
+      limit,
+      allowedBefore: limit.burst * this.#options.initialShare,
+      changedAt: this.#createdAt,
+      slots: new Float64Array(SLOTS),
+      newestSlot: Math.floor(this.#options.clock.now() / this.#slotMs),
+      sum: 0,
+      untold: 0,
+      lot: this.#options.random(),
+    };
+    this.#uses.set(limit.name, created);
+    return created;
+  }
+
+  /**
+   * What the window allows now. After a change, and after a start that knows
+   * nothing of the use before it, it moves to the new figure over one window.
+   */
+  #allowedNow({ limit, allowedBefore, changedAt }: OrganisationUse): number {
+    const { clock, windowMs } = this.#options;
+    const passed = Math.min(1, (clock.now() - changedAt) / windowMs);
+    return allowedBefore + (this.#target(limit) - allowedBefore) * passed;
+  }
+
+  #target({ ratePerS, burst }: OrganisationLimit): number {
+    return ratePerS * this.#options.windowMs / MS_PER_S + burst;
+  }
+
+  /** An even share of the window for each entry that is silent. */
+  #assumedOfSilent(allowed: number): number {
+    const now = this.#options.clock.now();
+    let present = 1;
+    let silent = 0;
+    for (const { heardAt } of this.#peers.values()) {
+      const ageMs = now - heardAt;
+      if (ageMs >= GONE_AFTER_MS) continue;
+      present += 1;
+      const silentMs = ageMs - SILENT_AFTER_MS;
+      silent += Math.min(1, Math.max(0, silentMs / ASSUME_WITHIN_MS));
+    }
+    return allowed * silent / present;
+  }
+
+  /** Time until so many tokens have left the window. */
+  #waitFor(use: OrganisationUse, excess: number): number {
+    const now = this.#options.clock.now();
+    let left = excess;
+    for (let i = 1; i <= SLOTS; i += 1) {
+      left -= use.slots[(use.newestSlot + i) % SLOTS] ?? 0;
+      if (left < 0) return (use.newestSlot + i) * this.#slotMs - now;
+    }
+    return this.#options.windowMs;
+  }
+}
--- a/packages/limits/src/mod.ts
+++ b/packages/limits/src/mod.ts
@@ -16,9 +16,9 @@
   RateRefusal,
   SettleCall,
 } from "./limits.ts";
-export { FleetBucket } from "./fleet_bucket.ts";
+export { FleetWindow } from "./fleet_window.ts";
 export type {
-  FleetBucketOptions,
+  FleetWindowOptions,
   TakeResult,
   UseReport,
-} from "./fleet_bucket.ts";
+} from "./fleet_window.ts";
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -66,6 +66,9 @@
   lease_ms: z.number().positive(),
   retry_ratio: z.number().nonnegative(),
   retry_burst: z.number().nonnegative(),
+  limit_window_ms: z.number().positive(),
+  limit_overage: z.number().nonnegative(),
+  limit_slack: z.number().nonnegative(),
   log_lines_per_s: z.number().positive().default(400),
 });
 
