Give copies to models whose requests need the adapter places of several replicas

Change: models that should be resident are chosen by highest averages over replicas, a model wanting as many as its adapters in use and waited for need; missing ones load by how many requests wait for each replica to come.

--- a/packages/gateway/src/model_mover.ts
+++ b/packages/gateway/src/model_mover.ts
@@ -78,7 +78,6 @@
   plan(engine: EngineSpec, servers: readonly BackendServer[]): void {
     if (this.#isReportMissing(servers)) return;
     const { desk } = this.#options;
-    const demand = this.#options.demand();
     const reports = servers.flatMap((server) => {
       const state = desk.get(server.id);
       return state?.isSynced ? [describeEngine(state, engine)] : [];
@@ -91,7 +90,11 @@
       !this.isMoving(replica) && !desk.get(replica)!.isBusy;
     const idle = reports.filter(isIdle);
     const plan = assemblePlacementPlan({
-      models: listModels(engine, demand, reports),
+      models: listModels(engine, {
+        demand: this.#options.demand(),
+        reports,
+        adaptersInUse: this.#listAdaptersInUse(reports),
+      }),
       replicas: [
         ...idle,
         ...reports.filter((report) => !isIdle(report))
@@ -134,6 +137,13 @@
     return staying;
   }
 
+  #listAdaptersInUse(reports: readonly ReplicaReport[]): Set<string> {
+    const { board } = this.#options;
+    return new Set(
+      reports.flatMap(({ replica }) => [...board.workAt(replica).adapters]),
+    );
+  }
+
   /** Requests in flight by `replica model`. */
   #countUse(reports: readonly ReplicaReport[]): Map<string, number> {
     const use = new Map<string, number>();
--- a/packages/gateway/src/placement_models.ts
+++ b/packages/gateway/src/placement_models.ts
@@ -18,25 +18,41 @@
 /** Puts models that requests wait for before others, in replicas. */
 const WAITING_REPLICAS = 0.01;
 
+/** What is known when an engine's models are listed. */
+export interface ModelsView {
+  /** Demand by `model` or `model/adapter`. */
+  readonly demand: ReadonlyMap<string, FleetDemand>;
+  /** What replicas hold. */
+  readonly reports: readonly ReplicaReport[];
+  /** Adapters that requests in flight use, as `model/adapter`. */
+  readonly adaptersInUse: ReadonlySet<string>;
+}
+
 /** Lists an engine's models for the plan, with the demand for each. */
 export function listModels(
   engine: EngineSpec,
-  demand: ReadonlyMap<string, FleetDemand>,
-  reports: readonly ReplicaReport[],
+  { demand, reports, adaptersInUse }: ModelsView,
 ): PlacementModel[] {
+  const wantedAdapters = new Set(adaptersInUse);
   const waiting = new Map<string, number>();
   for (const [name, entry] of demand) {
     const model = name.split("/")[0]!;
     waiting.set(model, (waiting.get(model) ?? 0) + entry.waiting);
+    if (entry.waiting > 0 && name !== model) wantedAdapters.add(name);
   }
+  const adapterCounts = countByModel(wantedAdapters);
   const held = new Set(reports.flatMap(({ readyModels }) => readyModels));
   const staying = reports.filter(({ leaving }) => !leaving);
-  const isProtected = chooseProtectedModels(
+  const wantedReplicas = chooseProtectedModels(
     [...engine.models.keys()].map((name) => ({
       name,
       demand: demandOf(demand.get(name)),
       waiting: waiting.get(name) ?? 0,
       isHeld: held.has(name),
+      copies: Math.max(
+        1,
+        Math.ceil((adapterCounts.get(name) ?? 0) / engine.adapterSlots),
+      ),
     })),
     staying.length * countPlaces(engine),
   );
@@ -49,13 +65,23 @@
       name,
       weightsMib: weightsMb,
       contextKvMib: 0,
-      minReplicas: isProtected.has(name) ? 1 : 0,
+      minReplicas: wantedReplicas.get(name) ?? 0,
+      waiting: waiting.get(name),
       fastReplicas: fast,
       slowReplicas: slow,
     };
   });
 }
 
+function countByModel(adapters: ReadonlySet<string>): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const name of adapters) {
+    const model = name.split("/")[0]!;
+    counts.set(model, (counts.get(model) ?? 0) + 1);
+  }
+  return counts;
+}
+
 function demandOf(asked: FleetDemand | undefined): number {
   return Math.max(asked?.fastReplicas ?? 0, asked?.slowReplicas ?? 0);
 }
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -15,6 +15,8 @@
   readonly fastReplicas: number;
   /** Replicas that the last ten minutes' demand would keep busy. */
   readonly slowReplicas: number;
+  /** Requests that wait for it or for one of its adapters; 0 if absent. */
+  readonly waiting?: number;
 }
 
 /** What a plan is made from. */
@@ -68,9 +70,10 @@
 }
 
 /**
- * Plans the next few moves: first models that no replica holds, then those
- * with fewer copies than wanted, then copies of the model that loads the
- * busiest replica most, where the gain is worth the load.
+ * Plans the next few moves: first the models with fewer replicas than they
+ * should have, by how many requests wait for each, those that no replica holds
+ * before others; then copies of the model that loads the busiest replica most,
+ * where the gain is worth the load.
  */
 export function assemblePlacementPlan(
   view: PlacementView,
@@ -79,19 +82,17 @@
   const working = createWorking(view);
   const moves: PlacementMove[] = [];
   const room = () => options.maxMoves - moves.length - view.underWay.length;
-  for (const reason of ["reach", "copies"] as const) {
-    for (const model of findMissing(working, reason)) {
-      if (room() <= 0) return moves;
-      const local = [...working.replicas.values()]
-        .filter((report) => isLocal(report, view));
-      const kvShare = reason === "reach" ? 0 : options.kvShare;
-      const found = findRoom(model, local, {
-        view,
-        working,
-        options: { kvShare },
-      });
-      if (found) addMove(moves, { working, room: found, load: model, reason });
-    }
+  for (const { model, reason } of findMissing(working)) {
+    if (room() <= 0) return moves;
+    const local = [...working.replicas.values()]
+      .filter((report) => isLocal(report, view));
+    const kvShare = reason === "reach" ? 0 : options.kvShare;
+    const found = findRoom(model, local, {
+      view,
+      working,
+      options: { kvShare },
+    });
+    if (found) addMove(moves, { working, room: found, load: model, reason });
   }
   while (room() > 0) {
     const copy = findWorthyCopy(view, working, options);
@@ -140,19 +141,29 @@
   });
 }
 
-function findMissing(
-  working: Working,
-  reason: "reach" | "copies",
-): readonly string[] {
+interface Missing {
+  readonly model: string;
+  readonly reason: "reach" | "copies";
+}
+
+function findMissing(working: Working): readonly Missing[] {
   const counts = countReady([...working.replicas.values()]);
   return [...working.models.values()]
-    .filter((model) => {
+    .map((model) => {
       const count = counts.get(model.name) ?? 0;
-      if (model.minReplicas === 0) return false;
-      return reason === "reach" ? count === 0 : count < model.minReplicas;
+      const waitingPart = (model.waiting ?? 0) / (count + 1);
+      return { model, count, waitingPart };
     })
-    .sort((a, b) => demandOf(b) - demandOf(a))
-    .map((model) => model.name);
+    .filter(({ model, count }) => count < model.minReplicas)
+    .sort((a, b) =>
+      b.waitingPart - a.waitingPart ||
+      Math.sign(a.count) - Math.sign(b.count) ||
+      demandOf(b.model) - demandOf(a.model)
+    )
+    .map(({ model, count }) => ({
+      model: model.name,
+      reason: count === 0 ? "reach" : "copies",
+    }));
 }
 
 function findRoom(
--- a/packages/placement/src/protect.ts
+++ b/packages/placement/src/protect.ts
@@ -4,10 +4,12 @@
   readonly name: string;
   /** Demand in replicas. */
   readonly demand: number;
-  /** Requests that wait for it. */
+  /** Requests that wait for it or for one of its adapters. */
   readonly waiting: number;
   /** Whether a replica holds it. */
   readonly isHeld: boolean;
+  /** Replicas whose adapter places its requests need; 1 if absent. */
+  readonly copies?: number;
 }
 
 /** Part of all places that protected models may take; copies need the rest. */
@@ -18,20 +20,35 @@
 const HELD_BONUS = 1.3;
 
 /**
- * Chooses the models whose last replica must not be unloaded. With room for
- * all, that is every model; otherwise those that are waited for and then those
- * with the most demand, so that with more models than places the one that
- * nobody asked for lately makes way.
+ * Chooses how many replicas each model must keep. With room for all, every
+ * model keeps one; otherwise those that are waited for and then those with the
+ * most demand, so that with more models than places the one that nobody asked
+ * for lately makes way. Models whose requests need the adapter places of
+ * several replicas get further ones, each counting for as much as it adds to
+ * those there are (the method of highest averages).
  */
 export function chooseProtectedModels(
   candidates: readonly ProtectedCandidate[],
   places: number,
-): Set<string> {
-  const count = places >= candidates.length * ROOMY_FACTOR
-    ? candidates.length
-    : Math.floor(places * PROTECTED_SHARE);
-  const ranked = [...candidates].sort((a, b) => valueOf(b) - valueOf(a));
-  return new Set(ranked.slice(0, count).map(({ name }) => name));
+): Map<string, number> {
+  const isRoomy = places >= candidates.length * ROOMY_FACTOR;
+  const seats = candidates.flatMap((candidate) => {
+    const value = valueOf(candidate);
+    return Array.from({ length: candidate.copies ?? 1 }, (_, i) => ({
+      name: candidate.name,
+      value: isRoomy && i === 0 ? Infinity : value / (i + 1),
+    }));
+  });
+  seats.sort((a, b) => b.value - a.value);
+  const count = Math.max(
+    Math.floor(places * PROTECTED_SHARE),
+    isRoomy ? candidates.length : 0,
+  );
+  const chosen = new Map<string, number>();
+  for (const { name } of seats.slice(0, count)) {
+    chosen.set(name, (chosen.get(name) ?? 0) + 1);
+  }
+  return chosen;
 }
 
 function valueOf({ demand, waiting, isHeld }: ProtectedCandidate): number {
--- a/packages/placement/src/protect_test.ts
+++ b/packages/placement/src/protect_test.ts
@@ -18,7 +18,7 @@
 test("lost replicas, rare models at once: the least asked for makes way", (t) => {
   const demands = { busy: 2, a: 0.01, b: 0.02, c: 0.03, wanted: 0.001 };
   const chosen = chooseProtectedModels(models(demands, ["wanted"]), 5);
-  t.deepEqual([...chosen].sort(), ["b", "busy", "c", "wanted"]);
+  t.deepEqual([...chosen.keys()].sort(), ["b", "busy", "c", "wanted"]);
 });
 
 test("a held model isn't exchanged for one with hardly more demand", (t) => {
@@ -26,5 +26,27 @@
     { name: "held", demand: 0.1, waiting: 0, isHeld: true },
     { name: "new", demand: 0.11, waiting: 0, isHeld: false },
   ];
-  t.deepEqual([...chooseProtectedModels(candidates, 2)], ["held"]);
+  t.deepEqual([...chooseProtectedModels(candidates, 2).keys()], ["held"]);
+});
+
+test("more adapters in use than one replica has places: the hot model gets copies before rare ones get their first", (t) => {
+  const candidates = [
+    { name: "hot", demand: 0.3, waiting: 9, isHeld: true, copies: 3 },
+    { name: "rare", demand: 0.01, waiting: 1, isHeld: false },
+    { name: "idle", demand: 0.01, waiting: 0, isHeld: true },
+    { name: "idler", demand: 0, waiting: 0, isHeld: true },
+    { name: "idlest", demand: 0, waiting: 0, isHeld: true },
+  ];
+  const chosen = chooseProtectedModels(candidates, 5);
+  t.deepEqual(Object.fromEntries(chosen), { hot: 3, rare: 1 });
+});
+
+test("copies that nobody waits for don't push out what is asked for", (t) => {
+  const candidates = [
+    { name: "hot", demand: 0.3, waiting: 0, isHeld: true, copies: 4 },
+    { name: "a", demand: 0.2, waiting: 0, isHeld: true },
+    { name: "b", demand: 0.2, waiting: 0, isHeld: true },
+  ];
+  const chosen = chooseProtectedModels(candidates, 4);
+  t.deepEqual(Object.fromEntries(chosen), { hot: 1, a: 1, b: 1 });
 });
