--- a/packages/limits/src/fleet_window_test.ts
+++ b/packages/limits/src/fleet_window_test.ts
@@ -14,8 +14,12 @@
 const ALLOWED = 10_000;
 
 function createWindow(
-  { initialShare = 1, entries = 1, slackTokens = 1000, random = () => 0.999 } =
-    {},
+  {
+    initialShare = 1,
+    entries = 1,
+    slackTokens = 1000,
+    random = (): number => 0.999,
+  } = {},
 ) {
   let now = 0;
   const limits = FleetWindow.create({
--- /dev/null
+++ b/packages/soak/src/callers.ts
@@ -0,0 +1,95 @@
+import { Agent } from "node:http";
+import { createRandom } from "@banyanspool/bench";
+import {
+  type CallerCall,
+  callGateway,
+} from "@banyanspool/platform-adapter/testing";
+import type { Random } from "@banyanspool/types";
+import type { SoakFleet } from "./soak_fleet.ts";
+import type { Witness } from "./witness.ts";
+
+/** Options of {@link runCallers}. */
+export interface CallerOptions {
+  /** Where requests go. */
+  readonly fleet: SoakFleet;
+  /** Notes what is sent and answered. */
+  readonly witness: Witness;
+  /** Seed of what is asked. */
+  readonly seed: number;
+  /** Time since the run began, in ms. */
+  readonly now: () => number;
+}
+
+const CALLERS_PER_GATEWAY = 3;
+const DEADLINE_MS = 3000;
+/** Longest pause between two requests of a caller, in ms. */
+const PAUSE_MS = 40;
+const ROUTES = ["book", "look", "open", "chat"] as const;
+const MODELS = ["m1", "m2", "m1/a1"];
+
+/**
+ * Sends requests until the signal is aborted. Each caller keeps its connection
+ * open until the gateway closes it or its process is gone.
+ */
+export async function runCallers(
+  options: CallerOptions,
+  signal: AbortSignal,
+): Promise<void> {
+  const callers = options.fleet.gateways.flatMap((_, gateway) =>
+    Array.from(
+      { length: CALLERS_PER_GATEWAY },
+      (_, caller) => runCaller(options, { gateway, caller, signal }),
+    )
+  );
+  await Promise.all(callers);
+}
+
+async function runCaller(
+  { fleet, witness, seed, now }: CallerOptions,
+  { gateway, caller, signal }: {
+    gateway: number;
+    caller: number;
+    signal: AbortSignal;
+  },
+): Promise<void> {
+  const random = createRandom(seed * 1000 + gateway * 10 + caller);
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  const keys = new Set<string>();
+  let count = 0;
+  while (!signal.aborted) {
+    for (const key of fleet.keys) keys.add(key);
+    count += 1;
+    const id = `r${gateway}-${caller}-${count}`;
+    const call = drawCall(id, [...keys], random);
+    const { host, incarnation } = fleet.gateways[gateway]!;
+    witness.sent({ ...call, gateway, incarnation, atMs: now() });
+    const port = fleet.callerPort;
+    witness.answered(id, await callGateway(call, { host, port, agent }));
+    await new Promise((resolve) => setTimeout(resolve, random() * PAUSE_MS));
+  }
+  agent.destroy();
+}
+
+/** Draws a request; withdrawn keys are tried as well. */
+function drawCall(
+  id: string,
+  keys: readonly string[],
+  random: Random,
+): CallerCall {
+  const route = pick(ROUTES, random);
+  const key = random() < 0.5 ? keys[0] : pick(keys, random);
+  const isModelCall = route === "chat";
+  return {
+    id,
+    route,
+    key: route === "open" ? undefined : key,
+    model: isModelCall ? pick(MODELS, random) : undefined,
+    tokens: isModelCall ? [20, 10] : undefined,
+    deadlineMs: DEADLINE_MS,
+    body: route === "book" || isModelCall ? `body of ${id}` : undefined,
+  };
+}
+
+function pick<T>(items: readonly T[], random: Random): T {
+  return items[Math.floor(random() * items.length)]!;
+}
--- /dev/null
+++ b/packages/soak/src/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * Seeded faults against real gateways.
+ *
+ * @module
+ */
+export { runSeed } from "./run_seed.ts";
+export type { RunOptions, SeedResult } from "./run_seed.ts";
+export { drawSchedule } from "./schedule.ts";
+export type {
+  FaultKind,
+  FaultStep,
+  LinkFault,
+  ScheduleOptions,
+} from "./schedule.ts";
+export type { PlantedFault } from "./planted_fault.ts";
+export { Witness } from "./witness.ts";
+export type { BrokenPromise, SentCall, WitnessBounds } from "./witness.ts";
--- /dev/null
+++ b/packages/soak/src/run_seed.ts
@@ -0,0 +1,242 @@
+import {
+  callGateway,
+  STANDIN_KEY,
+} from "@banyanspool/platform-adapter/testing";
+import { runCallers } from "./callers.ts";
+import type { PlantedFault } from "./planted_fault.ts";
+import { drawSchedule, type FaultStep } from "./schedule.ts";
+import { REPLICA_SERVICES, SoakFleet, type SoakGateway } from "./soak_fleet.ts";
+import { type BrokenPromise, Witness } from "./witness.ts";
+
+/** Options of {@link runSeed}. */
+export interface RunOptions {
+  /** Time in which faults begin, in ms. */
+  readonly durationMs: number;
+  /** Gateways. */
+  readonly gateways: number;
+  /** Fault planted in the gateways on purpose; then no others come. */
+  readonly planted?: PlantedFault;
+}
+
+/** What one run showed. */
+export interface SeedResult {
+  /** Its seed. */
+  readonly seed: number;
+  /** Faults that came. */
+  readonly steps: readonly FaultStep[];
+  /** Requests sent. */
+  readonly sent: number;
+  /** Answers by status. */
+  readonly answers: ReadonlyMap<string, number>;
+  /** Promises that were broken. */
+  readonly broken: readonly BrokenPromise[];
+}
+
+/** Twice what the users state, as the machine may be busy, in ms. */
+const APPLY_MS = 4000;
+const CONTACT_MS = 3000;
+const DRAIN_MS = 4000;
+/** A leaving replica stays this long after its notice, in ms. */
+const LEAVING_MS = 1500;
+/** Time for everything to be served again after the last fault, in ms. */
+const RECOVER_MS = 30_000;
+const RECOVER_POLL_MS = 100;
+
+/** Runs the faults of one seed against a fresh deployment. */
+export async function runSeed(
+  seed: number,
+  { durationMs, gateways, planted }: RunOptions,
+): Promise<SeedResult> {
+  const startedAt = performance.now();
+  const now = () => Math.round(performance.now() - startedAt);
+  const witness = Witness.create({
+    applyMs: APPLY_MS,
+    contactMs: CONTACT_MS,
+    drainMs: DRAIN_MS,
+  });
+  const fleet = await SoakFleet.create({ gateways, planted, witness, now });
+  const replicas = REPLICA_SERVICES.length;
+  const steps = planted
+    ? plantedSteps(durationMs)
+    : drawSchedule(seed, { durationMs, gateways, replicas });
+  const isOver = new AbortController();
+  const callers = runCallers({ fleet, witness, seed, now }, isOver.signal);
+  const beganAt = now();
+  const run = { fleet, witness, now };
+  await Promise.all([
+    sleep(durationMs),
+    ...steps.map(async (step) => {
+      await sleep(beganAt + step.atMs - now());
+      await takeStep(step, run);
+    }),
+  ]);
+  await awaitRecovery(run);
+  isOver.abort();
+  await callers;
+  const codes = await fleet.stop();
+  for (const [index, code] of codes.entries()) {
+    if (code !== 0) {
+      witness.failed("a stop is clean", `gateway-${index}: ${code}`);
+    }
+  }
+  return {
+    seed,
+    steps,
+    sent: witness.sentCount,
+    answers: witness.countAnswers(),
+    broken: witness.broken,
+  };
+}
+
+interface Run {
+  readonly fleet: SoakFleet;
+  readonly witness: Witness;
+  readonly now: () => number;
+}
+
+/** Keys are withdrawn early, so that an old configuration shows. */
+function plantedSteps(durationMs: number): FaultStep[] {
+  return [0, 0.1].map((part) => ({
+    atMs: part * durationMs,
+    forMs: 0,
+    kind: "withdrawKey",
+    target: 0,
+    link: "reset",
+  }));
+}
+
+async function takeStep(step: FaultStep, run: Run): Promise<void> {
+  const { fleet, witness, now } = run;
+  const { kind, target, forMs, link } = step;
+  const from = now();
+  const { store } = fleet.platform;
+  switch (kind) {
+    case "kill":
+    case "stop":
+    case "pause":
+    case "hangup":
+    case "clockStep":
+    case "storeLink":
+      await disturbGateway(step, run);
+      witness.disturbed(target, from, now());
+      return;
+    case "storeBusy":
+    case "storeSilent":
+    case "storeLosesAnswers":
+      store.fault = STORE_FAULTS[kind];
+      await sleep(forMs);
+      store.fault = "none";
+      return disturbAll(run, from);
+    case "storeForgets":
+      store.forgetHistory();
+      return disturbAll(run, from);
+    case "replicaLink":
+      fleet.replicas[target]!.link.disturb(link);
+      await sleep(forMs);
+      fleet.replicas[target]!.link.heal();
+      return;
+    case "replicaCrash":
+      return await fleet.restartReplica(fleet.replicas[target]!);
+    case "replicaDrain":
+      fleet.announceLeaving(fleet.replicas[target]!);
+      await sleep(LEAVING_MS);
+      return await fleet.replaceReplica(fleet.replicas[target]!);
+    case "lateOrders":
+      fleet.replicas[target]!.standin.unansweredOrders += 2;
+      return;
+    case "withdrawKey":
+      return fleet.exchangeKey();
+    case "moveRoutes":
+      return fleet.moveRoutes();
+  }
+}
+
+const STORE_FAULTS = {
+  storeBusy: "busy",
+  storeSilent: "silent",
+  storeLosesAnswers: "loseAnswers",
+} as const;
+
+function disturbAll({ fleet, witness, now }: Run, from: number): void {
+  for (const index of fleet.gateways.keys()) {
+    witness.disturbed(index, from, now());
+  }
+}
+
+/** Steps of one gateway that overlap wait for each other to end. */
+const busy = new WeakMap<SoakGateway, Promise<void>>();
+
+async function disturbGateway(step: FaultStep, { fleet }: Run): Promise<void> {
+  const gateway = fleet.gateways[step.target]!;
+  const turn = (busy.get(gateway) ?? Promise.resolve())
+    .then(() => disturbProcess(step, { gateway, fleet }));
+  busy.set(gateway, turn);
+  await turn;
+}
+
+async function disturbProcess(
+  { kind, forMs, link }: FaultStep,
+  { gateway, fleet }: { gateway: SoakGateway; fleet: SoakFleet },
+): Promise<void> {
+  switch (kind) {
+    case "kill":
+      await gateway.child.kill();
+      return await fleet.restartGateway(gateway);
+    case "stop":
+      await gateway.child.stop();
+      return await fleet.restartGateway(gateway);
+    case "pause":
+      gateway.child.signal("SIGSTOP");
+      await sleep(forMs);
+      gateway.child.signal("SIGCONT");
+      return;
+    case "hangup":
+      gateway.child.signal("SIGHUP");
+      return;
+    case "clockStep":
+      gateway.child.signal("SIGUSR2");
+      await sleep(forMs);
+      gateway.child.signal("SIGUSR2");
+      return;
+    default:
+      gateway.storeLink.disturb(link);
+      await sleep(forMs);
+      gateway.storeLink.heal();
+  }
+}
+
+/** Once nothing is disturbed, every gateway serves every route again. */
+async function awaitRecovery({ fleet, witness, now }: Run): Promise<void> {
+  const until = now() + RECOVER_MS;
+  let probes = 0;
+  for (const [gateway, { host, incarnation }] of fleet.gateways.entries()) {
+    for (const route of ["book", "look", "chat"] as const) {
+      let isServed = false;
+      while (!isServed && now() < until) {
+        probes += 1;
+        const id = `probe-${probes}`;
+        const call = {
+          id,
+          route,
+          key: STANDIN_KEY,
+          model: route === "chat" ? "m2" : undefined,
+          deadlineMs: 2000,
+          body: route === "look" ? undefined : "probe",
+        };
+        witness.sent({ ...call, gateway, incarnation, atMs: now() });
+        const port = fleet.callerPort;
+        const answer = await callGateway(call, { host, port });
+        witness.answered(id, answer);
+        isServed = answer.status === 200;
+        if (!isServed) await sleep(RECOVER_POLL_MS);
+      }
+      if (!isServed) {
+        witness.failed("all is served again", `${route} at gateway-${gateway}`);
+      }
+    }
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
+}
--- /dev/null
+++ b/packages/soak/src/witness.ts
@@ -0,0 +1,216 @@
+import type {
+  CallerAnswer,
+  SeenCall,
+} from "@banyanspool/platform-adapter/testing";
+import { promisesNotRun } from "@banyanspool/platform-adapter/testing";
+
+/** A promise that was broken. */
+export interface BrokenPromise {
+  /** Which promise, in a few words. */
+  readonly promise: string;
+  /** What was seen. */
+  readonly detail: string;
+}
+
+/** A request as it was sent. */
+export interface SentCall {
+  /** Id of the attempt. */
+  readonly id: string;
+  /** Route. */
+  readonly route: string;
+  /** Key, if it bore one. */
+  readonly key?: string;
+  /** Index of the gateway. */
+  readonly gateway: number;
+  /** Which of the gateway's processes, counted from 0. */
+  readonly incarnation: number;
+  /** When it was sent, in ms. */
+  readonly atMs: number;
+}
+
+/** Bounds of the promises that have one. */
+export interface WitnessBounds {
+  /** Time in which a configuration must be in force, in ms. */
+  readonly applyMs: number;
+  /** Time without disturbance before a gateway is held to a bound, in ms. */
+  readonly contactMs: number;
+  /** Time after a notice of leaving in which requests may still come, in ms. */
+  readonly drainMs: number;
+}
+
+interface Run {
+  readonly seen: SeenCall;
+  readonly replica: string;
+  readonly atMs: number;
+}
+
+/**
+ * What callers and replicas saw in one run, and which promises it breaks. Only
+ * what crossed a socket counts; nothing is asked of the gateways themselves.
+ */
+export class Witness {
+  readonly #bounds: WitnessBounds;
+  readonly #sent: Map<string, SentCall> = new Map();
+  readonly #answers: Map<string, CallerAnswer> = new Map();
+  readonly #runs: Map<string, Run[]> = new Map();
+  readonly #owners: Map<string, string> = new Map();
+  readonly #withdrawn: Map<string, number> = new Map();
+  readonly #leaving: Map<string, number> = new Map();
+  readonly #disturbed: { gateway: number; from: number; to: number }[] = [];
+  readonly #broken: Map<string, BrokenPromise> = new Map();
+
+  private constructor(bounds: WitnessBounds) {
+    this.#bounds = bounds;
+  }
+
+  /** Creates a witness that has seen nothing. */
+  static create(bounds: WitnessBounds): Witness {
+    return new Witness(bounds);
+  }
+
+  /** Requests sent so far. */
+  get sentCount(): number {
+    return this.#sent.size;
+  }
+
+  /** Answers so far by status; `cut` for connections that ended early. */
+  countAnswers(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const { status, isWhole } of this.#answers.values()) {
+      const name = status === undefined || !isWhole ? "cut" : String(status);
+      counts.set(name, (counts.get(name) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  /** Notes whose key it is. */
+  granted(key: string, organisation: string): void {
+    this.#owners.set(key, organisation);
+  }
+
+  /** Notes when the store took the withdrawal of a key. */
+  withdrawn(key: string, atMs: number): void {
+    this.#withdrawn.set(key, atMs);
+  }
+
+  /** Notes when the store took a replica's notice of leaving. */
+  leaving(replica: string, atMs: number): void {
+    this.#leaving.set(replica, atMs);
+  }
+
+  /** Notes when a gateway, its links or the store were disturbed. */
+  disturbed(gateway: number, from: number, to: number): void {
+    this.#disturbed.push({ gateway, from, to });
+  }
+
+  /** Notes a request of a caller. */
+  sent(call: SentCall): void {
+    this.#sent.set(call.id, call);
+  }
+
+  /** Notes a request that a replica runs. */
+  ran(seen: SeenCall, replica: string, atMs: number): void {
+    const runs = this.#runs.get(seen.id) ?? [];
+    runs.push({ seen, replica, atMs });
+    this.#runs.set(seen.id, runs);
+    const sent = this.#sent.get(seen.id);
+    if (!sent) {
+      this.#report("only what was asked runs", seen.id);
+      return;
+    }
+    if (seen.hasKey) this.#report("no key is passed on", seen.id);
+    const owner = sent.key === undefined
+      ? undefined
+      : this.#owners.get(sent.key);
+    if (sent.route !== "open" && seen.organisation !== owner) {
+      const detail = `${seen.id} ran for "${seen.organisation}"`;
+      this.#report("a request runs for the key's owner", detail);
+    }
+    if (sent.route === "book" && runs.length > 1) {
+      const replicas = runs.map((run) => run.replica).join(", ");
+      this.#report("at most once", `${seen.id} ran at ${replicas}`);
+    }
+    this.#checkNotRun(seen.id);
+    this.#checkKey(sent, atMs);
+    this.#checkDrain(sent, replica, atMs);
+  }
+
+  /** Notes a caller's answer. */
+  answered(id: string, answer: CallerAnswer): void {
+    this.#answers.set(id, answer);
+    const { status, isWhole, stamp, text } = answer;
+    this.#checkNotRun(id);
+    if (status !== 200 || !isWhole) return;
+    const runs = this.#runs.get(id) ?? [];
+    const isOwn = runs.some(({ replica }) => stamp === `stamp-of-${replica}`);
+    if (!isOwn) this.#report("success is a replica's", `${id}: ${stamp}`);
+    const parts = text.match(/\S+ (begins|ends)/g) ?? [];
+    if (parts.join() !== `${id} begins,${id} ends`) {
+      this.#report("answers are whole and one's own", `${id}: "${text}"`);
+    }
+  }
+
+  /** Notes that something else went wrong. */
+  failed(promise: string, detail: string): void {
+    this.#report(promise, detail);
+  }
+
+  /** The promises that were broken so far, each once for each detail. */
+  get broken(): readonly BrokenPromise[] {
+    return [...this.#broken.values()];
+  }
+
+  #checkNotRun(id: string): void {
+    const answer = this.#answers.get(id);
+    const runs = this.#runs.get(id);
+    const isSafe = this.#sent.get(id)?.route !== "book";
+    if (!answer || !runs || isSafe || !promisesNotRun(answer)) return;
+    this.#report("not run means not run", `${id} got ${answer.status}`);
+  }
+
+  /** A withdrawn key must stop working, and never work again. */
+  #checkKey(sent: SentCall, atMs: number): void {
+    const withdrawnAt = this.#withdrawn.get(sent.key ?? "");
+    if (withdrawnAt === undefined || sent.atMs < withdrawnAt) return;
+    const { applyMs, contactMs } = this.#bounds;
+    const detail = `${sent.id} ran by "${sent.key}" at gateway ` +
+      `${sent.gateway}, ${atMs - withdrawnAt} ms after the withdrawal`;
+    const isCalm = this.#isCalm(sent.gateway, {
+      from: withdrawnAt - contactMs,
+      to: sent.atMs,
+    });
+    if (sent.atMs > withdrawnAt + applyMs && isCalm) {
+      this.#report("a withdrawn key stops working", detail);
+    }
+    for (const [id, { status }] of this.#answers) {
+      const earlier = this.#sent.get(id);
+      if (status !== 401 || !earlier || earlier.key !== sent.key) continue;
+      if (earlier.gateway !== sent.gateway) continue;
+      if (earlier.incarnation !== sent.incarnation) continue;
+      if (earlier.atMs < sent.atMs) {
+        this.#report("no configuration comes back", detail);
+      }
+    }
+  }
+
+  #checkDrain(sent: SentCall, replica: string, atMs: number): void {
+    const leftAt = this.#leaving.get(replica);
+    if (leftAt === undefined || sent.atMs < leftAt) return;
+    const { drainMs, contactMs } = this.#bounds;
+    if (atMs <= leftAt + drainMs) return;
+    const span = { from: leftAt - contactMs, to: atMs };
+    if (!this.#isCalm(sent.gateway, span)) return;
+    const detail = `${sent.id} came to ${replica} ${atMs - leftAt} ms later`;
+    this.#report("nothing comes to a replica that has left", detail);
+  }
+
+  #isCalm(gateway: number, { from, to }: { from: number; to: number }) {
+    return !this.#disturbed.some((span) =>
+      span.gateway === gateway && span.from < to && span.to > from
+    );
+  }
+
+  #report(promise: string, detail: string): void {
+    this.#broken.set(`${promise}: ${detail}`, { promise, detail });
+  }
+}
