--- /dev/null
+++ b/packages/audit/src/follow_request_test.ts
@@ -0,0 +1,90 @@
+import test from "ava";
+import { followRequest } from "./follow_request.ts";
+
+function line(
+  time: number,
+  event: string,
+  fields: Record<string, unknown> = {},
+): string {
+  return JSON.stringify({ level: 30, time, instance: "g-1", event, ...fields });
+}
+
+function events(lines: string[]): string[] {
+  return followRequest("r1", lines).around.map(({ event }) => event);
+}
+
+const REQUEST = line(20_000, "request", {
+  id: "r1",
+  model: "m1",
+  adapter: "a1",
+  replicas: ["i-1"],
+  took_ms: 3000,
+});
+
+test("a request's lines come from all files in order of time", (t) => {
+  const { own } = followRequest("r1", [
+    REQUEST,
+    line(19_000, "attempt", { id: "r1", replica: "i-1" }),
+    line(19_500, "attempt", { id: "r2", replica: "i-1" }),
+  ]);
+  t.deepEqual(own.map(({ event }) => event), ["attempt", "request"]);
+});
+
+test("what bears on it: its replica, model, adapter, limits, store and holder", (t) => {
+  t.deepEqual(
+    events([
+      REQUEST,
+      line(10_000, "configuration in force", { limits: { acme: "1+1" } }),
+      line(11_000, "replica ejected", { replica: "i-1" }),
+      line(12_000, "model move", { load: "m1", unload: [], replica: "i-2" }),
+      line(13_000, "model move", { load: "m2", unload: ["m1"] }),
+      line(14_000, "engine order", { model: "m1", operation: "load" }),
+      line(15_000, "adapter load", { adapter: "m1/a1" }),
+      line(16_000, "engine order", { model: "m1", adapter: "a1" }),
+      line(17_000, "store lost", { table: "op" }),
+      line(18_000, "placement lease lost"),
+    ]),
+    [
+      "configuration in force",
+      "replica ejected",
+      "model move",
+      "model move",
+      "engine order",
+      "adapter load",
+      "engine order",
+      "store lost",
+      "placement lease lost",
+    ],
+  );
+});
+
+test("what does not bear on it is left out", (t) => {
+  t.deepEqual(
+    events([
+      REQUEST,
+      line(1000, "store lost", { table: "op" }),
+      line(30_000, "store lost", { table: "op" }),
+      line(15_000, "replica ejected", { replica: "i-9" }),
+      line(15_000, "model move", { load: "m9", unload: [] }),
+      line(15_000, "adapter load", { adapter: "m1/a9" }),
+      line(15_000, "store lost", { instance: "g-2" }),
+    ]),
+    [],
+  );
+});
+
+test("lines that are no JSON are counted and do no harm", (t) => {
+  const { own, unreadable } = followRequest("r1", [
+    REQUEST,
+    "ready g-1",
+    '{"half":',
+    "",
+  ]);
+  t.is(own.length, 1);
+  t.is(unreadable, 2);
+});
+
+test("an id that is in no log has no trail", (t) => {
+  const { own, around } = followRequest("r9", [REQUEST]);
+  t.deepEqual([own, around], [[], []]);
+});
--- a/packages/audit/src/mod.ts
+++ b/packages/audit/src/mod.ts
@@ -14,3 +14,5 @@
   DecisionFilter,
   ReadOutcome,
 } from "./read.ts";
+export { followRequest, parseEventLine } from "./follow_request.ts";
+export type { EventLine, RequestTrail } from "./follow_request.ts";
