Ask a replica that failed requests somewhere for its report

Ruled out: the ceiling of loads (idle then), places (two free). Change: two missing reports in a row make a replica count as lost until it answers again; gateways tell which replicas failed them, and the holder asks such a replica for its report, once a second at most.

--- a/packages/gateway/src/engine_desk.ts
+++ b/packages/gateway/src/engine_desk.ts
@@ -47,6 +47,10 @@
 
 /** Reports are some hundred ms old; an order shows in them after this. */
 const REPORT_LAG_MS = 350;
+/** Reports missing in a row after which an engine counts as lost. */
+const MISSING_REPORTS = 2;
+/** Shortest time between two reports that are read on a suspicion, in ms. */
+const SUSPICION_INTERVAL_MS = 1000;
 /** How often the report is read while an order is being carried out, in ms. */
 const REPORT_INTERVAL_MS = 100;
 /**
@@ -111,6 +115,19 @@
     }
   }
 
+  /**
+   * Reads the report of a replica that failed requests somewhere. The list
+   * keeps a crashed one for several heartbeats; its models are missed sooner.
+   */
+  suspect(replica: string): void {
+    const state = this.#engines.get(replica);
+    if (!state?.isSynced || state.queuedOrders > 0) return;
+    const now = this.#options.clock.now();
+    if (now - state.askedAt < SUSPICION_INTERVAL_MS) return;
+    state.askedAt = now;
+    this.enqueue(state, () => this.#sync(state));
+  }
+
   #followOne(server: BackendServer): void {
     const known = this.#engines.get(server.id);
     if (known?.server.startedAt !== server.startedAt) {
@@ -217,8 +234,10 @@
   }
 
   async #sync(state: EngineState): Promise<void> {
-    const { pools, log, sleep } = this.#options;
+    const { pools, log, sleep, clock } = this.#options;
+    let missing = 0;
     while (this.isHolder && this.#isKnown(state)) {
+      state.askedAt = clock.now();
       const read = await readEngineReport(
         state.server,
         pools.of(state.server).pool,
@@ -228,10 +247,18 @@
         this.notify();
         return;
       }
+      missing += 1;
+      const isLost = state.isSynced && missing >= MISSING_REPORTS;
       log.write("engine report missing", {
         replica: state.server.id,
+        missing,
+        lost: isLost || undefined,
         detail: read.error,
       });
+      if (isLost) {
+        state.isSynced = false;
+        this.notify();
+      }
       await sleep(REPORT_LAG_MS);
     }
   }
--- a/packages/gateway/src/engine_state.ts
+++ b/packages/gateway/src/engine_state.ts
@@ -21,8 +21,10 @@
   acceptedOrders: number;
   /** Models of which it has a copy at hand, so that a load is quick. */
   localCopies: ReadonlySet<string>;
-  /** Whether the state rests on a report of this life. */
+  /** Whether the state rests on a report of this life that still stands. */
   isSynced: boolean;
+  /** When its report was last asked for. */
+  askedAt: number;
   /** Whether a model order is being carried out. */
   isBusy: boolean;
   /** Tail of the orders to this replica, one after the other. */
@@ -47,6 +49,7 @@
     acceptedOrders: 0,
     localCopies: new Set(),
     isSynced: false,
+    askedAt: listedAt,
     isBusy: false,
     orders: Promise.resolve(),
     queuedOrders: 0,
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -100,9 +100,11 @@
 
   /** Sends the state to all at once. */
   announce(): void {
+    const { desk, ctx } = this.#options;
+    for (const id of ctx.board.suspected()) desk.suspect(id);
     this.#applyOwnOffers();
     this.#peers.announce();
-    this.#options.ctx.limits.markTold();
+    ctx.limits.markTold();
   }
 
   /** Sends the state again and again until the signal is aborted. */
@@ -256,6 +258,7 @@
           requests,
         })),
       })),
+      suspected: ctx.board.suspected(),
       knowsWindow: ctx.limits.knowsWindow,
       use: [...ctx.limits.describeUse()].map((
         [organisation, { admitted, inWindow }],
@@ -303,6 +306,7 @@
         ]),
       ),
     });
+    for (const id of state.suspected) this.#options.desk.suspect(id);
     const before = this.#demand.get(state.instance);
     const demand = new Map(
       state.demand.map((entry) => [entry.name, {
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -1,4 +1,4 @@
-import { Agent, request } from "node:http";
+import { Agent, request, type ServerResponse } from "node:http";
 import test, { type ExecutionContext } from "ava";
 import {
   FleetStandin,
@@ -327,6 +327,29 @@
   t.is(new Set(replica.orders).size, replica.orders.length, "each order once");
 });
 
+test("a replica dies: its model is loaded elsewhere before the list drops it", async (t) => {
+  const fleet = await startFleet(t);
+  const answer = (_req: unknown, res: ServerResponse) => void res.end(event(1));
+  const dead = await fleet.addReplica({
+    id: "i-1",
+    service: "pool",
+    holds: ["m1"],
+    answer,
+  });
+  await fleet.addReplica({
+    id: "i-2",
+    service: "pool",
+    holds: ["m2"],
+    answer,
+  });
+  const { send } = await startGateway(t, fleet);
+  t.is((await send("/chat/", chat("m1"))).status, 200);
+  dead.close();
+  const isServed = async () =>
+    (await send("/chat/", chat("m1"))).status === 200;
+  t.true(await isServed() || await isServed() || await isServed());
+});
+
 test("a model that the service does not list is refused at once", async (t) => {
   const fleet = await startFleet(t);
   await fleet.addReplica({ id: "i-1", service: "pool", holds: ["m1"] });
--- a/packages/routing/src/replica_board.ts
+++ b/packages/routing/src/replica_board.ts
@@ -211,6 +211,19 @@
     this.#unreachable.set(replica, until);
   }
 
+  /** Replicas that are ejected or can't be reached, as this entry saw it. */
+  suspected(): string[] {
+    const now = this.#options.clock.now();
+    const suspected: string[] = [];
+    for (const { id, service } of this.#servers.values()) {
+      const isUnreachable = (this.#unreachable.get(id) ?? 0) > now;
+      if (isUnreachable || this.outliers.isEjected(service, id)) {
+        suspected.push(id);
+      }
+    }
+    return suspected;
+  }
+
   /** Work of this entry by replica. */
   ownWork(): Map<string, ReplicaWork> {
     const work = new Map<string, ReplicaWork>();
