--- a/packages/limits/src/fleet_window.ts
+++ b/packages/limits/src/fleet_window.ts
@@ -83,10 +83,16 @@
 const ASSUME_WITHIN_MS = 1000;
 /** An entry that was silent this long has stopped or serves nobody. */
 const GONE_AFTER_MS = 10_000;
-/** Requests up to this part of what a window allows count as small. */
-const SMALL_SHARE = 0.01;
-/** Small requests may go this part beyond what a window allows. */
-const SMALL_OVERAGE = 0.1;
+/**
+ * Requests up to this part of what a window allows count as small: a booking
+ * at a small organisation, a chat at a large one, never a document.
+ */
+const SMALL_SHARE = 0.002;
+/**
+ * Small requests may go this part beyond what a window allows. With the next
+ * constant, together less than the least tolerance stated, a tenth.
+ */
+const SMALL_OVERAGE = 0.05;
 /** Part of the tolerance that entries may use up between two reports. */
 const UNTOLD_TOLERANCE = 0.5;
 const MS_PER_S = 1000;
@@ -152,7 +158,7 @@
    * Takes the tokens of a request, or says when there will be some. The last
    * request before the window is full may go beyond it: otherwise small
    * requests would keep large ones out for good. Small ones need not wait for
-   * that one to leave the window, up to a tenth more: a booking of a few
+   * that one to leave the window, up to a twentieth more: a booking of a few
    * tokens isn't held up by the documents of the same organisation.
    */
   take(limit: OrganisationLimit, tokens: number): TakeResult {
--- a/packages/limits/src/fleet_window_test.ts
+++ b/packages/limits/src/fleet_window_test.ts
@@ -251,6 +251,30 @@
   t.true(taken > 0);
 });
 
+test("herd of entries, a large organisation: ordinary documents don't pass as small", (t) => {
+  const large = { ...LIMIT, ratePerS: 100_000, burst: 200_000 };
+  const allowed = 1_000_000;
+  const random = createRandom(20261204);
+  const all = Array.from(
+    { length: 30 },
+    () => createWindow({ entries: 30, random, slackTokens: 110_000 }),
+  );
+  let taken = 0;
+  for (const { limits } of all) {
+    limits.take(large, 0);
+    limits.recordReport({
+      instance: "other",
+      incarnation: 1,
+      uses: new Map([["acme", { admitted: allowed, inWindow: allowed }]]),
+      knowsWindow: true,
+    });
+    for (let i = 0; i < 4; i += 1) {
+      if (limits.take(large, 9000).kind === "taken") taken += 9000;
+    }
+  }
+  t.true(taken <= allowed * 0.1 + 110_000, `${taken} beyond`);
+});
+
 test("a raised limit holds at once, a lowered one after a window", (t) => {
   const { limits, hear, advance } = createSettled();
   limits.take(LIMIT, 9000);
