Let requests wait for a starting gateway's first configuration

Change: a request waits up to 1.5 s, and at most three tenths of its own time, for the first configuration; then it is refused as before.

--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -5,9 +5,10 @@
   type ServerResponse,
 } from "node:http";
 import { decodeCallerRequest } from "@banyanspool/platform-adapter";
-import { refuse } from "@banyanspool/types";
+import { type CallerRequest, refuse } from "@banyanspool/types";
 import { costOf, identify } from "./admit_request.ts";
 import type { GatewayContext } from "./context.ts";
+import type { ConfigurationInForce } from "./fleet_state.ts";
 import { answerRefusal } from "./refusals.ts";
 import type { RequestOutcome, RequestScope } from "./request_scope.ts";
 import { serveRequest } from "./serve_request.ts";
@@ -16,6 +17,13 @@
 const MAX_HEADER_BYTES = 64 * 1024;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 10_000;
+/**
+ * Longest time, and part of the caller's own, that a request waits for the
+ * first configuration, in ms: a start takes a tenth of it when the store
+ * answers, and callers count on hearing of a refusal early.
+ */
+const CONFIGURATION_WAIT_MS = 1500;
+const CONFIGURATION_WAIT_SHARE = 0.3;
 /** New connections that may wait to be accepted. */
 const BACKLOG = 1024;
 
@@ -106,7 +114,6 @@
     const ctx = this.#ctx;
     const arrivedAt = ctx.clock.now();
     const caller = decodeCallerRequest(req.url ?? "/", req.headers);
-    const { inForce } = ctx.fleet;
     if (this.#isClosed) {
       answerRefusal(
         res,
@@ -116,6 +123,7 @@
       );
       return;
     }
+    const inForce = await this.#awaitConfiguration(caller, res);
     const admitted = identify(inForce, caller);
     if (!admitted.ok) {
       answerRefusal(res, admitted.error);
@@ -168,6 +176,23 @@
     }
   }
 
+  /**
+   * A gateway that has just started soon has a configuration; a caller that
+   * is refused may come back once only, and perhaps just as early.
+   */
+  async #awaitConfiguration(
+    { deadlineMs = Infinity }: CallerRequest,
+    res: ServerResponse,
+  ): Promise<ConfigurationInForce | undefined> {
+    const { fleet, clock } = this.#ctx;
+    const until = clock.now() +
+      Math.min(CONFIGURATION_WAIT_MS, deadlineMs * CONFIGURATION_WAIT_SHARE);
+    while (!fleet.inForce && !res.destroyed && clock.now() < until) {
+      await fleet.changed.wait(until - clock.now());
+    }
+    return fleet.inForce;
+  }
+
   #record(scope: RequestScope, outcome: RequestOutcome): void {
     const { log, metrics, clock, fleet } = this.#ctx;
     const { caller, route, organisation, arrivedAt } = scope;
