Give an overdue answer up only for another replica

Cause: beside load, the test of models on demand got 502: a replica's answer was overdue after half of its target, was given up, and there was no other replica to try. The answer was on its way. Ruled out: the connection (it stood), the load of the model (done). Change: when an answer is overdue the gateway goes on waiting unless another replica can be tried and the retry budget allows it.

--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -43,6 +43,8 @@
   readonly lastEventId?: string;
   /** Time for the head of the answer, in ms, if it may be sent elsewhere. */
   readonly headTimeoutMs?: number;
+  /** Asked when that time is over: whether it can be sent elsewhere now. */
+  readonly mayMoveOn: () => boolean;
 }
 
 /** Engine priorities go from 0, the first, to 9. */
@@ -86,13 +88,15 @@
 async function awaitHead(
   ctx: GatewayContext,
   scope: RequestScope,
-  { call, choice, request, headTimeoutMs }: AttemptOptions & {
+  { call, choice, request, headTimeoutMs, mayMoveOn }: AttemptOptions & {
     call: ReplicaCall;
   },
 ): Promise<AttemptOutcome> {
   const giveUp = () => call.abort();
   let isOverdue = false;
-  const timer = headTimeoutMs === undefined ? undefined : setTimeout(() => {
+  // A late answer is better than none: it is given up only for another try.
+  const timer = headTimeoutMs === undefined ? undefined : setInterval(() => {
+    if (isOverdue || !mayMoveOn()) return;
     isOverdue = true;
     call.abort();
   }, headTimeoutMs);
@@ -105,7 +109,7 @@
     if (isOverdue) return { kind: "overdue" };
     throw error;
   } finally {
-    clearTimeout(timer);
+    clearInterval(timer);
     scope.signal.removeEventListener("abort", giveUp);
   }
   const facts = decodeAnswer(head.status, head.headers);
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -145,6 +145,7 @@
         route.targetMs * OVERDUE_TARGET_SHARE,
       )
       : undefined,
+    mayMoveOn: () => takeMove(serving, choice),
   });
   ctx.log.write("attempt", {
     id: caller.id,
@@ -167,6 +168,18 @@
   return judgeUnanswered(serving, { outcome, choice, canRepeat });
 }
 
+/** Whether a request can go to another replica, which the budget then counts. */
+function takeMove(
+  { ctx, progress, request, budget }: Serving,
+  { server }: BoardChoice,
+): boolean {
+  const excluded = new Set([...progress.excluded, server.id]);
+  if (ctx.board.candidates({ ...request, excluded }).length === 0) return false;
+  if (!budget.take()) return false;
+  progress.hasBudget = true;
+  return true;
+}
+
 /** Relays an answer that has begun; undefined if another attempt follows. */
 async function finishStarted(
   serving: Serving,
