--- a/packages/soak/src/witness.ts
+++ b/packages/soak/src/witness.ts
@@ -115,7 +115,8 @@
     this.#runs.set(seen.id, runs);
     const sent = this.#sent.get(seen.id);
     if (!sent) {
-      this.#report("only what was asked runs", seen.id);
+      const detail = `"${seen.id}" (${seen.target}) at ${replica}`;
+      this.#report("only what was asked runs", detail);
       return;
     }
     if (seen.hasKey) this.#report("no key is passed on", seen.id);
--- a/packages/soak/src/witness_test.ts
+++ b/packages/soak/src/witness_test.ts
@@ -20,7 +20,14 @@
 }
 
 function seen(id: string, fields = {}) {
-  return { id, organisation: "acme", tokens: 10, hasKey: false, ...fields };
+  return {
+    id,
+    target: "GET /",
+    organisation: "acme",
+    tokens: 10,
+    hasKey: false,
+    ...fields,
+  };
 }
 
 function promises(witness: Witness): string[] {
