Count what others admitted for an organisation that comes to a gateway late

Cause, found on reading: use of an organisation was only counted from its first request here on, so one whose callers come to another gateway found an empty window there; and what a young gateway had learnt of it was charged whenever it came, however long after. Change: the last report of an organisation not yet met is kept, and counts by the part of a window that is left since then.

--- a/packages/limits/src/fleet_window.ts
+++ b/packages/limits/src/fleet_window.ts
@@ -115,8 +115,9 @@
   readonly #uses: Map<string, OrganisationUse> = new Map();
   readonly #peers: Map<string, Peer> = new Map();
   readonly #own: Map<string, number> = new Map();
-  /** Use that others told of before this entry met the organisation. */
-  readonly #toldOf: Map<string, number> = new Map();
+  /** What others last told of organisations that this entry hasn't met. */
+  readonly #toldOf: Map<string, { inWindow: number; heardAt: number }> =
+    new Map();
   #hasLearnt: boolean;
 
   private constructor(options: FleetWindowOptions) {
@@ -204,7 +205,13 @@
         (known ? 0 : Math.max(0, admitted - inWindow));
       this.#countOthers(organisation, admitted - before);
       peer.totals.set(organisation, admitted);
-      if (isLearning) this.#learn(organisation, inWindow);
+      const use = this.#uses.get(organisation);
+      if (!use) {
+        const heardAt = this.#options.clock.now();
+        this.#toldOf.set(organisation, { inWindow, heardAt });
+      } else if (isLearning) {
+        this.#learn(use, inWindow);
+      }
     }
     if (isLearning) this.#endWaiting();
     peer.heardAt = this.#options.clock.now();
@@ -234,13 +241,7 @@
    * with each report until this one has seen a whole window itself: when the
    * tokens were admitted, and so when they leave the window, isn't told.
    */
-  #learn(organisation: string, inWindow: number): void {
-    const use = this.#uses.get(organisation);
-    if (!use) {
-      const before = this.#toldOf.get(organisation) ?? 0;
-      this.#toldOf.set(organisation, Math.max(before, inWindow));
-      return;
-    }
+  #learn(use: OrganisationUse, inWindow: number): void {
     this.#spread(use, inWindow - this.#advance(use.limit).sum);
   }
 
@@ -321,7 +322,12 @@
       lot: this.#options.random(),
     };
     this.#uses.set(limit.name, created);
-    this.#spread(created, this.#toldOf.get(limit.name) ?? 0);
+    const told = this.#toldOf.get(limit.name);
+    if (told) {
+      const { clock, windowMs } = this.#options;
+      const left = 1 - (clock.now() - told.heardAt) / windowMs;
+      this.#spread(created, told.inWindow * left);
+    }
     return created;
   }
 
--- a/packages/limits/src/fleet_window_test.ts
+++ b/packages/limits/src/fleet_window_test.ts
@@ -141,6 +141,18 @@
   t.is(limits.take(LIMIT, 200).kind, "short");
 });
 
+test("an organisation that comes to another entry: what it used counts, what it used long ago doesn't", (t) => {
+  for (const pauseMs of [0, 2 * WINDOW_MS]) {
+    const { limits, hear, advance } = createWindow();
+    advance(2 * WINDOW_MS);
+    hear(ALLOWED);
+    advance(pauseMs);
+    hear(ALLOWED, 1, pauseMs === 0 ? ALLOWED : 0);
+    const expected = pauseMs === 0 ? "short" : "taken";
+    t.is(limits.take(LIMIT, 500).kind, expected);
+  }
+});
+
 test("an added entry that hears of free rest refuses nothing inside the limit", (t) => {
   const { limits, hear } = createWindow({ isFirstStart: false });
   hear(0);
