Leave more of the tolerance for reports that cross

All gateways take their parts of the rest and half of the tolerance within one exchange, and again before the others' reports have come. Change: a quarter of the tolerance.

--- a/packages/limits/src/fleet_window.ts
+++ b/packages/limits/src/fleet_window.ts
@@ -93,8 +93,11 @@
  * constant, together less than the least tolerance stated, a tenth.
  */
 const SMALL_OVERAGE = 0.05;
-/** Part of the tolerance that entries may use up between two reports. */
-const UNTOLD_TOLERANCE = 0.5;
+/**
+ * Part of the tolerance that entries may use up between two reports. Reports
+ * cross on their way, so up to twice as much is admitted before all know.
+ */
+const UNTOLD_TOLERANCE = 0.25;
 const MS_PER_S = 1000;
 
 /**
