--- a/packages/placement/src/plan_test.ts
+++ b/packages/placement/src/plan_test.ts
@@ -61,6 +61,22 @@
   t.is(first?.reason, "reach");
 });
 
+test("requests pile up at a hot model's adapters: its copy loads before a rare model's first", (t) => {
+  const models = [
+    createModel("hot", { minReplicas: 2, waiting: 9 }),
+    createModel("rare", { waiting: 1 }),
+    createModel("idle", { minReplicas: 0 }),
+  ];
+  const moves = plan(models, [
+    createReport("r1", ["hot"]),
+    createReport("r2", []),
+  ]);
+  t.deepEqual(moves.map(({ load, reason }) => `${load} ${reason}`), [
+    "hot copies",
+    "rare reach",
+  ]);
+});
+
 test("room is made only by models that are ready elsewhere", (t) => {
   const models = ["a", "b", "c"].map((name) => createModel(name));
   const [first] = plan(models, [
--- a/packages/routing/src/replica_board_test.ts
+++ b/packages/routing/src/replica_board_test.ts
@@ -152,3 +152,20 @@
   const rest = request({ excluded: new Set(["r2"]) });
   t.deepEqual(board.candidates(rest).map(({ id }) => id), ["r1"]);
 });
+
+test("replicas that can't be reached or fail are suspected, for a while", (t) => {
+  const { board, advance } = createBoard([
+    server("r1"),
+    server("r2"),
+    server("r3"),
+  ]);
+  t.deepEqual(board.suspected(), []);
+  board.markUnreachable("r1");
+  for (let i = 0; i < 3; i += 1) {
+    board.outliers.record("pool", { replica: "r2", observation: "failure" });
+    board.outliers.record("pool", { replica: "r3", observation: "success" });
+  }
+  t.deepEqual(board.suspected(), ["r1", "r2"]);
+  advance(60_000);
+  t.deepEqual(board.suspected(), []);
+});
--- a/packages/testbed/src/run_client.ts
+++ b/packages/testbed/src/run_client.ts
@@ -12,9 +12,9 @@
   readonly stderr: string;
 }
 
-/** Runs the operators' client against a deployment. */
+/** Runs the operators' client, against a deployment if one is given. */
 export async function runClient(
-  deployment: Deployment,
+  deployment: Pick<Deployment, "clientSettings"> | undefined,
   args: readonly string[],
 ): Promise<ClientRun> {
   const file = fileURLToPath(
@@ -24,7 +24,7 @@
     env: {
       ...process.env,
       NODE_OPTIONS: "",
-      BANYANSPOOL_SETTINGS: deployment.clientSettings,
+      ...deployment && { BANYANSPOOL_SETTINGS: deployment.clientSettings },
     },
     stdio: ["ignore", "pipe", "pipe"],
   });
