Read the list of replicas when nobody has for a while; sum demand once a round

All five gateways read the list in step, every 2.25 s: whoever reads first tells the others, but after an outage of the store all had begun together. Ruled out: the feed, the datagrams (news arrived within 15 ms). Change: gateways say when they last read. A read is due a drawn time after the last one by any of them, and every five seconds by each.

Mended on the way: the holder summed the demand of all gateways anew for each replica and waiting adapter, now once a round; and a request whose caller leaves while it waits for the first configuration ends there.

--- a/packages/gateway/src/adapter_mover.ts
+++ b/packages/gateway/src/adapter_mover.ts
@@ -62,8 +62,9 @@
 
   /** Plans and starts the next loads of one service. */
   plan(engine: EngineSpec, servers: readonly BackendServer[]): void {
-    const { desk, clock, demand, isMoving } = this.#options;
-    for (const [name, { waiting }] of demand()) {
+    const { desk, clock, isMoving } = this.#options;
+    const demand = this.#options.demand();
+    for (const [name, { waiting }] of demand) {
       if (!name.includes("/") || waiting === 0) continue;
       if (this.#underWay.has(name)) continue;
       const [model = ""] = name.split("/");
@@ -73,7 +74,7 @@
         if (!state?.isSynced || server.leaving) return [];
         if (!state.models.has(model) || state.withdrawn.has(model)) return [];
         if (state.isBusy || isMoving(server.id)) return [];
-        return [{ state, host: this.#describeHost(state, engine) }];
+        return [{ state, host: this.#describeHost(state, { engine, demand }) }];
       });
       this.#lastUsed.set(name, clock.now());
       if (hosts.some(({ state }) => state.adapters.has(name))) continue;
@@ -156,15 +157,20 @@
     return outcome === "accepted" && !state.adapters.has(name);
   }
 
-  #describeHost(state: EngineState, engine: EngineSpec): AdapterHost {
-    const { board, clock, demand } = this.#options;
+  #describeHost(
+    state: EngineState,
+    { engine, demand }: {
+      engine: EngineSpec;
+      demand: ReadonlyMap<string, FleetDemand>;
+    },
+  ): AdapterHost {
+    const { board, clock } = this.#options;
     const { adapters } = board.workAt(state.server.id);
     const now = clock.now();
     for (const adapter of adapters) this.#lastUsed.set(adapter, now);
     const inUse = new Set([...adapters, ...state.planned]);
-    const fleetDemand = demand();
     for (const name of state.adapters) {
-      const isWanted = (fleetDemand.get(name)?.waiting ?? 0) > 0;
+      const isWanted = (demand.get(name)?.waiting ?? 0) > 0;
       const usedAt = this.#lastUsed.get(name) ?? -Infinity;
       if (isWanted || now - usedAt < ADAPTER_STAY_MS) inUse.add(name);
     }
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -8,6 +8,7 @@
 import type { EngineDesk } from "./engine_desk.ts";
 import type { FleetDemand } from "./placement_models.ts";
 import { decodeNews, encodeNews } from "./server_news.ts";
+import type { ListReads } from "./list_reads.ts";
 import type { ServerChange, ServerRoster } from "./server_roster.ts";
 
 /** Options of {@link FleetExchange.create}. */
@@ -22,6 +23,8 @@
   readonly lease: Lease;
   /** Replicas, which other gateways bring news of. */
   readonly roster: ServerRoster;
+  /** Who read the list of replicas when. */
+  readonly reads: ListReads;
   /** Called when news of another gateway changed the roster. */
   readonly onNews: () => void;
   /** Called when another gateway has a newer configuration. */
@@ -237,8 +240,9 @@
   }
 
   #describe(): GatewayReport {
-    const { ctx, desk, lease } = this.#options;
+    const { ctx, desk, lease, reads } = this.#options;
     const now = ctx.clock.now();
+    const listAge = reads.ownAgeMs;
     return {
       news: this.#news
         .filter(({ until }) => until > now)
@@ -259,6 +263,7 @@
         })),
       })),
       suspected: ctx.board.suspected(),
+      listAgeMs: listAge === undefined ? undefined : Math.round(listAge),
       knowsWindow: ctx.limits.knowsWindow,
       use: [...ctx.limits.describeUse()].map((
         [organisation, { admitted, inWindow }],
@@ -326,7 +331,8 @@
   }
 
   #takeNews(state: GatewayState): void {
-    const { roster, onNews } = this.#options;
+    const { roster, reads, onNews } = this.#options;
+    if (state.listAgeMs !== undefined) reads.hear(state.listAgeMs);
     let isNew = false;
     for (const news of state.news) {
       if (roster.apply(decodeNews(news))) isNew = true;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import { FleetState } from "./fleet_state.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
+import { ListReads } from "./list_reads.ts";
 import { keepMembership, leaveMembership } from "./member_table.ts";
 import { PlacementDuty } from "./placement_duty.ts";
 import { PublicServer } from "./public_server.ts";
@@ -65,6 +66,7 @@
   readonly #duty: PlacementDuty;
   readonly #exchange: FleetExchange;
   readonly #roster: ServerRoster;
+  readonly #reads: ListReads;
   readonly #configurationKick: ChangeSignal = ChangeSignal.create();
   readonly #servers: Server[] = [];
   #isAbandoned = false;
@@ -127,12 +129,18 @@
       log,
       onChange: (change) => this.#exchange.publishNews(change),
     });
+    this.#reads = ListReads.create({
+      clock,
+      random: Math.random,
+      liveCount: () => this.#exchange.liveCount,
+    });
     this.#exchange = FleetExchange.create({
       cfg,
       ctx: this.#ctx,
       desk,
       lease: this.#lease,
       roster: this.#roster,
+      reads: this.#reads,
       onNews: () => this.#takeServers(),
       onNewerConfiguration: () => this.#configurationKick.notify(),
     });
@@ -245,7 +253,7 @@
         watchServers({
           store,
           roster: this.#roster,
-          liveCount: () => this.#exchange.liveCount,
+          reads: this.#reads,
           clock,
           sleep,
           log,
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -124,6 +124,7 @@
       return;
     }
     const inForce = await this.#awaitConfiguration(caller, res);
+    if (res.destroyed) return;
     const admitted = identify(inForce, caller);
     if (!admitted.ok) {
       answerRefusal(res, admitted.error);
--- a/packages/gateway/src/server_watch.ts
+++ b/packages/gateway/src/server_watch.ts
@@ -5,6 +5,7 @@
 } from "@banyanspool/platform-adapter";
 import type { EventLog } from "@banyanspool/logger";
 import type { Clock, Sleep } from "@banyanspool/types";
+import type { ListReads } from "./list_reads.ts";
 import type { ServerRoster } from "./server_roster.ts";
 import { StoreHealth } from "./store_health.ts";
 
@@ -14,8 +15,8 @@
   readonly store: StoreClient;
   /** Where what is read goes. */
   readonly roster: ServerRoster;
-  /** Gateways that were heard lately, this one included. */
-  readonly liveCount: () => number;
+  /** Who read the list when. */
+  readonly reads: ListReads;
   /** Time source. */
   readonly clock: Clock;
   /** Waits. */
@@ -26,14 +27,6 @@
   readonly onRead: () => void;
 }
 
-/**
- * Gateways tell each other what they read first, so that each need read only
- * rarely; one that hears no other reads this often, in ms.
- */
-const INTERVAL_PER_GATEWAY_MS = 450;
-/** A gateway alone notices a leaving replica within its two seconds. */
-const SHORTEST_INTERVAL_MS = 900;
-const LONGEST_INTERVAL_MS = 5000;
 const RETRY_MS = 300;
 
 /** Keeps the list of replicas until the signal is aborted. */
@@ -41,7 +34,7 @@
   options: ServerWatchOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { store, roster, clock, sleep, log, onRead } = options;
+  const { store, roster, reads, clock, sleep, log, onRead } = options;
   const health = StoreHealth.create(log, SERVERS_TABLE);
   while (!signal.aborted) {
     const startedAt = clock.now();
@@ -59,15 +52,9 @@
     });
     roster.update(listed, { version: res.value.version, now: clock.now() });
     onRead();
-    const restMs = intervalFor(options) - (clock.now() - startedAt);
-    await sleep(Math.max(0, restMs), signal).catch(() => {});
+    reads.markRead(startedAt);
+    while (!signal.aborted && reads.dueInMs > 0) {
+      await sleep(reads.dueInMs, signal).catch(() => {});
+    }
   }
 }
-
-function intervalFor({ liveCount }: ServerWatchOptions): number {
-  const shared = liveCount() * INTERVAL_PER_GATEWAY_MS;
-  return Math.min(
-    LONGEST_INTERVAL_MS,
-    Math.max(SHORTEST_INTERVAL_MS, shared),
-  );
-}
