--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -107,7 +107,7 @@
     for (const id of ctx.board.suspected()) desk.suspect(id);
     this.#applyOwnOffers();
     this.#peers.announce();
-    ctx.limits.markTold();
+    ctx.limits.markReported();
   }
 
   /** Sends the state again and again until the signal is aborted. */
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -44,7 +44,7 @@
   /** Time for the head of the answer, in ms, if it may be sent elsewhere. */
   readonly headTimeoutMs?: number;
   /** Asked when that time is over: whether it can be sent elsewhere now. */
-  readonly mayMoveOn: () => boolean;
+  readonly canTryElsewhere: () => boolean;
 }
 
 /** Engine priorities go from 0, the first, to 9. */
@@ -88,7 +88,7 @@
 async function awaitHead(
   ctx: GatewayContext,
   scope: RequestScope,
-  { call, choice, request, headTimeoutMs, mayMoveOn }: AttemptOptions & {
+  { call, choice, request, headTimeoutMs, canTryElsewhere }: AttemptOptions & {
     call: ReplicaCall;
   },
 ): Promise<AttemptOutcome> {
@@ -96,7 +96,7 @@
   let isOverdue = false;
   // A late answer is better than none: it is given up only for another try.
   const timer = headTimeoutMs === undefined ? undefined : setInterval(() => {
-    if (isOverdue || !mayMoveOn()) return;
+    if (isOverdue || !canTryElsewhere()) return;
     isOverdue = true;
     call.abort();
   }, headTimeoutMs);
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -145,7 +145,7 @@
         route.targetMs * OVERDUE_TARGET_SHARE,
       )
       : undefined,
-    mayMoveOn: () => takeMove(serving, choice),
+    canTryElsewhere: () => reserveRetry(serving, choice),
   });
   ctx.log.write("attempt", {
     id: caller.id,
@@ -169,7 +169,7 @@
 }
 
 /** Whether a request can go to another replica, which the budget then counts. */
-function takeMove(
+function reserveRetry(
   { ctx, progress, request, budget }: Serving,
   { server }: BoardChoice,
 ): boolean {
--- a/packages/limits/src/fleet_window.ts
+++ b/packages/limits/src/fleet_window.ts
@@ -57,9 +57,9 @@
   newestSlot: number;
   sum: number;
   /** Tokens of `sum` that this entry has not yet told the others. */
-  untold: number;
+  unreported: number;
   /** Drawn anew with each report, from 0 to 1. */
-  lot: number;
+  draw: number;
 }
 
 interface Peer {
@@ -97,15 +97,15 @@
  * Part of the tolerance that entries may use up between two reports. Reports
  * cross on their way, so up to twice as much is admitted before all know.
  */
-const UNTOLD_TOLERANCE = 0.25;
+const UNREPORTED_TOLERANCE = 0.25;
 const MS_PER_S = 1000;
 
 /**
  * Rate and burst of each organisation over all entries: in any window of the
  * given length, the rate over that window and one burst. Every entry counts
  * what it admits and what the others say they admitted. Near the limit each
- * takes no more than an even share of what is left before it has told the
- * others, by lot where that is less than a request, so that many entries don't
+ * takes no more than an even share of what is left before it has reported to the
+ * others, at random where that is less than a request, so that many entries don't
  * all spend the same rest. An entry that falls silent is taken to use an even
  * share until it is heard again, so that two sides of a partition don't both
  * spend the whole limit. A restarted entry learns the use of the last window
@@ -119,7 +119,7 @@
   readonly #peers: Map<string, Peer> = new Map();
   readonly #own: Map<string, number> = new Map();
   /** What others last told of organisations that this entry hasn't met. */
-  readonly #toldOf: Map<string, { inWindow: number; heardAt: number }> =
+  readonly #lastReported: Map<string, { inWindow: number; heardAt: number }> =
     new Map();
   #hasLearnt: boolean;
 
@@ -150,11 +150,11 @@
     return uses;
   }
 
-  /** Notes that all other entries are being told the totals. */
-  markTold(): void {
+  /** Notes that all other entries are being sent the totals. */
+  markReported(): void {
     for (const use of this.#uses.values()) {
-      use.untold = 0;
-      use.lot = this.#options.random();
+      use.unreported = 0;
+      use.draw = this.#options.random();
     }
   }
 
@@ -182,7 +182,7 @@
     }
     this.#count(use, tokens);
     this.#countOwn(limit.name, tokens);
-    use.untold += tokens;
+    use.unreported += tokens;
     return { kind: "taken" };
   }
 
@@ -192,7 +192,7 @@
     if (!use) return;
     this.#count(use, -tokens);
     this.#countOwn(limit.name, -tokens);
-    use.untold -= tokens;
+    use.unreported -= tokens;
   }
 
   /** Takes in what another entry reports. */
@@ -211,7 +211,7 @@
       const use = this.#uses.get(organisation);
       if (!use) {
         const heardAt = this.#options.clock.now();
-        this.#toldOf.set(organisation, { inWindow, heardAt });
+        this.#lastReported.set(organisation, { inWindow, heardAt });
       } else if (isLearning) {
         this.#learn(use, inWindow);
       }
@@ -264,17 +264,17 @@
     use.sum += tokens;
   }
 
-  /** Whether this entry's part of the rest is enough, by lot if it is less. */
+  /** Whether this entry's part of the rest is enough, at random if it is less. */
   #isWithinShare(
-    { sum, untold, lot }: OrganisationUse,
+    { sum, unreported, draw }: OrganisationUse,
     tokens: number,
     allowed: number,
   ): boolean {
     const { overage, slackTokens, liveCount } = this.#options;
     const tolerance = allowed * overage + slackTokens;
-    const rest = allowed - sum + untold + tolerance * UNTOLD_TOLERANCE;
-    const share = rest / liveCount() - untold;
-    return share >= tokens || lot * tokens < share;
+    const rest = allowed - sum + unreported + tolerance * UNREPORTED_TOLERANCE;
+    const share = rest / liveCount() - unreported;
+    return share >= tokens || draw * tokens < share;
   }
 
   #countOwn(organisation: string, tokens: number): void {
@@ -321,15 +321,15 @@
       slots: new Float64Array(SLOTS),
       newestSlot: Math.floor(this.#options.clock.now() / this.#slotMs),
       sum: 0,
-      untold: 0,
-      lot: this.#options.random(),
+      unreported: 0,
+      draw: this.#options.random(),
     };
     this.#uses.set(limit.name, created);
-    const told = this.#toldOf.get(limit.name);
-    if (told) {
+    const reported = this.#lastReported.get(limit.name);
+    if (reported) {
       const { clock, windowMs } = this.#options;
-      const left = 1 - (clock.now() - told.heardAt) / windowMs;
-      this.#spread(created, told.inWindow * left);
+      const left = 1 - (clock.now() - reported.heardAt) / windowMs;
+      this.#spread(created, reported.inWindow * left);
     }
     return created;
   }
--- a/packages/limits/src/fleet_window_test.ts
+++ b/packages/limits/src/fleet_window_test.ts
@@ -59,7 +59,7 @@
     if (limits.take(LIMIT, 200).kind === "taken") {
       taken.push({ at: now(), tokens: 200 });
     }
-    limits.markTold();
+    limits.markReported();
     hear(0);
     advance(10);
   }
@@ -75,7 +75,7 @@
   const { limits, advance, hear } = createSettled();
   for (let ms = 0; ms < 40_000; ms += 100) {
     t.is(limits.take(LIMIT, 120).kind, "taken", `at ${ms} ms`);
-    limits.markTold();
+    limits.markReported();
     hear(0);
     advance(100);
   }
@@ -84,9 +84,9 @@
 test("a first start: nothing was used before, so a whole window is there", (t) => {
   const { limits } = createWindow();
   t.is(limits.take(LIMIT, ALLOWED / 2).kind, "taken");
-  limits.markTold();
+  limits.markReported();
   t.is(limits.take(LIMIT, ALLOWED / 2).kind, "taken");
-  limits.markTold();
+  limits.markReported();
   t.is(limits.take(LIMIT, 500).kind, "short");
 });
 
@@ -96,9 +96,9 @@
   if (early.kind !== "learning") return t.fail("taken too early");
   advance(early.waitMs);
   t.is(limits.take(LIMIT, 500).kind, "taken");
-  limits.markTold();
+  limits.markReported();
   limits.take(LIMIT, 1000);
-  limits.markTold();
+  limits.markReported();
   t.is(limits.take(LIMIT, 1000).kind, "short");
   advance(WINDOW_MS);
   t.is(limits.take(LIMIT, ALLOWED / 2).kind, "taken");
@@ -108,7 +108,7 @@
   const settled = createSettled();
   for (let i = 0; i < 20; i += 1) {
     settled.limits.take(LIMIT, ALLOWED / 20);
-    settled.limits.markTold();
+    settled.limits.markReported();
   }
   const added = createWindow({ isFirstStart: false });
   t.is(added.limits.take(LIMIT, 200).kind, "learning");
@@ -162,7 +162,7 @@
 test("large documents that fill the window don't hold up small bookings", (t) => {
   const { limits } = createSettled();
   t.is(limits.take(LIMIT, ALLOWED / 2).kind, "taken");
-  limits.markTold();
+  limits.markReported();
   t.is(limits.take(LIMIT, ALLOWED / 2).kind, "taken");
   t.is(limits.take(LIMIT, 500).kind, "short");
   t.is(limits.take(LIMIT, 10).kind, "taken");
@@ -171,12 +171,12 @@
 test("a refusal says when enough has left the window", (t) => {
   const { limits, advance, hear } = createSettled();
   limits.take(LIMIT, 2000);
-  limits.markTold();
+  limits.markReported();
   advance(1000);
   limits.take(LIMIT, 4000);
-  limits.markTold();
+  limits.markReported();
   limits.take(LIMIT, 4000);
-  limits.markTold();
+  limits.markReported();
   hear(0);
   const short = limits.take(LIMIT, 500);
   if (short.kind !== "short") return t.fail("taken beyond the limit");
@@ -190,7 +190,7 @@
   const { limits, hear } = createSettled();
   hear(ALLOWED - 100);
   t.is(limits.take(LIMIT, 100).kind, "taken");
-  limits.markTold();
+  limits.markReported();
   hear(ALLOWED);
   t.is(limits.take(LIMIT, 200).kind, "short");
 });
@@ -226,7 +226,7 @@
   advance(1600);
   for (let ms = 1600; ms < 9000; ms += 10) {
     if (limits.take(LIMIT, 200).kind === "taken") used += 200;
-    limits.markTold();
+    limits.markReported();
     advance(10);
   }
   t.true(used <= ALLOWED / 2 + 200, `used ${used}`);
@@ -236,7 +236,7 @@
 test("a silent entry that used nothing gives its part back", (t) => {
   const { limits, hear, advance } = createSettled();
   limits.take(LIMIT, ALLOWED / 2);
-  limits.markTold();
+  limits.markReported();
   advance(6000);
   t.is(limits.take(LIMIT, 600).kind, "short");
   hear(0);
@@ -290,20 +290,20 @@
 test("a raised limit holds at once, a lowered one after a window", (t) => {
   const { limits, hear, advance } = createSettled();
   limits.take(LIMIT, 9000);
-  limits.markTold();
+  limits.markReported();
   const raised = { ...LIMIT, ratePerS: 2000 };
   t.is(limits.take(raised, 5000).kind, "taken");
-  limits.markTold();
+  limits.markReported();
   const lowered = { ...LIMIT, ratePerS: 100 };
   t.is(limits.take(lowered, 500).kind, "taken");
-  limits.markTold();
+  limits.markReported();
   advance(WINDOW_MS / 2);
   hear(0);
   t.is(limits.take(lowered, 500).kind, "short");
   advance(WINDOW_MS);
   hear(0);
   t.is(limits.take(lowered, 2801).kind, "taken");
-  limits.markTold();
+  limits.markReported();
   t.is(limits.take(lowered, 100).kind, "short");
 });
 
