--- /dev/null
+++ b/packages/gateway/src/engine_desk_test.ts
@@ -0,0 +1,57 @@
+import test from "ava";
+import type { Lease } from "@banyanspool/platform";
+import { ReplicaStandin } from "@banyanspool/platform-adapter/testing";
+import { createSystemClock, sleep } from "@banyanspool/types";
+import { ConnectionPools } from "./connection_pools.ts";
+import { EngineDesk } from "./engine_desk.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+
+const LOG = { write: () => {}, dropped: () => 0, flush: () => {} };
+
+test("half of the orders unanswered: repeated at once, under the same number, before any report", async (t) => {
+  const replica = await ReplicaStandin.create({
+    id: "i-1",
+    service: "pool",
+    holds: ["m1"],
+  });
+  const pools = ConnectionPools.create({ connectionsFor: () => 4 });
+  t.teardown(() => {
+    pools.keepOnly([]);
+    replica.close();
+  });
+  const lease = { held: true, fencingToken: 1 } as unknown as Lease;
+  let offered = () => {};
+  const isOffered = new Promise<void>((resolve) => offered = resolve);
+  const desk = EngineDesk.create({
+    lease,
+    holder: "g-1",
+    clock: createSystemClock(),
+    sleep,
+    pools,
+    onOffered: () => offered(),
+    log: LOG,
+    metrics: GatewayMetrics.create(),
+  });
+  const server = {
+    id: "i-1",
+    service: "pool",
+    address: `127.0.0.1:${replica.port}`,
+    dataCentre: "north",
+    slots: 64,
+    leaving: false,
+    startedAt: 1,
+    models: [],
+  };
+  desk.follow(new Map([["i-1", server]]));
+  await isOffered;
+  replica.engineCalls.length = 0;
+  replica.unansweredOrders = 2;
+  await desk.order(desk.get("i-1")!, {
+    operation: "load",
+    model: "m1",
+    adapter: "a1",
+  });
+  const order = "load m1/a1 after 0";
+  t.deepEqual(replica.engineCalls.slice(0, 3), [order, order, order]);
+  t.deepEqual(replica.orders, ["load m1/a1"], "the late ones do nothing");
+});
