--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -41,6 +41,8 @@
 /** Time for everything to be served again after the last fault, in ms. */
 const RECOVER_MS = 30_000;
 const RECOVER_POLL_MS = 100;
+/** Time after which a planted fault counts as not found, in ms. */
+const PLANTED_LIMIT_MS = 60_000;
 
 /** Runs the faults of one seed against a fresh deployment. */
 export async function runSeed(
@@ -64,7 +66,7 @@
   const beganAt = now();
   const run = { fleet, witness, now };
   await Promise.all([
-    sleep(durationMs),
+    planted ? awaitBroken(run) : sleep(durationMs),
     ...steps.map(async (step) => {
       await sleep(beganAt + step.atMs - now());
       await takeStep(step, run);
@@ -88,6 +90,14 @@
   };
 }
 
+/** A planted fault shows sooner or later, as fast as the machine allows. */
+async function awaitBroken({ witness, now }: Run): Promise<void> {
+  const until = now() + PLANTED_LIMIT_MS;
+  while (witness.broken.length === 0 && now() < until) {
+    await sleep(RECOVER_POLL_MS);
+  }
+}
+
 interface Run {
   readonly fleet: SoakFleet;
   readonly witness: Witness;
