Soak: wait and draw with what the project already has

run_seed had its own copy of the types package's sleep, two files waited by a promise of their own, and schedule and callers each had the same pick.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -4,7 +4,8 @@
   type CallerCall,
   callGateway,
 } from "@banyanspool/platform-adapter/testing";
-import type { Random } from "@banyanspool/types";
+import { type Random, sleep } from "@banyanspool/types";
+import { pick } from "./schedule.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 import type { Witness } from "./witness.ts";
 
@@ -65,7 +66,7 @@
     witness.sent({ ...call, gateway, incarnation, atMs: now() });
     const port = fleet.callerPort;
     witness.answered(id, await callGateway(call, { host, port, agent }));
-    await new Promise((resolve) => setTimeout(resolve, random() * PAUSE_MS));
+    await sleep(random() * PAUSE_MS);
   }
   agent.destroy();
 }
@@ -89,7 +90,3 @@
     body: route === "book" || isModelCall ? `body of ${id}` : undefined,
   };
 }
-
-function pick<T>(items: readonly T[], random: Random): T {
-  return items[Math.floor(random() * items.length)]!;
-}
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -2,6 +2,7 @@
   callGateway,
   STANDIN_KEY,
 } from "@banyanspool/platform-adapter/testing";
+import { sleep } from "@banyanspool/types";
 import { runCallers } from "./callers.ts";
 import type { PlantedFault } from "./planted_fault.ts";
 import { drawSchedule, type FaultStep } from "./schedule.ts";
@@ -68,7 +69,7 @@
   await Promise.all([
     planted ? awaitBroken(run) : sleep(durationMs),
     ...steps.map(async (step) => {
-      await sleep(beganAt + step.atMs - now());
+      await sleep(Math.max(0, beganAt + step.atMs - now()));
       await takeStep(step, run);
     }),
   ]);
@@ -246,7 +247,3 @@
     }
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
-}
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -117,6 +117,7 @@
   return steps;
 }
 
-function pick<T>(items: readonly T[], random: Random): T {
+/** Draws one of some items. */
+export function pick<T>(items: readonly T[], random: Random): T {
   return items[Math.floor(random() * items.length)]!;
 }
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -11,6 +11,7 @@
 } from "@banyanspool/platform-adapter/testing";
 import { pickPorts } from "@banyanspool/standins";
 import { ChildProcess } from "@banyanspool/testbed";
+import { sleep } from "@banyanspool/types";
 import { Link } from "./link.ts";
 import { PLANTED_VARIABLE, type PlantedFault } from "./planted_fault.ts";
 import type { Witness } from "./witness.ts";
@@ -210,7 +211,7 @@
         this.#options.witness.ran(seen, id, this.#options.now());
         if (seen.lastEventId !== "1") {
           res.write(`id: 1\ndata: ${seen.id} begins\n\n`);
-          await new Promise((resolve) => setTimeout(resolve, ANSWER_MS));
+          await sleep(ANSWER_MS);
         }
         res.end(`id: 2\ndata: ${seen.id} ends\n\n`);
       },
