Placement: saturated models get their copies before rare models

All load slots of the weight store went to moves of the kind 'reach': a single request that waits for a rare model ranked before a model of which a hundred requests were refused in two seconds, and 14 of 18 model slots were kept for one replica of each model. Ruled out: too little capacity in all (five replicas idle), orders refused (1 of 197).

Change: a model needs as many replicas as its demand keeps busy to 60%, and competes for them by highest averages, a waiting request counting as 0.05 of a replica. Missing replicas are loaded in the order of the demand that each would serve. The target is chosen by displaced demand, busy share and whether the replica has a local copy of the weights, which needs no slot of the store. A round starts up to six moves; six moves in all had limited large fleets to a fraction of the store's rate.

--- a/packages/entry/src/model_loader.ts
+++ b/packages/entry/src/model_loader.ts
@@ -79,7 +79,10 @@
     const document = this.#options.document();
     if (!document) return;
     const target = findModelLoadTarget(model, {
-      models: listPlacementModels(document, new Map()),
+      models: new Map(
+        listPlacementModels(document, new Map())
+          .map((entry) => [entry.name, entry]),
+      ),
       replicas: router.reports(),
       kvShare: 0,
     });
--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -41,8 +41,8 @@
 const FIRST_REPORT_WAIT_MS = 1500;
 /** Time for gateways to stop routing to a model about to be unloaded, in ms. */
 const UNLOAD_NOTICE_MS = 40;
-/** Maximum number of moves in progress at the same time. */
-const MAX_MOVES = 6;
+/** Maximum number of moves that a planning round starts. */
+const MAX_NEW_MOVES = 6;
 /** Share of a replica's time in use above which a further copy is planned. */
 const BUSY_SHARE = 0.25;
 /** Minimum drop of the sum of squared busy shares that justifies a model load. */
@@ -106,8 +106,9 @@
       pendingMoves,
       keepResident: this.#listRecentlyLoaded(reports),
       inUse: this.#countRequestsInFlight(reports),
+      localCopies: this.#listLocalCopies(reports),
     }, {
-      maxMoves: MAX_MOVES,
+      maxMoves: pendingMoves.length + MAX_NEW_MOVES,
       busyShare: BUSY_SHARE,
       kvShare: 0,
       minGain: MIN_GAIN,
@@ -140,6 +141,18 @@
     return recent;
   }
 
+  /** Models of which a replica has a local copy, as `replica model`. */
+  #listLocalCopies(reports: readonly ReplicaReport[]): Set<string> {
+    const { engineController } = this.#options;
+    const copies = new Set<string>();
+    for (const { replica } of reports) {
+      for (const model of engineController.get(replica)!.localCopies) {
+        copies.add(`${replica} ${model}`);
+      }
+    }
+    return copies;
+  }
+
   #listAdaptersInUse(reports: readonly ReplicaReport[]): Set<string> {
     const { replicaTracker } = this.#options;
     return new Set(
--- a/packages/gateway/src/placement_models.ts
+++ b/packages/gateway/src/placement_models.ts
@@ -17,6 +17,8 @@
 
 /** Demand added per waiting request, in replicas; ranks awaited models first. */
 const REPLICAS_PER_WAITING_REQUEST = 0.01;
+/** Share of a replica's time that one model should keep it busy at most. */
+const TARGET_BUSY_SHARE = 0.6;
 
 /** Inputs of {@link buildPlacementModels} besides the engine. */
 export interface ModelListInput {
@@ -51,10 +53,12 @@
       demand: maxDemand(demand.get(name)),
       waitingRequests: waiting.get(name) ?? 0,
       isResident: residentModels.has(name),
-      neededReplicas: Math.max(
-        1,
-        Math.ceil((adapterCounts.get(name) ?? 0) / engine.adapterSlots),
-      ),
+      neededReplicas: countNeededReplicas({
+        demand: maxDemand(demand.get(name)),
+        adapters: adapterCounts.get(name) ?? 0,
+        adapterSlots: engine.adapterSlots,
+        replicas: remaining.length,
+      }),
     })),
     remaining.length * countModelSlots(engine),
   );
@@ -75,6 +79,22 @@
   });
 }
 
+function countNeededReplicas(
+  { demand, adapters, adapterSlots, replicas }: {
+    demand: number;
+    adapters: number;
+    adapterSlots: number;
+    replicas: number;
+  },
+): number {
+  const needed = Math.max(
+    1,
+    Math.ceil(demand / TARGET_BUSY_SHARE),
+    Math.ceil(adapters / adapterSlots),
+  );
+  return Math.min(needed, Math.max(1, replicas));
+}
+
 function countByModel(adapters: ReadonlySet<string>): Map<string, number> {
   const counts = new Map<string, number>();
   for (const name of adapters) {
--- a/packages/placement/src/model_load_target.ts
+++ b/packages/placement/src/model_load_target.ts
@@ -3,8 +3,8 @@
 
 /** Input of {@link findModelLoadTarget}. */
 export interface ModelLoadTargetInput {
-  /** All models. */
-  readonly models: readonly PlacementModel[];
+  /** All models, by name. */
+  readonly models: ReadonlyMap<string, PlacementModel>;
   /** Replicas that may load the model. */
   readonly replicas: readonly ReplicaReport[];
   /** Number of ready replicas by model; counted from `replicas` if absent. */
@@ -15,6 +15,8 @@
   readonly keepResident?: ReadonlySet<string>;
   /** Number of requests that use a model at a replica, by `replica model`. */
   readonly inUse?: ReadonlyMap<string, number>;
+  /** Models that a replica loads without the weight store, as `replica model`. */
+  readonly localCopies?: ReadonlySet<string>;
 }
 
 /** A replica that can load the model, perhaps after unloading others. */
@@ -29,23 +31,26 @@
 
 /** Cost of each in-flight request that an unload must wait for, in replicas. */
 const IN_FLIGHT_REQUEST_LOSS = 0.1;
+/** Cost of an unload, in replicas: it delays the load. */
+const UNLOAD_LOSS = 0.3;
+/** Cost of a load from the weight store instead of a local copy, in replicas. */
+const STORE_LOAD_LOSS = 0.5;
 
 /**
- * Finds the replica that can load a model at the least loss: one with enough
- * free memory if there is any, else the one with the least sum of the number of
- * unloads and the demand that they displace. A model with no more ready replicas
- * than its minimum is never unloaded.
+ * Finds the replica that can load a model at the least loss. The loss is the
+ * demand that unloads displace, a cost for each unload and for a load from the
+ * weight store, and the growth of the sum of squared busy shares. A model with
+ * no more ready replicas than its minimum is never unloaded.
  */
 export function findModelLoadTarget(
   model: string,
   input: ModelLoadTargetInput,
 ): ModelLoadTarget | undefined {
-  const modelsByName = new Map(
-    input.models.map((entry) => [entry.name, entry]),
-  );
+  const modelsByName = input.models;
   const wantedModel = modelsByName.get(model);
   if (!wantedModel) return undefined;
   const counts = input.readyReplicaCounts ?? countReadyReplicas(input.replicas);
+  const share = demandOf(wantedModel) / ((counts.get(model) ?? 0) + 1);
   let best:
     | { target: ModelLoadTarget; loss: number; weightsMib: number }
     | undefined;
@@ -63,13 +68,17 @@
     });
     if (!unloads) continue;
     const { weightsMib } = report;
-    if (best && unloads.loss > best.loss) continue;
-    // Ties go to the replica with the least weights, so that models spread.
-    const isEqual = best && unloads.loss === best.loss;
-    if (isEqual && weightsMib >= best!.weightsMib) continue;
     const { unload, displacedDemand } = unloads;
-    const target = { report, unload, displacedDemand };
-    best = { target, loss: unloads.loss, weightsMib };
+    const busyShare = sumDemand(report, { modelsByName, counts, unload });
+    const loss = displacedDemand + unload.length * UNLOAD_LOSS +
+      (input.localCopies?.has(`${report.replica} ${model}`)
+        ? 0
+        : STORE_LOAD_LOSS) +
+      (busyShare + share) ** 2 - busyShare ** 2;
+    if (best && loss > best.loss) continue;
+    // Ties go to the replica with the least weights, so that models spread.
+    if (best && loss === best.loss && weightsMib >= best.weightsMib) continue;
+    best = { target: { report, unload, displacedDemand }, loss, weightsMib };
   }
   return best?.target;
 }
@@ -97,7 +106,7 @@
     keepResident: ReadonlySet<string> | undefined;
     inUse: ReadonlyMap<string, number> | undefined;
   },
-): { unload: string[]; loss: number; displacedDemand: number } | undefined {
+): { unload: string[]; displacedDemand: number } | undefined {
   let freeMib = report.memoryMib - report.weightsMib;
   const unload: string[] = [];
   let displacedDemand = 0;
@@ -120,11 +129,7 @@
     displacedDemand += demand;
   }
   if (freeMib < requiredMib) return undefined;
-  return {
-    unload,
-    displacedDemand,
-    loss: unload.length + displacedDemand,
-  };
+  return { unload, displacedDemand };
 }
 
 /**
@@ -144,6 +149,31 @@
   entry: PlacementModel,
   counts: ReadonlyMap<string, number>,
 ): number {
-  const demand = Math.max(entry.fastReplicas, entry.slowReplicas);
-  return demand / Math.max(1, counts.get(entry.name) ?? 1);
+  return demandOf(entry) / Math.max(1, counts.get(entry.name) ?? 1);
+}
+
+/** Demand that a replica serves after its unloads, in replicas kept busy. */
+function sumDemand(
+  report: ReplicaReport,
+  { modelsByName, counts, unload }: {
+    modelsByName: ReadonlyMap<string, PlacementModel>;
+    counts: ReadonlyMap<string, number>;
+    unload: readonly string[];
+  },
+): number {
+  let sum = 0;
+  for (const name of report.readyModels) {
+    const entry = modelsByName.get(name);
+    if (!entry || unload.includes(name)) continue;
+    sum += demandPerReplica(entry, counts);
+  }
+  return sum;
+}
+
+/**
+ * Demand for a model, in replicas kept busy. The maximum rises with the fast
+ * average and falls with the slow one.
+ */
+export function demandOf(model: PlacementModel): number {
+  return Math.max(model.fastReplicas, model.slowReplicas);
 }
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -1,6 +1,7 @@
 import type { ReplicaReport } from "@banyanspool/types";
 import {
   countReadyReplicas,
+  demandOf,
   findModelLoadTarget,
   type ModelLoadTarget,
 } from "./model_load_target.ts";
@@ -37,6 +38,8 @@
   readonly keepResident?: ReadonlySet<string>;
   /** Number of requests that use a model at a replica, by `replica model`. */
   readonly inUse?: ReadonlyMap<string, number>;
+  /** Models that a replica loads without the weight store, as `replica model`. */
+  readonly localCopies?: ReadonlySet<string>;
 }
 
 /** Limits and thresholds of a plan. */
@@ -76,11 +79,16 @@
   readonly replicas: Map<string, ReplicaReport>;
 }
 
+/** Demand that one waiting request stands for, in replicas kept busy. */
+export const WAITING_REQUEST_DEMAND = 0.05;
+/** Factor for the demand of a model without a replica: all of it is refused. */
+const UNREACHABLE_FACTOR = 2;
+
 /**
  * Plans the next few moves. Models with fewer replicas than `minReplicas` come
- * first, ordered by waiting requests per replica, then those without a replica,
- * then by demand. Copies follow that relieve busy replicas by more than
- * `minGain`.
+ * first, ordered by the demand that one further replica would serve, so that a
+ * saturated model gets its copies before a rare one is loaded. Copies follow
+ * that relieve busy replicas by more than `minGain`.
  */
 export function assemblePlacementPlan(
   input: PlacementInput,
@@ -154,24 +162,31 @@
   readonly reason: "reach" | "copies";
 }
 
+/**
+ * Lists the replicas that models lack, ranked by the demand that each would
+ * serve: the n-th replica of a model ranks by an n-th of the model's demand.
+ */
 function findMissingReplicas(working: WorkingState): readonly MissingReplica[] {
   const counts = countReadyReplicas([...working.replicas.values()]);
-  return [...working.models.values()]
-    .map((model) => {
-      const count = counts.get(model.name) ?? 0;
-      const waitingPerReplica = (model.waitingRequests ?? 0) / (count + 1);
-      return { model, count, waitingPerReplica };
-    })
-    .filter(({ model, count }) => count < model.minReplicas)
-    .sort((a, b) =>
-      b.waitingPerReplica - a.waitingPerReplica ||
-      Math.sign(a.count) - Math.sign(b.count) ||
-      demandOf(b.model) - demandOf(a.model)
-    )
-    .map(({ model, count }) => ({
-      model: model.name,
-      reason: count === 0 ? "reach" : "copies",
-    }));
+  const missing: (MissingReplica & { servedDemand: number })[] = [];
+  for (const model of working.models.values()) {
+    const demand = demandOf(model) +
+      (model.waitingRequests ?? 0) * WAITING_REQUEST_DEMAND;
+    const count = counts.get(model.name) ?? 0;
+    for (let existing = count; existing < model.minReplicas; existing += 1) {
+      missing.push({
+        model: model.name,
+        reason: existing === 0 ? "reach" : "copies",
+        servedDemand: existing === 0
+          ? demand * UNREACHABLE_FACTOR
+          : demand / (existing + 1),
+      });
+    }
+  }
+  return missing.sort((a, b) =>
+    b.servedDemand - a.servedDemand ||
+    Number(a.reason === "copies") - Number(b.reason === "copies")
+  );
 }
 
 function findTarget(
@@ -184,12 +199,13 @@
   },
 ): ModelLoadTarget | undefined {
   return findModelLoadTarget(model, {
-    models: input.models,
+    models: working.models,
     replicas: candidates,
     readyReplicaCounts: countReadyReplicas([...working.replicas.values()]),
     kvShare: options.kvShare,
     keepResident: input.keepResident,
     inUse: input.inUse,
+    localCopies: input.localCopies,
   });
 }
 
@@ -289,11 +305,6 @@
   return demandOf(model) / Math.max(1, counts.get(name) ?? 1);
 }
 
-/** The maximum rises with the fast average and falls with the slow one. */
-function demandOf(model: PlacementModel): number {
-  return Math.max(model.fastReplicas, model.slowReplicas);
-}
-
 function mayChange(report: ReplicaReport, input: PlacementInput): boolean {
   return input.dataCentre === undefined ||
     report.dataCentre === input.dataCentre;
--- a/packages/placement/src/plan_test.ts
+++ b/packages/placement/src/plan_test.ts
@@ -77,6 +77,40 @@
   ]);
 });
 
+test("a saturated model gets its copies before a rare model that a request waits for", (t) => {
+  const models = [
+    createModel("hot", { minReplicas: 3, fastReplicas: 3 }),
+    createModel("rare", { waitingRequests: 1 }),
+    ...["a", "b"].map((name) => createModel(name, { minReplicas: 0 })),
+  ];
+  const moves = plan(models, [
+    createReport("r1", ["hot"]),
+    createReport("r2", ["a"]),
+    createReport("r3", ["b"]),
+  ]);
+  t.deepEqual(moves.map(({ load }) => load), ["hot", "hot", "rare"]);
+});
+
+test("a model is loaded where its replica has a local copy and is idle", (t) => {
+  const models = [
+    createModel("hot", { fastReplicas: 0.9 }),
+    createModel("idle", { minReplicas: 0 }),
+    createModel("wanted", { waitingRequests: 1 }),
+  ];
+  const replicas = [
+    createReport("busy", ["hot"]),
+    createReport("distant", ["idle"]),
+    createReport("near", ["idle"]),
+  ];
+  const [move] = assemblePlacementPlan({
+    models,
+    replicas,
+    pendingMoves: [],
+    localCopies: new Set(["near wanted"]),
+  }, OPTIONS);
+  t.is(move?.replica, "near");
+});
+
 test("only models that are ready elsewhere are unloaded", (t) => {
   const models = ["a", "b", "c"].map((name) => createModel(name));
   const [first] = plan(models, [
--- a/packages/placement/src/protected_models.ts
+++ b/packages/placement/src/protected_models.ts
@@ -1,3 +1,5 @@
+import { WAITING_REQUEST_DEMAND } from "./plan.ts";
+
 /** A model that may be protected from unloading. */
 export interface ProtectionCandidate {
   /** Model name. */
@@ -8,7 +10,7 @@
   readonly waitingRequests: number;
   /** Whether the model is resident at a replica. */
   readonly isResident: boolean;
-  /** Replicas needed for the adapter slots of its requests; 1 if absent. */
+  /** Replicas needed for its demand and its adapters; 1 if absent. */
   readonly neededReplicas?: number;
 }
 
@@ -23,9 +25,9 @@
  * Chooses how many replicas each model must keep, given the number of model
  * slots over all replicas. With enough slots, every model keeps one. Otherwise
  * models are ranked by waiting requests plus demand, so that models without
- * recent requests are unloaded first. A model whose requests need the adapter
- * slots of several replicas competes for further ones by the method of highest
- * averages: its n-th replica ranks by an n-th of the model's value.
+ * recent requests are unloaded first. A model that needs several replicas
+ * competes for further ones by the method of highest averages: its n-th replica
+ * ranks by an n-th of the model's value.
  */
 export function chooseProtectedModels(
   candidates: readonly ProtectionCandidate[],
@@ -55,5 +57,6 @@
 function valueOf(
   { demand, waitingRequests, isResident }: ProtectionCandidate,
 ): number {
-  return waitingRequests + demand * (isResident ? RESIDENT_DEMAND_FACTOR : 1);
+  return waitingRequests * WAITING_REQUEST_DEMAND +
+    demand * (isResident ? RESIDENT_DEMAND_FACTOR : 1);
 }
