Gateway: adapters load before models, loads follow unloads at once

A replica takes one order at a time. The model scheduler planned first and took each replica that had just finished a load, so requests for the adapters of the new model waited through one more load of three seconds. Adapters are planned first now, and a move may queue behind adapter loads. 2. Unloads waited for a report, which is some hundred ms old. The load is now sent until the engine takes it; while the unload is carried out it answers with a conflict, so memory can't be overcommitted. 3. Unloads waited up to four seconds for requests in flight. A model in use costs 0.4 of a replica more as a candidate for an unload. 4. A holder that was stopped during an outage of the store left its row, and no order was sent for four seconds after the outage. It releases the row when the store is back, also if the lease has lapsed.

--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -61,6 +61,9 @@
  * the repeats and has to be read from a report.
  */
 const MAX_REPEATS = 3;
+/** Intervals at which an order is tried while another one is carried out. */
+const MIN_ORDER_INTERVAL_MS = 40;
+const MAX_ORDER_INTERVAL_MS = 250;
 /** Time within which a report must show the effect of an order, in ms. */
 const ORDER_EFFECT_TIMEOUT_MS = 12_000;
 
@@ -166,6 +169,36 @@
     }
   }
 
+  /**
+   * Sends an order once the engine has carried out the one before, which it
+   * rejects others during. Reports show the end of an order some hundred ms
+   * late, so the order is tried at short intervals instead.
+   */
+  async orderWhenIdle(
+    state: EngineState,
+    order: PlacementOrder,
+  ): Promise<OrderOutcome | "lease lost"> {
+    const { clock, sleep, pools } = this.#options;
+    const deadlineAt = clock.now() + ORDER_EFFECT_TIMEOUT_MS;
+    let intervalMs = MIN_ORDER_INTERVAL_MS;
+    while (true) {
+      const outcome = await this.order(state, order);
+      if (outcome !== "conflict" || clock.now() >= deadlineAt) return outcome;
+      await sleep(intervalMs);
+      intervalMs = Math.min(MAX_ORDER_INTERVAL_MS, intervalMs * 1.5);
+      if (intervalMs < MAX_ORDER_INTERVAL_MS) continue;
+      // The conflict may be that the engine has accepted other orders.
+      const read = await readEngineReport(
+        state.server,
+        pools.forReplica(state.server).pool,
+      );
+      const hasOther = read.ok && !read.value.busy &&
+        read.value.acceptedOrderCount !== state.acceptedOrderCount &&
+        read.value.acceptedOrderCount > 0;
+      if (hasOther) return outcome;
+    }
+  }
+
   async #sendOrderOnce(
     state: EngineState,
     order: PlacementOrder,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -302,8 +302,12 @@
 
   async #maintainLease(signal: AbortSignal): Promise<void> {
     const { fleet } = this.#ctx;
+    let isReleased = false;
     while (!signal.aborted) {
-      if (!fleet.isStopping && this.#exchange.mayHoldLease()) {
+      if (fleet.isStopping) {
+        // The store may be away when the stop begins.
+        isReleased ||= await this.#lease.release();
+      } else if (this.#exchange.mayHoldLease()) {
         const wasHeld = this.#lease.held;
         await this.#lease.renew();
         if (this.#lease.held !== wasHeld) fleet.changed.notify();
--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -179,7 +179,9 @@
   #startMove(move: PlacementMove, engine: EngineSpec): void {
     const { engineController, log } = this.#options;
     const state = engineController.get(move.replica);
-    if (!state || state.queuedTasks > 0 || state.isBusy) return;
+    if (!state || state.isBusy) return;
+    // The move may follow adapter loads, but no other task.
+    if (state.queuedTasks > state.plannedAdapters.size) return;
     if (
       !state.localCopies.has(move.load) &&
       !this.#modelLoadLimiter.tryAcquire(engine.modelLoadsPerS)
@@ -202,38 +204,34 @@
     move: PlacementMove,
     engine: EngineSpec,
   ): Promise<void> {
-    const { engineController, clock } = this.#options;
-    for (const model of move.unload) {
-      if (!state.models.has(model)) continue;
-      if (!await this.#unloadModel(state, model)) return;
-    }
-    if (state.models.has(move.load) || !fitsModel(move.load, state, engine)) {
-      return;
-    }
-    const outcome = await engineController.order(state, {
-      operation: "load",
-      model: move.load,
-    });
-    if (outcome !== "accepted" && outcome !== "done") {
-      await engineController.resync(state);
-      return;
-    }
-    await engineController.awaitEffect(
-      state,
-      () => state.models.has(move.load),
+    const { engineController } = this.#options;
+    const names = listAvailableNames(state).filter((name) =>
+      move.unload.includes(name.split("/")[0]!)
     );
-    state.loadedAt.set(move.load, clock.now());
+    try {
+      if (await this.#unloadModels(state, move, names)) {
+        await this.#loadModel(state, move.load, engine);
+      }
+    } finally {
+      for (const name of names) state.unloading.delete(name);
+      engineController.notifyAvailableModelsChange();
+    }
   }
 
-  async #unloadModel(state: EngineState, model: string): Promise<boolean> {
+  /** Returns whether all unloads were accepted; the last may be in progress. */
+  async #unloadModels(
+    state: EngineState,
+    move: PlacementMove,
+    names: readonly string[],
+  ): Promise<boolean> {
+    if (names.length === 0) return true;
     const { engineController, sleep } = this.#options;
-    const names = listAvailableNames(state)
-      .filter((name) => name === model || name.startsWith(`${model}/`));
     for (const name of names) state.unloading.add(name);
     engineController.notifyAvailableModelsChange();
     await sleep(UNLOAD_NOTICE_MS);
-    try {
-      const outcome = await engineController.order(state, {
+    for (const model of move.unload) {
+      if (!state.models.has(model)) continue;
+      const outcome = await engineController.orderWhenIdle(state, {
         operation: "unload",
         model,
       });
@@ -241,13 +239,34 @@
         await engineController.resync(state);
         return false;
       }
-      return await engineController.awaitEffect(
-        state,
-        () => !state.models.has(model),
-      );
-    } finally {
-      for (const name of names) state.unloading.delete(name);
-      engineController.notifyAvailableModelsChange();
+      for (const name of names) {
+        if (name.split("/")[0] !== model) continue;
+        state.models.delete(name);
+        state.adapters.delete(name);
+      }
+    }
+    return true;
+  }
+
+  async #loadModel(
+    state: EngineState,
+    model: string,
+    engine: EngineSpec,
+  ): Promise<void> {
+    const { engineController, clock } = this.#options;
+    if (state.models.has(model) || !fitsModel(model, state, engine)) return;
+    const outcome = await engineController.orderWhenIdle(state, {
+      operation: "load",
+      model,
+    });
+    if (outcome !== "accepted" && outcome !== "done") {
+      await engineController.resync(state);
+      return;
     }
+    const isLoaded = await engineController.awaitEffect(
+      state,
+      () => state.models.has(model),
+    );
+    if (isLoaded) state.loadedAt.set(model, clock.now());
   }
 }
--- a/packages/gateway/src/placement_controller.ts
+++ b/packages/gateway/src/placement_controller.ts
@@ -82,8 +82,10 @@
       if (!engine) continue;
       const servers = [...replicas.values()]
         .filter(({ service }) => service === name);
-      this.#modelScheduler.plan(engine, servers);
+      // An engine accepts no adapter while it loads a model, which takes
+      // seconds, so adapters go first.
       this.#adapterScheduler.plan(engine, servers);
+      this.#modelScheduler.plan(engine, servers);
     }
   }
 }
--- a/packages/placement/src/model_load_target.ts
+++ b/packages/placement/src/model_load_target.ts
@@ -31,6 +31,8 @@
 
 /** Cost of each in-flight request that an unload must wait for, in replicas. */
 const IN_FLIGHT_REQUEST_LOSS = 0.1;
+/** Cost of an unload that must wait for any request, in replicas. */
+const IN_USE_LOSS = 0.4;
 /** Cost of an unload, in replicas: it delays the load. */
 const UNLOAD_LOSS = 0.3;
 /** Cost of a load from the weight store instead of a local copy, in replicas. */
@@ -118,7 +120,7 @@
     .map((entry) => {
       const requests = inUse?.get(`${report.replica} ${entry.name}`) ?? 0;
       const demand = demandPerReplica(entry, counts) +
-        requests * IN_FLIGHT_REQUEST_LOSS;
+        (requests > 0 ? IN_USE_LOSS : 0) + requests * IN_FLIGHT_REQUEST_LOSS;
       return { entry, demand };
     })
     .sort((a, b) => a.demand - b.demand);
--- a/packages/platform/src/lease.ts
+++ b/packages/platform/src/lease.ts
@@ -147,20 +147,27 @@
     return this.held;
   }
 
-  /** Releases the lease if it is held; the fencing token stays in the row. */
-  async release(): Promise<void> {
-    if (!this.held) return;
+  /**
+   * Releases the lease if the row names this process, also after the lease has
+   * lapsed, so that others need not wait for the take-over time. The fencing
+   * token stays in the row. Returns false if the row could not be read or
+   * written, so that the release has to be repeated.
+   */
+  async release(): Promise<boolean> {
+    if (this.#fencingToken === 0) return true;
     this.#heldSince = undefined;
     this.#written = undefined;
     const { table, key } = this.#options;
     const read = await table.get(key);
-    if (!read.ok || !read.value) return;
+    if (!read.ok) return false;
+    if (!read.value) return true;
     const current = JSON.parse(read.value.value) as LeaseRow;
-    if (current.holder !== this.#options.holder) return;
-    await table.commit({
+    if (current.holder !== this.#options.holder) return true;
+    const result = await table.commit({
       checks: [{ key, version: read.value.version }],
       puts: [{ key, value: JSON.stringify({ ...current, holder: RELEASED }) }],
     });
+    return result.ok;
   }
 
   #isTakeoverDue(version: number, afterMs: number): boolean {
--- a/packages/platform/src/lease_test.ts
+++ b/packages/platform/src/lease_test.ts
@@ -107,3 +107,25 @@
   t.true(await second.renew());
   t.is(second.fencingToken, 2);
 });
+
+test("a lease that lapsed while its holder could not renew it is released and acquired sooner", async (t) => {
+  const { state, first, second } = createTimedLeases();
+  await first.renew();
+  state.now = 700;
+  t.false(first.held);
+  t.true(await first.release());
+  t.false(await second.renew());
+  state.now = 700 + 260;
+  t.true(await second.renew());
+});
+
+test("the release of a former holder leaves its successor's lease alone", async (t) => {
+  const { state, first, second } = createTimedLeases();
+  await first.renew();
+  await second.renew();
+  state.now = 860;
+  t.true(await second.renew());
+  t.true(await first.release());
+  t.true(await second.renew());
+  t.true(second.held);
+});
