Gateway: refusals name the end of a load; logs causes

Cause: a request for a model that needed three more seconds to load waited for 1.9 s and was refused then, with a retry-after of 0.7 s.

Change: the lease holder announces the models that are being loaded and when they will be there. A request that can't be served in time is refused at once with that time, unless its caller, who waits for a retry-after up to a third of the time it has left, would be back too early; it then waits for a part of the time. The refused request counts as waiting until its caller is due. Copies are planned from 40% of a replica's time instead of 60%.

'banyanspool logs causes' attributes each request that was not in time to one first cause; requests log their longest pause and the route's targets.

--- a/packages/audit/src/mod.ts
+++ b/packages/audit/src/mod.ts
@@ -17,3 +17,11 @@
 } from "./decision_reader.ts";
 export { followRequest, parseEventLine } from "./follow_request.ts";
 export type { EventLine, RequestTrail } from "./follow_request.ts";
+export { attributeCauses } from "./attribute_causes.ts";
+export type {
+  AttributedRequest,
+  CauseOptions,
+  CauseReport,
+  RequestCause,
+  RequestResult,
+} from "./attribute_causes.ts";
--- a/packages/cli/src/commands/logs_follow.ts
+++ b/packages/cli/src/commands/logs_follow.ts
@@ -1,9 +1,8 @@
-import { createReadStream } from "node:fs";
-import { createInterface } from "node:readline";
 import { Command, Option, type Usage } from "clipanion";
 import { type EventLine, followRequest } from "@banyanspool/audit";
 import { EXIT_CODES } from "../client_command.ts";
 import { formatTable } from "../format_table.ts";
+import { readLogLines } from "../read_log_lines.ts";
 
 const MS_PER_S = 1000;
 
@@ -29,16 +28,8 @@
   });
 
   async execute(): Promise<number> {
-    const lines: string[] = [];
-    for (const file of this.files) {
-      try {
-        for await (const line of this.#open(file)) lines.push(line);
-      } catch (error) {
-        const { code } = error as NodeJS.ErrnoException;
-        this.context.stderr.write(`Cannot read log "${file}": ${code}\n`);
-        return EXIT_CODES.badUsage;
-      }
-    }
+    const lines = await readLogLines(this.files, this.context);
+    if (!lines) return EXIT_CODES.badUsage;
     const trail = followRequest(this.id, lines);
     if (this.json) {
       this.context.stdout.write(`${JSON.stringify(trail, null, 2)}\n`);
@@ -58,11 +49,6 @@
     this.context.stdout.write(`${table}\n`);
     return EXIT_CODES.success;
   }
-
-  #open(file: string): AsyncIterable<string> {
-    const input = file === "-" ? this.context.stdin : createReadStream(file);
-    return createInterface({ input, crlfDelay: Infinity });
-  }
 }
 
 function startTimeOf({ time, fields }: EventLine): number {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -11,6 +11,7 @@
 import { ConfigStatusCommand } from "./commands/config_status.ts";
 import { KeysGrantCommand } from "./commands/keys_grant.ts";
 import { KeysWithdrawCommand } from "./commands/keys_withdraw.ts";
+import { LogsCausesCommand } from "./commands/logs_causes.ts";
 import { LogsFollowCommand } from "./commands/logs_follow.ts";
 import { ReplayCommand } from "./commands/replay.ts";
 import { StatusCommand } from "./commands/status.ts";
@@ -27,6 +28,7 @@
   ConfigStatusCommand,
   KeysGrantCommand,
   KeysWithdrawCommand,
+  LogsCausesCommand,
   LogsFollowCommand,
   ReplayCommand,
   StatusCommand,
--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -20,6 +20,11 @@
 const RECHECK_INTERVAL_MS = 60;
 /** Retry-after of requests that found no replica, before jitter. */
 const NO_REPLICA_RETRY_AFTER_MS = 700;
+/**
+ * Callers wait for a retry-after only up to this share of the time that they
+ * have left.
+ */
+const MAX_RETRY_AFTER_SHARE = 1 / 3;
 /** Share of the caller's remaining wait that the predicted time may take. */
 const MAX_PREDICTED_SHARE = 0.8;
 /**
@@ -74,6 +79,12 @@
         return err(refuseNoReplica(ctx, request));
       }
       if (name !== undefined) stopWaiting ??= waitingRequests.add(name);
+      const refusal = refuseUntilLoaded(ctx, scope, { request, waitUntil });
+      if (refusal) {
+        keepCounting(ctx, refusal, stopWaiting);
+        stopWaiting = undefined;
+        return err(refusal);
+      }
       await fleet.changed.wait(
         Math.min(leftMs, RECHECK_INTERVAL_MS),
         scope.signal,
@@ -134,6 +145,47 @@
   ));
 }
 
+/**
+ * Refuses a request for a model that no replica will have in time, with the time
+ * at which it will be there. A caller that would come back too early to see it
+ * loaded waits here for a part of the time.
+ */
+function refuseUntilLoaded(
+  ctx: GatewayContext,
+  scope: RequestScope,
+  { request, waitUntil }: { request: SelectionRequest; waitUntil: number },
+): Refusal | undefined {
+  const { clock, expectedModels, random, replicaTracker } = ctx;
+  const { model } = request;
+  if (model === undefined || replicaTracker.isResident(request)) return;
+  const readyAt = expectedModels.readyAt(model);
+  if (readyAt === undefined || readyAt <= waitUntil) return;
+  const now = clock.now();
+  const leftMs = scope.deadlineAt - now;
+  const readyInMs = readyAt - now;
+  const nextWaitMs = callerFirstByteTimeoutMs(scope.route) -
+    RESPONSE_RESERVE_MS;
+  const returnInMs = Math.min(readyInMs, leftMs * MAX_RETRY_AFTER_SHARE);
+  const isReturnInTime = returnInMs + nextWaitMs > readyInMs;
+  if (!isReturnInTime || readyAt > scope.deadlineAt) return;
+  return refuse("no_replica", `Model "${model}" is still being loaded`, {
+    retryAfterMs: jitterRetryAfter(readyInMs, random),
+  });
+}
+
+/**
+ * Counts a refused request as waiting until its caller is expected back, so that
+ * the model is loaded for it.
+ */
+function keepCounting(
+  { sleep }: GatewayContext,
+  { retryAfterMs }: Refusal,
+  stopWaiting: (() => void) | undefined,
+): void {
+  if (!stopWaiting) return;
+  sleep(retryAfterMs ?? 0).finally(stopWaiting);
+}
+
 function refuseNoReplica(
   ctx: GatewayContext,
   request: SelectionRequest,
--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -1,7 +1,13 @@
 import test from "ava";
-import type { Route } from "@banyanspool/types";
-import { callerFirstByteTimeoutMs } from "./acquire_replica.ts";
+import { ReplicaTracker, type SelectionRequest } from "@banyanspool/routing";
+import type { BackendServer, Route } from "@banyanspool/types";
+import { acquireReplica, callerFirstByteTimeoutMs } from "./acquire_replica.ts";
+import { ChangeSignal } from "./change_signal.ts";
+import type { GatewayContext } from "./context.ts";
+import { ExpectedModels } from "./expected_models.ts";
 import { jitterRetryAfter } from "./refusals.ts";
+import type { RequestScope } from "./request_scope.ts";
+import { WaitingRequestCounts } from "./waiting_request_counts.ts";
 
 function route(options: Partial<Route>): Route {
   return {
@@ -37,3 +43,108 @@
   t.is(jitterRetryAfter(400, () => 0), 400);
   t.is(jitterRetryAfter(400, () => 0.999), 500);
 });
+
+function backendServer(id: string, models: string[]): BackendServer {
+  return {
+    id,
+    service: "pool",
+    address: "127.0.0.1:1",
+    dataCentre: "north",
+    slots: 4,
+    draining: false,
+    startedAt: 1,
+    models: models.map((name) => ({ name, adapters: [] })),
+  };
+}
+
+const REQUEST: SelectionRequest = {
+  service: "pool",
+  model: "m",
+  promptTokens: 100,
+  outputTokens: 50,
+  promptParts: [],
+  excluded: new Set(),
+};
+
+/** A gateway whose waits for a change end at once and advance its clock. */
+function createGateway(servers: BackendServer[]) {
+  let now = 0;
+  const clock = { now: () => now, wall: () => now };
+  const replicaTracker = ReplicaTracker.create({
+    clock,
+    random: () => 0.7,
+    dataCentre: "north",
+    kvCapacityOf: () => undefined,
+  });
+  replicaTracker.updateServers(servers);
+  const changed = ChangeSignal.create();
+  changed.wait = (maxMs) => {
+    now += maxMs;
+    return Promise.resolve();
+  };
+  const timers: (() => void)[] = [];
+  const ctx = {
+    clock,
+    sleep: () => new Promise<void>((resolve) => timers.push(resolve)),
+    random: () => 0,
+    replicaTracker,
+    fleet: { changed },
+    waitingRequests: WaitingRequestCounts.create(),
+    expectedModels: ExpectedModels.create({ clock }),
+  } as unknown as GatewayContext;
+  const scope = {
+    route: route({ targetLatencyMs: 400, eventGapTargetMs: 200 }),
+    arrivedAt: 0,
+    deadlineAt: 15_000,
+    signal: new AbortController().signal,
+    activeConfiguration: { configuration: { services: new Map() } },
+  } as unknown as RequestScope;
+  return { ctx, scope, timers, elapsedMs: () => now };
+}
+
+test("a request for a model that takes longer to load than the caller waits is refused at once with the time of the load's end", async (t) => {
+  const { ctx, scope, timers, elapsedMs } = createGateway([]);
+  ctx.expectedModels.update(new Map([["m", 3200]]));
+  const acquired = await acquireReplica(ctx, scope, REQUEST);
+  t.false(acquired.ok);
+  t.is(elapsedMs(), 0);
+  t.is(!acquired.ok && acquired.error.retryAfterMs, 3200);
+  t.is(ctx.waitingRequests.waiting.get("m"), 1, "until the caller is back");
+  for (const end of timers) end();
+  await Promise.resolve();
+  await Promise.resolve();
+  t.is(ctx.waitingRequests.waiting.get("m"), undefined);
+});
+
+test("a request waits for a model that will be loaded in time", async (t) => {
+  const { ctx, scope, elapsedMs } = createGateway([]);
+  ctx.expectedModels.update(new Map([["m", 900]]));
+  const acquiring = acquireReplica(ctx, scope, REQUEST);
+  ctx.replicaTracker.updateServers([backendServer("r1", ["m"])]);
+  t.true((await acquiring).ok);
+  t.true(elapsedMs() < 900);
+});
+
+test("a caller that would come back before the load's end waits for a part of the time", async (t) => {
+  const { ctx, scope, elapsedMs } = createGateway([]);
+  ctx.expectedModels.update(new Map([["m", 3500]]));
+  const impatient = { ...scope, deadlineAt: 4000 };
+  const acquired = await acquireReplica(ctx, impatient, REQUEST);
+  t.false(acquired.ok);
+  t.true(elapsedMs() > 400, "a third of its time is too short at once");
+  t.true(elapsedMs() < 1850);
+});
+
+test("a steady rush on one replica is refused as long as nobody in a longer queue would be in time", async (t) => {
+  const { ctx, scope } = createGateway([backendServer("r1", ["m"])]);
+  let accepted = 0;
+  for (let i = 0; i < 20; i += 1) {
+    const acquired = await acquireReplica(ctx, scope, REQUEST);
+    if (!acquired.ok) continue;
+    accepted += 1;
+    ctx.replicaTracker.dispatch(REQUEST, acquired.value);
+    t.true(acquired.value.waitMs <= scope.route.targetLatencyMs);
+  }
+  t.true(accepted >= 4, "every slot is used");
+  t.true(accepted < 20, "the rest is refused");
+});
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -5,6 +5,7 @@
 import type { ReplicaTracker } from "@banyanspool/routing";
 import type { Clock, Random, Sleep } from "@banyanspool/types";
 import type { ConnectionPools } from "./connection_pools.ts";
+import type { ExpectedModels } from "./expected_models.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { WaitingRequestCounts } from "./waiting_request_counts.ts";
@@ -29,6 +30,8 @@
   readonly demand: DemandMeter;
   /** Models and adapters that requests of this gateway wait for. */
   readonly waitingRequests: WaitingRequestCounts;
+  /** Models that are being loaded. */
+  readonly expectedModels: ExpectedModels;
   /** Connections to replicas. */
   readonly pools: ConnectionPools;
   /** Structured log. */
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -7,6 +7,7 @@
 import { type Clock, sleep } from "@banyanspool/types";
 import { ConnectionPools } from "./connection_pools.ts";
 import type { GatewayContext } from "./context.ts";
+import { ExpectedModels } from "./expected_models.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import { WaitingRequestCounts } from "./waiting_request_counts.ts";
@@ -87,6 +88,7 @@
       slowWindowMs: DEMAND_SLOW_WINDOW_MS,
     }),
     waitingRequests: WaitingRequestCounts.create(),
+    expectedModels: ExpectedModels.create({ clock }),
     pools: ConnectionPools.create({
       maxConnectionsFor: (service) => {
         const spec = fleet.activeConfiguration?.configuration.services.get(
--- a/packages/gateway/src/final_responses.ts
+++ b/packages/gateway/src/final_responses.ts
@@ -101,7 +101,10 @@
 /** Returns the fields of a request's outcome that its progress holds. */
 export function summariseProgress(
   progress: RequestProgress,
-): Pick<RequestOutcome, "replicas" | "waitedMs" | "firstByteMs"> {
-  const { replicas, waitedMs, firstByteMs } = progress;
-  return { replicas, waitedMs, firstByteMs };
+): Pick<
+  RequestOutcome,
+  "replicas" | "waitedMs" | "firstByteMs" | "longestPauseMs"
+> {
+  const { replicas, waitedMs, firstByteMs, longestPauseMs } = progress;
+  return { replicas, waitedMs, firstByteMs, longestPauseMs };
 }
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -29,6 +29,8 @@
   readonly registry: ReplicaRegistry;
   /** Last reads of the replica list by this and other gateways. */
   readonly readSchedule: ListReadSchedule;
+  /** Time until each model that this lease holder loads is expected, in ms. */
+  readonly expectedLoads: () => ReadonlyMap<string, number>;
   /** Called when another gateway's report changed the registry. */
   readonly onReplicaChange: () => void;
   /** Called when another gateway has a newer configuration. */
@@ -260,6 +262,7 @@
         names,
       }));
     const hasChanged = this.#heldModels.update(models);
+    ctx.expectedModels.update(this.#options.expectedLoads());
     const availableModels = new Map<string, AvailableModels>();
     for (const { replica, startedAt, names } of models) {
       availableModels.set(replica, { startedAt, names: new Set(names) });
@@ -315,6 +318,13 @@
           $typeName: "banyanspool.v1.HeldModels",
           ...this.#heldModels.changesSince(base),
           fencingToken,
+          loads: [...this.#options.expectedLoads()].map((
+            [model, readyInMs],
+          ) => ({
+            $typeName: "banyanspool.v1.ModelLoad",
+            model,
+            readyInMs,
+          })),
         },
       };
     }
@@ -453,6 +463,9 @@
       token: fencingToken,
       receivedAt: now,
     };
+    ctx.expectedModels.update(
+      new Map(heldModels.loads.map((load) => [load.model, load.readyInMs])),
+    );
     const versionBefore = this.#knownModels.version;
     if (!this.#knownModels.apply(heldModels)) return;
     ctx.replicaTracker.updateAvailableModels(this.#knownModels.replicas);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -145,6 +145,7 @@
       lease: this.#lease,
       registry: this.#registry,
       readSchedule: this.#readSchedule,
+      expectedLoads: () => this.#placementController.expectedLoads(),
       onReplicaChange: () => this.#applyReplicaList(),
       onNewerConfiguration: () => this.#newerVersionSignal.notify(),
     });
--- a/packages/gateway/src/held_models.ts
+++ b/packages/gateway/src/held_models.ts
@@ -71,7 +71,9 @@
   }
 
   /** Returns what changed after a version; all replicas for version 0. */
-  changesSince(baseVersion: number): Omit<HeldModels, "$typeName"> {
+  changesSince(
+    baseVersion: number,
+  ): Pick<HeldModels, "version" | "baseVersion" | "replicas"> {
     const replicas: ReplicaHoldings[] = [];
     for (const published of this.#replicas.values()) {
       if (published.changedIn <= baseVersion) continue;
@@ -85,7 +87,6 @@
       });
     }
     return {
-      fencingToken: 0n,
       version: BigInt(this.#version),
       baseVersion: BigInt(baseVersion),
       replicas,
--- a/packages/gateway/src/held_models_test.ts
+++ b/packages/gateway/src/held_models_test.ts
@@ -18,6 +18,7 @@
     $typeName: "banyanspool.v1.HeldModels",
     ...publisher.changesSince(Number(baseVersion)),
     fencingToken,
+    loads: [],
   };
 }
 
--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -37,6 +37,13 @@
   readonly log: EventLog;
 }
 
+interface MoveInProgress {
+  readonly move: PlacementMove;
+  readonly state: EngineState;
+  /** When the loaded model is expected to accept requests, in ms. */
+  readonly readyAt: number;
+}
+
 /** Planning waits this long for the first report of a listed replica, in ms. */
 const FIRST_REPORT_WAIT_MS = 1500;
 /** Time for gateways to stop routing to a model about to be unloaded, in ms. */
@@ -50,11 +57,15 @@
 /** Minimum time between the load and the unload of a model, in ms. */
 const MIN_RESIDENCY_MS = 6000;
 
+/** Assumed time of a load from a local copy, in ms. */
+const LOCAL_LOAD_MS = 700;
+/** Time from the end of a load until all gateways know of it, in ms. */
+const ANNOUNCEMENT_MS = 300;
+
 /** Loads models where there is demand for them and unloads others. */
 export class ModelScheduler {
   readonly #options: ModelSchedulerOptions;
-  readonly #moves: Map<string, { move: PlacementMove; state: EngineState }> =
-    new Map();
+  readonly #moves: Map<string, MoveInProgress> = new Map();
   readonly #modelLoadLimiter: ModelLoadLimiter;
 
   private constructor(options: ModelSchedulerOptions) {
@@ -74,6 +85,19 @@
       current.state === this.#options.engineController.get(replica);
   }
 
+  /** Time until each model that is being loaded is expected, in ms. */
+  expectedLoads(): Map<string, number> {
+    const now = this.#options.clock.now();
+    const expected = new Map<string, number>();
+    for (const [replica, { move, readyAt }] of this.#moves) {
+      if (!this.hasMoveInProgress(replica)) continue;
+      const readyInMs = Math.max(0, Math.round(readyAt - now));
+      const earliest = expected.get(move.load) ?? Infinity;
+      expected.set(move.load, Math.min(earliest, readyInMs));
+    }
+    return expected;
+  }
+
   /** Plans and starts the next moves of one service with the given replicas. */
   plan(engine: EngineSpec, servers: readonly BackendServer[]): void {
     if (this.#isReportMissing(servers)) return;
@@ -177,7 +201,7 @@
   }
 
   #startMove(move: PlacementMove, engine: EngineSpec): void {
-    const { engineController, log } = this.#options;
+    const { engineController, clock, log } = this.#options;
     const state = engineController.get(move.replica);
     if (!state || state.isBusy) return;
     // The move may follow adapter loads, but no other task.
@@ -186,7 +210,12 @@
       !state.localCopies.has(move.load) &&
       !this.#modelLoadLimiter.tryAcquire(engine.modelLoadsPerS)
     ) return;
-    this.#moves.set(move.replica, { move, state });
+    const loadMs = state.localCopies.has(move.load)
+      ? LOCAL_LOAD_MS
+      : engine.models.get(move.load)?.modelLoadMs ?? 0;
+    const readyAt = clock.now() + loadMs + ANNOUNCEMENT_MS;
+    this.#moves.set(move.replica, { move, state, readyAt });
+    engineController.notifyAvailableModelsChange();
     log.write("model move", { ...move });
     engineController.enqueue(state, async () => {
       try {
--- a/packages/gateway/src/placement_controller.ts
+++ b/packages/gateway/src/placement_controller.ts
@@ -51,6 +51,11 @@
     return new PlacementController(options);
   }
 
+  /** Time until each model that is being loaded is expected, in ms. */
+  expectedLoads(): Map<string, number> {
+    return this.#modelScheduler.expectedLoads();
+  }
+
   /** Runs the control loop until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     const { engineController, fleet, log } = this.#options;
--- a/packages/gateway/src/placement_models.ts
+++ b/packages/gateway/src/placement_models.ts
@@ -18,7 +18,7 @@
 /** Demand added per waiting request, in replicas; ranks awaited models first. */
 const REPLICAS_PER_WAITING_REQUEST = 0.01;
 /** Share of a replica's time that one model should keep it busy at most. */
-const TARGET_BUSY_SHARE = 0.6;
+const TARGET_BUSY_SHARE = 0.4;
 
 /** Inputs of {@link buildPlacementModels} besides the engine. */
 export interface ModelListInput {
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -218,7 +218,12 @@
       replicas: outcome.replicas,
       waited_ms: Math.round(outcome.waitedMs),
       first_byte_ms: outcome.firstByteMs && Math.round(outcome.firstByteMs),
+      longest_pause_ms: outcome.longestPauseMs &&
+        Math.round(outcome.longestPauseMs),
       took_ms: Math.round(clock.now() - arrivedAt),
+      target_ms: route.targetLatencyMs,
+      pause_target_ms: route.streaming ? route.eventGapTargetMs : undefined,
+      deadline_ms: Math.round(scope.deadlineAt - arrivedAt),
       version: scope.activeConfiguration.configuration.version,
       newest_version: fleet.version,
     });
--- a/packages/gateway/src/request_progress.ts
+++ b/packages/gateway/src/request_progress.ts
@@ -17,6 +17,10 @@
   waitedMs = 0;
   /** Time to the first byte of the response, in ms. */
   firstByteMs: number | undefined;
+  /** Longest pause between two events of a stream, in ms. */
+  longestPauseMs: number | undefined;
+  /** When the last event of a stream was received, in ms. */
+  #lastEventAt: number | undefined;
   /** Id of the last event sent to the caller. */
   lastEventId: string | undefined;
 
@@ -27,6 +31,13 @@
     return new RequestProgress();
   }
 
+  /** Records that events of a stream were received. */
+  recordEvents(now: number): void {
+    const pauseMs = now - (this.#lastEventAt ?? now);
+    this.longestPauseMs = Math.max(this.longestPauseMs ?? 0, pauseMs);
+    this.#lastEventAt = now;
+  }
+
   /** Whether a replica may have run the request. */
   get mayHaveRun(): boolean {
     return this.possibleRuns > 0;
--- a/packages/gateway/src/request_scope.ts
+++ b/packages/gateway/src/request_scope.ts
@@ -47,4 +47,6 @@
   readonly waitedMs: number;
   /** Time to the first byte of the response, in ms. */
   readonly firstByteMs?: number;
+  /** Longest pause between two events of a stream, in ms. */
+  readonly longestPauseMs?: number;
 }
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -336,7 +336,10 @@
     return (await relayPlainResponse(scope, response)).kind;
   }
   const outcome = await relayStream(scope, response, {
-    onEvents: onFirstByte,
+    onEvents: () => {
+      onFirstByte();
+      progress.recordEvents(ctx.clock.now());
+    },
   });
   if (outcome.kind === "broken") {
     progress.lastEventId = outcome.lastEventId ?? progress.lastEventId;
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -259,6 +259,16 @@
     return listModelNames(server).has(name);
   }
 
+  /** Whether any replica has the request's model, with or without its adapter. */
+  isResident({ service, model }: SelectionRequest): boolean {
+    if (model === undefined) return true;
+    for (const server of this.#servers.values()) {
+      if (server.service !== service || server.draining) continue;
+      if (this.isAvailable(server, model)) return true;
+    }
+    return false;
+  }
+
   /** Replicas that can be sent a request now; ejected ones only if all are. */
   candidates(request: SelectionRequest): BackendServer[] {
     const name = formatModelName(request);
