Gateway: callers that left in a stall; resumed streams end truthfully

After a stall of the process timers run before sockets are read, so a request that waits is resumed and sent while the close of its caller lies unread.

Also: calls to the store grow less with the fleet: a call for changes of the configuration waits up to 30 s instead of 12 s where many gateways share the news, and a gateway reads the member table once after its own row is written, not twice.

--- a/packages/gateway/src/configuration_watch.ts
+++ b/packages/gateway/src/configuration_watch.ts
@@ -38,7 +38,8 @@
  */
 const WAIT_PER_GATEWAY_MS = 500;
 const MIN_WAIT_MS = 2000;
-const MAX_WAIT_MS = 12_000;
+/** The store ends a call after this time. */
+const MAX_WAIT_MS = 30_000;
 const RETRY_MS = 300;
 
 /** Reads and activates newer configurations until the signal is aborted. */
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -48,8 +48,12 @@
 const HOLDER_TIMEOUT_MS = 2000;
 /** Number of gateways that poll the lease while its holder is live. */
 const LEASE_CANDIDATES = 2;
-/** Replica changes are repeated for this long, in ms, as datagrams may be lost. */
+/**
+ * Replica changes are repeated for this long, in ms, and in this number of
+ * periodic reports, as datagrams may be lost.
+ */
 const CHANGE_REPEAT_MS = 1500;
+const CHANGE_REPEATS = 4;
 /** Number of requests in flight up to which a replica responds quickly. */
 const TARGET_REQUESTS_PER_REPLICA = 20;
 /**
@@ -236,7 +240,11 @@
     this.#recentChanges = this.#recentChanges.filter(({ until }) =>
       until > now
     );
-    this.#recentChanges.push({ change, until: now + CHANGE_REPEAT_MS });
+    const repeatMs = Math.max(
+      CHANGE_REPEAT_MS,
+      CHANGE_REPEATS * this.#peers.intervalMs,
+    );
+    this.#recentChanges.push({ change, until: now + repeatMs });
     this.#announceSoon();
   }
 
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -278,6 +278,32 @@
   t.is(res.body, [1, 2, 3, 4].map(event).join(""));
 });
 
+for (const status of [200, 404, 500]) {
+  test(`a resumed stream that another replica answers with ${status} and no events is truncated`, async (t) => {
+    const fleet = await startFleet(t);
+    const answer = (
+      req: { headers: Record<string, unknown> },
+      res: ServerResponse,
+    ) => {
+      if (req.headers["last-event-id"] !== undefined) {
+        res.writeHead(status, { "content-type": "text/plain" });
+        res.end("no events");
+        return;
+      }
+      res.writeHead(200, { "content-type": "text/event-stream" });
+      res.write(event(1));
+      setTimeout(() => res.destroy(), 50);
+    };
+    for (const id of ["i-1", "i-2", "i-3"]) {
+      await fleet.addReplica({ id, service: "pool", holds: ["m1"], answer });
+    }
+    const { send } = await startGateway(t, fleet);
+    const res = await send("/chat/", chat("m1"));
+    t.false(res.isComplete);
+    t.is(res.body, event(1));
+  });
+}
+
 test("a stream that can't be resumed is truncated for the caller after a complete event", async (t) => {
   const fleet = await startFleet(t);
   await fleet.addReplica({
--- a/packages/gateway/src/member_table.ts
+++ b/packages/gateway/src/member_table.ts
@@ -25,8 +25,11 @@
  * the table; later reads only serve gateways that did not receive the report.
  */
 const READ_INTERVAL_MS = 30_000;
-/** Intervals of the first reads, in ms, while all gateways write their rows. */
-const EARLY_READ_INTERVALS_MS = [0, 1500, 4000];
+/**
+ * Time of the second read after the first, in ms. Of two gateways that start
+ * together, the one that writes its row last then finds the other's.
+ */
+const SECOND_READ_MS = 1500;
 const RETRY_MS = 500;
 
 const memberSchema = z.object({ host: z.string() });
@@ -38,12 +41,16 @@
 ): Promise<void> {
   const { sleep } = options;
   let isWritten = false;
-  for (let reads = 0; !signal.aborted; reads += 1) {
+  let readsAfterWrite = 0;
+  while (!signal.aborted) {
     const rows = await readMembers(options);
+    if (rows && isWritten) readsAfterWrite += 1;
     if (rows && !isWritten) isWritten = await writeOwnRow(options, rows);
     const waitMs = !isWritten
       ? RETRY_MS
-      : EARLY_READ_INTERVALS_MS[reads + 1] ?? READ_INTERVAL_MS;
+      : readsAfterWrite > 0
+      ? READ_INTERVAL_MS
+      : SECOND_READ_MS;
     await sleep(waitMs, signal).catch(() => {});
   }
 }
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -5,6 +5,7 @@
 } from "@banyanspool/platform-adapter";
 import type { ReplicaSelection, SelectionRequest } from "@banyanspool/routing";
 import { formatModelName } from "@banyanspool/routing";
+import { isCallerPresent } from "./caller_presence.ts";
 import type { GatewayContext } from "./context.ts";
 import {
   ReplicaCall,
@@ -31,7 +32,7 @@
   /** No response within the time-out; the request may still be running. */
   | { readonly kind: "overdue" }
   /** The caller disconnected or the request's deadline has passed. */
-  | { readonly kind: "given up" };
+  | { readonly kind: "given up"; readonly sent: boolean };
 
 /** Options of {@link sendAttempt}. */
 export interface AttemptOptions {
@@ -63,6 +64,7 @@
   options: AttemptOptions,
 ): Promise<AttemptOutcome> {
   const { selection, request } = options;
+  if (!await isCallerPresent(scope)) return { kind: "given up", sent: false };
   const call = ReplicaCall.create({
     connections: ctx.pools.forReplica(selection.server),
     origin: `http://${selection.server.address}`,
@@ -159,10 +161,9 @@
   error: ReplicaCallError,
 ): AttemptOutcome {
   const reason = error.message;
-  if (scope.signal.aborted) return { kind: "given up" };
-  if (error.failure === "notSent") {
-    return { kind: "notRun", reason, sent: false };
-  }
+  const sent = error.failure !== "notSent";
+  if (scope.signal.aborted) return { kind: "given up", sent };
+  if (!sent) return { kind: "notRun", reason, sent };
   return { kind: "unknown", reason };
 }
 
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -220,6 +220,12 @@
     progress.hasReservedRetry = true;
     return recordRetry(execution, selection, "status");
   }
+  if (scope.res.headersSent && !isEventStream(response)) {
+    // Anything else would end the caller's stream as if it were complete.
+    response.call.abort();
+    recordObservation(execution, selection, "failure");
+    return endTruncated(scope, progress);
+  }
   const relayResult = await relay(execution, response, trackedRequest.started);
   switch (relayResult) {
     case "whole":
@@ -244,6 +250,11 @@
   }
 }
 
+function isEventStream({ head }: StartedResponse): boolean {
+  return head.status === 200 &&
+    String(head.headers["content-type"]).startsWith("text/event-stream");
+}
+
 /**
  * Records that a replica failed the request, which is retried at another one.
  */
@@ -272,7 +283,9 @@
   },
 ): RequestOutcome | undefined {
   const { ctx, scope, progress, request } = execution;
-  if (outcome.kind === "given up") return endAborted(scope, progress, true);
+  if (outcome.kind === "given up") {
+    return endAborted(scope, progress, outcome.sent || progress.mayHaveRun);
+  }
   let canRetry = canRepeat;
   if (outcome.kind === "notRun") {
     progress.rejections += 1;
