Gateway: endless bytes, stops under load; tests on free ports

What operators of similar systems saw, looked for through real sockets: - Bytes without end that are no answer: in a status line or a chunk extension the gateway took 100 to 350 MB within three seconds until the request's deadline, as the parser limits only header fields; an event without a line end was kept in memory. ReadGuard closes a connection after 1 MiB without a part of a response, the relay ends an event of over 1 MiB.

gateway_test takes free ports instead of fixed ones, so that two checkouts can run it at once. Planning pauses four times as long as a round took.

--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -1,5 +1,6 @@
 import type { BackendServer } from "@banyanspool/types";
 import { Pool } from "undici";
+import { ReadGuard } from "./read_guard.ts";
 import { ResetDetector } from "./reset_detector.ts";
 
 /** Connections to one incarnation of a replica. */
@@ -8,6 +9,8 @@
   readonly pool: Pool;
   /** Distinguishes a reset connection from one that was closed. */
   readonly resetDetector: ResetDetector;
+  /** Closes a connection with endless bytes that are no response. */
+  readonly readGuard: ReadGuard;
 }
 
 /** Options of {@link ConnectionPools.create}. */
@@ -50,17 +53,21 @@
     const existing = this.#pools.get(key);
     if (existing) return existing;
     const resetDetector = ResetDetector.create();
+    const readGuard = ReadGuard.create();
     const pool = new Pool(`http://${server.address}`, {
       connections: this.#options.maxConnectionsFor(server.service),
       pipelining: 1,
-      connect: resetDetector.createConnector(CONNECT_TIMEOUT_MS),
+      connect: resetDetector.createConnector(
+        CONNECT_TIMEOUT_MS,
+        (socket) => readGuard.watch(socket),
+      ),
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       bodyTimeout: 0,
       headersTimeout: 0,
     });
-    const connections = { pool, resetDetector };
+    const connections = { pool, resetDetector, readGuard };
     this.#pools.set(key, connections);
     return connections;
   }
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -1,161 +1,19 @@
-import { Agent, request, type ServerResponse } from "node:http";
-import test, { type ExecutionContext } from "ava";
+import type { ServerResponse } from "node:http";
+import { Agent } from "node:http";
+import test from "ava";
 import {
-  FleetStandin,
-  STANDIN_HOST,
-  STANDIN_KEY,
-  type StandinConfiguration,
-} from "@banyanspool/platform-adapter/testing";
-import { Gateway } from "./gateway.ts";
+  chat,
+  event,
+  findFreePort,
+  sendTo,
+  startFleet,
+  startGateway,
+  waitFor,
+} from "./testing/running_gateway.ts";
 
-const SILENT = { write: () => {}, dropped: () => 0, flush: () => {} };
 /** Delay after which a stand-in carries out an order that it did not answer. */
 const LATE_ORDER_MS = 1500;
 
-let nextPort = 21_000;
-
-interface CallerResponse {
-  readonly status: number;
-  readonly headers: Record<string, unknown>;
-  readonly body: string;
-  /** False if the connection was closed before the end of the response. */
-  readonly isComplete: boolean;
-}
-
-interface RunningGateway {
-  readonly gateway: Gateway;
-  readonly send: (
-    target: string,
-    options?: {
-      method?: string;
-      headers?: Record<string, string>;
-      body?: string;
-      agent?: Agent;
-    },
-  ) => Promise<CallerResponse>;
-}
-
-async function startFleet(
-  t: ExecutionContext,
-  configuration?: StandinConfiguration,
-): Promise<FleetStandin> {
-  const fleet = await FleetStandin.create(configuration);
-  t.teardown(() => fleet.close());
-  return fleet;
-}
-
-/** Starts a gateway. Gateways of one test use one port on different addresses. */
-async function startGateway(
-  t: ExecutionContext,
-  fleet: FleetStandin,
-  { host = "127.0.0.1", port = nextPort }: { host?: string; port?: number } =
-    {},
-): Promise<RunningGateway> {
-  nextPort = Math.max(nextPort, port + 10);
-  const gateway = await Gateway.create({
-    cfg: {
-      instance: `gateway-${host}`,
-      data_centre: "north",
-      public_listen: `${host}:${port}`,
-      readiness_listen: `${host}:${port + 1}`,
-      peer_listen: `${host}:${port + 2}`,
-      metrics_listen: `${host}:${port + 3}`,
-      store_address: fleet.store.address,
-      first_start: true,
-      grace_ms: 4000,
-      lease_ms: 1000,
-      retry_ratio: 0.2,
-      retry_burst: 50,
-      limit_window_ms: 2000,
-      limit_overage: 0.1,
-      limit_slack: 100,
-      log_lines_per_s: 100,
-    },
-    log: SILENT,
-  });
-  await gateway.start();
-  t.teardown(() => gateway.closeNow());
-  const send: RunningGateway["send"] = (target, options) =>
-    sendTo(host, port, target, options);
-  await waitFor(async () => {
-    const res = await sendTo(host, port + 1, "/v1/ready").catch(() =>
-      undefined
-    );
-    return res?.status === 200;
-  });
-  return { gateway, send };
-}
-
-let nextId = 0;
-
-function sendTo(
-  host: string,
-  port: number,
-  target: string,
-  { method = "GET", headers = {}, body, agent }: {
-    method?: string;
-    headers?: Record<string, string>;
-    body?: string;
-    agent?: Agent;
-  } = {},
-): Promise<CallerResponse> {
-  nextId += 1;
-  return new Promise((resolve, reject) => {
-    const req = request({
-      host,
-      port,
-      path: target,
-      method,
-      agent,
-      headers: {
-        host: STANDIN_HOST,
-        "request-id": `request-${nextId}`,
-        authorization: `Bearer ${STANDIN_KEY}`,
-        ...headers,
-      },
-    }, async (res) => {
-      let text = "";
-      let isComplete = true;
-      try {
-        for await (const chunk of res) text += String(chunk);
-      } catch {
-        isComplete = false;
-      }
-      resolve({
-        status: res.statusCode ?? 0,
-        headers: res.headers,
-        body: text,
-        isComplete,
-      });
-    });
-    req.on("error", reject);
-    req.end(body);
-  });
-}
-
-async function waitFor(isMet: () => boolean | Promise<boolean>) {
-  for (let i = 0; i < 400; i += 1) {
-    if (await isMet()) return;
-    await new Promise((resolve) => setTimeout(resolve, 25));
-  }
-  throw new Error("Condition not met within 10 s");
-}
-
-const chat = (model: string) => ({
-  method: "POST",
-  body: "{}",
-  headers: {
-    model,
-    "token-usage": "100,20",
-    "prompt-prefix": "a:50,b:50",
-    "deadline-ms": "3000",
-  },
-});
-
-function event(id: number): string {
-  return `id: ${id}\ndata: piece ${id}\n\n`;
-}
-
 test("a request is forwarded without its key and the response is returned unchanged", async (t) => {
   const fleet = await startFleet(t);
   const replica = await fleet.addReplica({
@@ -377,8 +235,8 @@
   const fleet = await startFleet(t);
   await fleet.addReplica({ id: "i-1", service: "desk" });
   fleet.store.fault = "busy";
-  const port = nextPort;
-  const starting = startGateway(t, fleet);
+  const port = await findFreePort();
+  const starting = startGateway(t, fleet, { port });
   const isListening = async () =>
     await sendTo("127.0.0.1", port + 1, "/v1/ready").then(
       ({ status }) => status === 503,
@@ -423,7 +281,7 @@
 test("two gateways together enforce an organisation's rate limit", async (t) => {
   const fleet = await startFleet(t, { ratePerS: 100, burst: 200 });
   await fleet.addReplica({ id: "i-1", service: "desk" });
-  const port = nextPort;
+  const port = await findFreePort();
   const first = await startGateway(t, fleet, { port });
   const second = await startGateway(t, fleet, { host: "127.0.0.2", port });
   await new Promise((resolve) => setTimeout(resolve, 600));
@@ -490,3 +348,39 @@
   await waitFor(async () => (await send("/look/")).status === 401);
   t.pass();
 });
+
+test("a stop under load answers every request that comes before the balancer has removed the gateway", async (t) => {
+  const fleet = await startFleet(t);
+  await fleet.addReplica({
+    id: "i-1",
+    service: "desk",
+    answer: (_req, res) => void setTimeout(() => res.end("ok"), 30),
+  });
+  const { gateway, send } = await startGateway(t, fleet);
+  let removedAt = Infinity;
+  let answered = 0;
+  const lost: string[] = [];
+  const callers = Array.from({ length: 8 }, async () => {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    let isOpen = false;
+    // Callers send on their open connection until it closes, and open another
+    // one as long as the balancer sends connections here.
+    while (isOpen || performance.now() < removedAt) {
+      try {
+        const res = await send("/book/", { method: "POST", body: "x", agent });
+        isOpen = res.headers["connection"] !== "close";
+        if (res.isComplete) answered += 1;
+        else lost.push("cut off");
+      } catch (error) {
+        lost.push(String((error as NodeJS.ErrnoException).code));
+        isOpen = false;
+      }
+    }
+  });
+  await new Promise((resolve) => setTimeout(resolve, 150));
+  removedAt = performance.now() + 2000;
+  await gateway.stop();
+  await Promise.all(callers);
+  t.deepEqual(lost, []);
+  t.true(answered > 8);
+});
--- a/packages/gateway/src/placement_controller.ts
+++ b/packages/gateway/src/placement_controller.ts
@@ -29,6 +29,10 @@
 
 /** Planning interval while no change is signalled, in ms. */
 const PLANNING_INTERVAL_MS = 150;
+/** Shortest pause between two planning rounds, in ms. */
+const MIN_PAUSE_MS = 10;
+/** Multiple of a round's own time to pause, so that requests are served too. */
+const PAUSE_PER_ROUND = 4;
 
 /** Control loop that places models and adapters while the lease is held. */
 export class PlacementController {
@@ -58,7 +62,7 @@
 
   /** Runs the control loop until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const { engineController, fleet, log } = this.#options;
+    const { engineController, fleet, log, clock, sleep } = this.#options;
     let heldLease = false;
     while (!signal.aborted) {
       if (engineController.holdsLease !== heldLease) {
@@ -67,7 +71,14 @@
         engineController.clear();
         this.#adapterScheduler.clear();
       }
-      if (heldLease) this.#planRound();
+      if (heldLease) {
+        const startedAt = clock.now();
+        this.#planRound();
+        const tookMs = clock.now() - startedAt;
+        const pauseMs = Math.max(MIN_PAUSE_MS, PAUSE_PER_ROUND * tookMs);
+        await sleep(Math.min(PLANNING_INTERVAL_MS, pauseMs), signal)
+          .catch(() => {});
+      }
       await fleet.changed.wait(PLANNING_INTERVAL_MS, signal);
     }
   }
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -96,9 +96,10 @@
     });
     if (this.#ctx.fleet.isStopping) res.setHeader("connection", "close");
     // A response whose headers were sent before the stop did not announce that
-    // the connection will be closed.
+    // the connection will be closed, so its caller may be sending the next
+    // request. While requests are accepted, that one is answered and announces it.
     res.once("finish", () => {
-      if (this.#ctx.fleet.isStopping) req.socket.destroySoon();
+      if (this.#isClosed) req.socket.destroySoon();
     });
     try {
       await this.#serve(req, res);
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -62,6 +62,9 @@
   return { kind: "whole" };
 }
 
+/** Size from which bytes without the end of an event are no event. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+
 /** Options of {@link relayStream}. */
 export interface StreamRelayOptions {
   /** Called before each write of events to the caller. */
@@ -86,6 +89,10 @@
   try {
     for await (const chunk of call.body()) {
       const events = splitter.push(chunk);
+      if (!events && splitter.incompleteEvent.length > MAX_EVENT_BYTES) {
+        call.abort();
+        return { kind: "broken", lastEventId };
+      }
       if (!events) continue;
       if (!res.headersSent) {
         const { "content-length": _, ...headers } = selectCallerHeaders(
--- a/packages/gateway/src/replica_call.ts
+++ b/packages/gateway/src/replica_call.ts
@@ -1,6 +1,7 @@
 import type { ResponseHeaders } from "@banyanspool/platform-adapter";
 import type { Dispatcher } from "undici";
 import type { ReplicaConnections } from "./connection_pools.ts";
+import type { ReadGuard } from "./read_guard.ts";
 import type { ResetDetector } from "./reset_detector.ts";
 
 /** The head of a replica's response. */
@@ -70,10 +71,12 @@
   #error: ReplicaCallError | undefined;
   #wakeReader: (() => void) | undefined;
   readonly #resetDetector: ResetDetector;
+  readonly #readGuard: ReadGuard;
   #stopTracking: (() => void) | undefined;
 
-  private constructor(resetDetector: ResetDetector) {
+  private constructor({ resetDetector, readGuard }: ReplicaConnections) {
     this.#resetDetector = resetDetector;
+    this.#readGuard = readGuard;
     this.head = new Promise((resolve, reject) => {
       this.#resolveHead = resolve;
       this.#rejectHead = reject;
@@ -85,7 +88,7 @@
   /** Starts the call. A failure is reported by `head` and `body()`. */
   static create(options: ReplicaCallOptions): ReplicaCall {
     const { connections, origin, method, target, headers, body } = options;
-    const call = new ReplicaCall(connections.resetDetector);
+    const call = new ReplicaCall(connections);
     try {
       connections.pool.dispatch({
         origin,
@@ -142,6 +145,7 @@
     status: number,
     headers: ResponseHeaders,
   ): void {
+    this.#readGuard.recordProgress();
     if (status < FIRST_FINAL_STATUS) return;
     if (isCloseDelimited(headers)) {
       this.#stopTracking = this.#resetDetector.trackCloseDelimited();
@@ -154,6 +158,7 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    this.#readGuard.recordProgress();
     this.#chunks.push(chunk);
     this.#unreadBytes += chunk.length;
     if (this.#unreadBytes >= MAX_UNREAD_BYTES) controller.pause();
@@ -162,6 +167,7 @@
 
   /** Called by the transport at the end of the response. */
   onResponseEnd(): void {
+    this.#readGuard.recordProgress();
     if (this.#stopTracking && this.#resetDetector.isReset) {
       this.#fail("broken", new Error("reset"));
       return;
--- a/packages/gateway/src/reset_detector.ts
+++ b/packages/gateway/src/reset_detector.ts
@@ -47,9 +47,12 @@
 
   /**
    * Returns a connector with a connect time-out that checks its sockets for
-   * resets.
+   * resets, and calls `onConnect` with each of them.
    */
-  createConnector(timeoutMs: number): buildConnector.connector {
+  createConnector(
+    timeoutMs: number,
+    onConnect: (socket: Socket) => void = () => {},
+  ): buildConnector.connector {
     const connect = buildConnector({ timeout: timeoutMs });
     return (options, callback) => {
       connect(options, (...result) => {
@@ -60,6 +63,7 @@
         }
         socket.prependListener("error", renameReset);
         socket.prependListener("end", () => this.#checkForReset(socket));
+        onConnect(socket);
         callback(null, socket);
       });
     };
