Gateway: plain services keep their queue within the target too

What was added for models holds for all services now: a queue in which nobody would be in time is refused, with a retry-after of at least the wait and a tenth of the caller's remaining time, spread over twice that. Also: models in use are unloaded only if no other is left (a quarter of the unloads waited 1.6 to 3.7 s for requests), and orders to a busy engine are tried less often (1,998 of 3,397 orders were refused).

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -28,15 +28,22 @@
 /** Share of the caller's remaining wait that the predicted time may take. */
 const MAX_PREDICTED_SHARE = 0.8;
 /**
- * Multiple of the route's target time that a request may wait for others at a
- * replica. With a longer queue, none of the requests in it would be in time.
+ * Share of the route's target time that the predicted time may take where
+ * requests queue at a replica. With a longer queue, none of the requests in it
+ * would be in time.
  */
-const MAX_QUEUE_TARGETS = 1;
+const MAX_TARGET_SHARE = 0.9;
+/** Share of the target time that a request may wait for others in any case. */
+const MIN_QUEUE_SHARE = 0.25;
 /**
- * Bounds of the retry-after of requests refused as overloaded, before jitter.
+ * Bounds of the retry-after of requests refused as overloaded. It is at least the
+ * wait in the queue and a share of the time that the caller has left, and up to
+ * twice as long at random, so that callers return spread over the time in which
+ * a rush passes.
  */
 const MIN_RETRY_AFTER_MS = 200;
 const MAX_RETRY_AFTER_MS = 5000;
+const MIN_RETURN_SHARE = 0.1;
 
 /** Estimated time that a caller waits for the first byte, in ms. */
 export function callerFirstByteTimeoutMs(route: Route): number {
@@ -126,22 +133,25 @@
     scope.deadlineAt - nowMs,
     scope.arrivedAt + callerFirstByteTimeoutMs(scope.route) - nowMs,
   );
-  const isQueueShort = request.model === undefined ||
-    selection.waitMs <= scope.route.targetLatencyMs * MAX_QUEUE_TARGETS;
+  const { targetLatencyMs } = scope.route;
+  const { waitMs, predictedMs } = selection;
+  const isQueueShort = predictedMs <= targetLatencyMs * MAX_TARGET_SHARE ||
+    waitMs <= targetLatencyMs * MIN_QUEUE_SHARE;
   if (
     isQueueShort &&
-    selection.predictedMs <= remainingWaitMs * MAX_PREDICTED_SHARE
+    predictedMs <= remainingWaitMs * MAX_PREDICTED_SHARE
   ) {
     return ok(selection);
   }
+  const leftMs = scope.deadlineAt - nowMs;
   const retryAfterMs = Math.min(
     MAX_RETRY_AFTER_MS,
-    Math.max(MIN_RETRY_AFTER_MS, selection.waitMs - remainingWaitMs / 2),
+    Math.max(MIN_RETRY_AFTER_MS, waitMs, leftMs * MIN_RETURN_SHARE),
   );
   return err(refuse(
     "overloaded",
     `All replicas of "${selection.server.service}" are too busy to answer in time`,
-    { retryAfterMs: jitterRetryAfter(retryAfterMs, ctx.random) },
+    { retryAfterMs: Math.ceil(retryAfterMs * (1 + ctx.random())) },
   ));
 }
 
--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -63,7 +63,7 @@
 const MAX_REPEATS = 3;
 /** Intervals at which an order is tried while another one is carried out. */
 const MIN_ORDER_INTERVAL_MS = 40;
-const MAX_ORDER_INTERVAL_MS = 250;
+const MAX_ORDER_INTERVAL_MS = 500;
 /** Time within which a report must show the effect of an order, in ms. */
 const ORDER_EFFECT_TIMEOUT_MS = 12_000;
 
@@ -185,7 +185,7 @@
       const outcome = await this.order(state, order);
       if (outcome !== "conflict" || clock.now() >= deadlineAt) return outcome;
       await sleep(intervalMs);
-      intervalMs = Math.min(MAX_ORDER_INTERVAL_MS, intervalMs * 1.5);
+      intervalMs = Math.min(MAX_ORDER_INTERVAL_MS, intervalMs * 2);
       if (intervalMs < MAX_ORDER_INTERVAL_MS) continue;
       // The conflict may be that the engine has accepted other orders.
       const read = await readEngineReport(
--- a/packages/gateway/src/misbehaving_replica_test.ts
+++ b/packages/gateway/src/misbehaving_replica_test.ts
@@ -1,5 +1,5 @@
 import { once } from "node:events";
-import { Agent, type ServerResponse } from "node:http";
+import type { ServerResponse } from "node:http";
 import test from "ava";
 import {
   chat,
--- a/packages/placement/src/model_load_target.ts
+++ b/packages/placement/src/model_load_target.ts
@@ -32,7 +32,7 @@
 /** Cost of each in-flight request that an unload must wait for, in replicas. */
 const IN_FLIGHT_REQUEST_LOSS = 0.1;
 /** Cost of an unload that must wait for any request, in replicas. */
-const IN_USE_LOSS = 0.4;
+const IN_USE_LOSS = 1;
 /** Cost of an unload, in replicas: it delays the load. */
 const UNLOAD_LOSS = 0.3;
 /** Cost of a load from the weight store instead of a local copy, in replicas. */
