Limits: documents are not refused far from the limit at many gateways

Each gateway took an even share of the remainder between two reports, divided by all gateways: 7,000 tokens of 480,000, less than one document of 9,200, so documents were admitted at random. Change: 30% of the allowance is divided among all gateways as before. What remains above it is divided among twice those that the organisation used in the last two seconds.

--- a/packages/limits/src/sliding_window_limiter.ts
+++ b/packages/limits/src/sliding_window_limiter.ts
@@ -67,6 +67,8 @@
   incarnation: number;
   reportedAt: number;
   readonly totals: Map<string, number>;
+  /** When a report last showed a larger total, by organisation. */
+  readonly increasedAt: Map<string, number>;
 }
 
 /** Usage expires in steps of a sixty-fourth of the window. */
@@ -105,6 +107,16 @@
  * entries have counted it.
  */
 const UNREPORTED_TOLERANCE = 0.25;
+/** An entry counts as used by an organisation for this time after a request. */
+const ACTIVE_MS = 2000;
+/** Part of the allowance that is divided among all live entries. */
+const RESERVED_SHARE = 0.3;
+/**
+ * What remains above that part is divided among twice the entries that an
+ * organisation uses, as its requests may move to others between two reports.
+ */
+const ENTRIES_PER_ACTIVE_ENTRY = 2;
+const MIN_SHARING_ENTRIES = 4;
 const MS_PER_S = 1000;
 
 /**
@@ -113,7 +125,8 @@
  * one burst. Every entry counts the tokens that it admits and those that others
  * report. Near the limit, an entry takes at most an even share of the remainder
  * between two of its reports, and admits at random a request larger than that
- * share, so that many entries don't all spend the same remainder. A silent
+ * share, so that many entries don't all spend the same remainder. Far from the
+ * limit only the entries that the organisation uses share what remains. A silent
  * entry is assumed to use an even share until it reports again, so that the two
  * sides of a partition don't both spend the whole limit. A restarted entry
  * takes the usage of the last window from reports of entries that have counted
@@ -220,13 +233,21 @@
     const known = this.#peers.get(instance);
     const peer = known?.incarnation === incarnation
       ? known
-      : { incarnation, reportedAt: 0, totals: new Map<string, number>() };
+      : {
+        incarnation,
+        reportedAt: 0,
+        totals: new Map<string, number>(),
+        increasedAt: new Map<string, number>(),
+      };
     const isLearning = this.#isYoungerThanWindow && knowsWindow;
     for (const [organisation, { admitted, inWindow }] of uses) {
       const before = peer.totals.get(organisation) ??
         (known ? 0 : Math.max(0, admitted - inWindow));
       this.#countReported(organisation, admitted - before);
       peer.totals.set(organisation, admitted);
+      if (admitted > before) {
+        peer.increasedAt.set(organisation, this.#options.clock.now());
+      }
       const use = this.#usageByOrganisation.get(organisation);
       if (!use) {
         const reportedAt = this.#options.clock.now();
@@ -291,7 +312,7 @@
    * not, the result is random: true with a probability of share / tokens.
    */
   #isWithinShare(
-    { sum, unreported, randomDraw }: OrganisationUse,
+    { limit, sum, unreported, randomDraw }: OrganisationUse,
     tokens: number,
     allowance: number,
   ): boolean {
@@ -299,10 +320,30 @@
     const tolerance = allowance * overage + slackTokens;
     const remainder = allowance - sum + unreported +
       tolerance * UNREPORTED_TOLERANCE;
-    const share = remainder / liveEntryCount() - unreported;
+    const reserved = Math.min(remainder, allowance * RESERVED_SHARE);
+    const share = reserved / liveEntryCount() +
+      (remainder - reserved) / this.#countSharingEntries(limit.name) -
+      unreported;
     return share >= tokens || randomDraw * tokens < share;
   }
 
+  /** Number of entries that may take tokens before they know of each other's. */
+  #countSharingEntries(organisation: string): number {
+    const { clock, liveEntryCount } = this.#options;
+    const activeSince = clock.now() - ACTIVE_MS;
+    let active = 1;
+    for (const { increasedAt } of this.#peers.values()) {
+      if ((increasedAt.get(organisation) ?? -Infinity) >= activeSince) {
+        active += 1;
+      }
+    }
+    const sharing = Math.max(
+      MIN_SHARING_ENTRIES,
+      active * ENTRIES_PER_ACTIVE_ENTRY,
+    );
+    return Math.min(liveEntryCount(), sharing);
+  }
+
   #countAdmitted(organisation: string, tokens: number): void {
     this.#admittedTotals.set(
       organisation,
--- a/packages/limits/src/sliding_window_limiter_test.ts
+++ b/packages/limits/src/sliding_window_limiter_test.ts
@@ -280,6 +280,19 @@
   t.true(taken > 0);
 });
 
+test("documents at a few of many entries are not refused far from the limit", (t) => {
+  const { limiter, advance, receiveReport } = createSettled({ entries: 68 });
+  const tokens = ALLOWED * 0.02;
+  let reported = 0;
+  for (let taken = 0; taken < ALLOWED * 0.5; taken += 2 * tokens) {
+    t.is(limiter.take(LIMIT, tokens).kind, "taken", `${taken} tokens used`);
+    limiter.markReported();
+    reported += tokens;
+    receiveReport(reported);
+    advance(20);
+  }
+});
+
 test("ordinary documents of a large organisation don't count as small requests at any of many entries", (t) => {
   const large = { ...LIMIT, ratePerS: 100_000, burst: 200_000 };
   const allowed = 1_000_000;
