Routing: many gateways compare samples of the replicas

From 16 gateways on, each compares the two replicas that all prefer for the session, where its prompt is most likely cached, and two at random. Prompts are assumed cached to 0.8 and 0.4 at these two (one replica and 0.6 before), so that a second copy of a prompt stays at one place. Test: 68 trackers with the same old reports send at most half of their requests to one replica; before, all of them.

--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -74,6 +74,7 @@
     clock,
     random: () => 0.7,
     dataCentre: "north",
+    liveEntryCount: () => 1,
     kvCapacityOf: () => undefined,
   });
   replicaTracker.updateServers(servers);
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -60,6 +60,7 @@
       clock,
       random: Math.random,
       dataCentre: cfg.data_centre,
+      liveEntryCount: liveCount,
       kvCapacityOf: (service) => findEngine(service)?.kvCapacityTokens,
     }),
     limits: SlidingWindowLimiter.create({
--- a/packages/limits/src/sliding_window_limiter.ts
+++ b/packages/limits/src/sliding_window_limiter.ts
@@ -231,14 +231,12 @@
   recordReport(report: UsageReport): void {
     const { instance, incarnation, uses, knowsWindow } = report;
     const known = this.#peers.get(instance);
-    const peer = known?.incarnation === incarnation
-      ? known
-      : {
-        incarnation,
-        reportedAt: 0,
-        totals: new Map<string, number>(),
-        increasedAt: new Map<string, number>(),
-      };
+    const peer = known?.incarnation === incarnation ? known : {
+      incarnation,
+      reportedAt: 0,
+      totals: new Map<string, number>(),
+      increasedAt: new Map<string, number>(),
+    };
     const isLearning = this.#isYoungerThanWindow && knowsWindow;
     for (const [organisation, { admitted, inWindow }] of uses) {
       const before = peer.totals.get(organisation) ??
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -69,6 +69,8 @@
   readonly random: Random;
   /** Data centre of this process. */
   readonly dataCentre: string;
+  /** Number of entries that reported lately, including this one. */
+  readonly liveEntryCount: () => number;
   /** Tokens that the KV cache of a service's replicas can hold, if known. */
   readonly kvCapacityOf: (service: string) => number | undefined;
 }
@@ -113,8 +115,19 @@
 const MAX_PREFIXES = 20_000;
 /** Replicas whose cost differs from the best by less than this are equal. */
 const EQUAL_COST_MARGIN_MS = 3;
-/** Share of the known prompt parts assumed cached at the preferred replica. */
-const PREFERRED_CACHED_SHARE = 0.6;
+/**
+ * Share of the known prompt parts assumed cached at the replicas that all
+ * entries prefer for them, the most preferred first.
+ */
+const PREFERRED_CACHED_SHARES = [0.8, 0.4];
+/**
+ * Number of entries from which on each compares a sample of the replicas only.
+ * Reports are then so old that all would send to the same idle replica. Source:
+ * Mitzenmacher, "How Useful Is Old Information?".
+ */
+const MANY_ENTRIES = 16;
+/** Replicas in a sample besides the preferred ones. */
+const SAMPLE_SIZE = 2;
 
 /**
  * Tracks the state and load of all replicas, and selects among them by the
@@ -293,8 +306,9 @@
     const preferred = this.#preferredFor(request, candidates);
     let best: ReplicaSelection | undefined;
     let bestCost = Infinity;
-    for (const server of candidates) {
-      const selection = this.#predict(server, request, server === preferred);
+    for (const server of this.#sample(candidates, preferred)) {
+      const preference = preferred.indexOf(server);
+      const selection = this.#predict(server, request, preference);
       const cost = this.#costOf(selection);
       if (cost >= bestCost - EQUAL_COST_MARGIN_MS) {
         if (cost >= bestCost + EQUAL_COST_MARGIN_MS) continue;
@@ -306,6 +320,23 @@
     return best;
   }
 
+  /** Returns the replicas to compare: all of them if there are few entries. */
+  #sample(
+    candidates: readonly BackendServer[],
+    preferred: readonly BackendServer[],
+  ): Iterable<BackendServer> {
+    const { liveEntryCount, random } = this.#options;
+    const size = SAMPLE_SIZE + preferred.length;
+    if (liveEntryCount() < MANY_ENTRIES || candidates.length <= size) {
+      return candidates;
+    }
+    const sample = new Set(preferred);
+    while (sample.size < size) {
+      sample.add(candidates[Math.floor(random() * candidates.length)]!);
+    }
+    return sample;
+  }
+
   /** Counts a request as in flight at a replica until it is marked finished. */
   dispatch(
     request: SelectionRequest,
@@ -374,7 +405,7 @@
   #predict(
     server: BackendServer,
     request: SelectionRequest,
-    isPreferred: boolean,
+    preference: number,
   ): ReplicaSelection {
     const load = this.#loads.countsAt(server.id);
     const inFlight = load.requests;
@@ -390,7 +421,7 @@
     const tokensPerMs = this.#prefillTokensPerMsOf(request.model);
     const uncachedTokens = Math.max(
       0,
-      request.promptTokens - this.#cachedTokens(server, request, isPreferred),
+      request.promptTokens - this.#cachedTokens(server, request, preference),
     );
     let waitMs = load.prefillTokens / tokensPerMs +
       inFlight * DELAY_PER_REQUEST_MS + slotWaitMs;
@@ -409,7 +440,7 @@
   #cachedTokens(
     server: BackendServer,
     request: SelectionRequest,
-    isPreferred: boolean,
+    preference: number,
   ): number {
     const ids = request.promptParts.map(({ id }) => id);
     const blocks = this.#prefixes.countBlocks(
@@ -418,22 +449,22 @@
       server.id,
     );
     const recordedTokens = sumTokens(request.promptParts.slice(0, blocks));
-    if (!isPreferred) return recordedTokens;
+    const share = PREFERRED_CACHED_SHARES[preference] ?? 0;
     const partTokens = sumTokens(request.promptParts);
-    return Math.max(recordedTokens, partTokens * PREFERRED_CACHED_SHARE);
+    return Math.max(recordedTokens, partTokens * share);
   }
 
-  /** Returns the replica that all entries prefer for the request's session. */
+  /** Returns the replicas that all entries prefer for the request's session. */
   #preferredFor(
     request: SelectionRequest,
     candidates: readonly BackendServer[],
-  ): BackendServer | undefined {
+  ): BackendServer[] {
     const session = request.promptParts.at(-1);
-    if (!session || request.model === undefined) return undefined;
+    if (!session || request.model === undefined) return [];
     return rankByAffinity(
       `${formatModelName(request)} ${session.id}`,
       candidates,
-    )[0];
+    ).slice(0, PREFERRED_CACHED_SHARES.length);
   }
 
   #updatePrefillSpeed(
--- a/packages/routing/src/replica_tracker_test.ts
+++ b/packages/routing/src/replica_tracker_test.ts
@@ -34,6 +34,7 @@
     clock: { now: () => now, wall: () => now },
     random: () => 0.7,
     dataCentre: "north",
+    liveEntryCount: () => 1,
     kvCapacityOf: () => 200_000,
   });
   tracker.updateServers(servers);
@@ -86,6 +87,40 @@
   t.not(tracker.select(session)!.server.id, first.server.id);
 });
 
+test("many entries with the same old reports don't all send to the idlest replica", (t) => {
+  let state = 20_261_204;
+  const random = () => {
+    state = (state * 1_664_525 + 1_013_904_223) % 2 ** 32;
+    return state / 2 ** 32;
+  };
+  const servers = Array.from({ length: 10 }, (_, i) => server(`r${i}`));
+  const reported = new Map(servers.map(({ id }, i) => [id, {
+    requests: 10 + i,
+    prefillTokens: 0,
+    kvTokens: 0,
+    adapters: [],
+    models: new Map([["m", 10 + i]]),
+  }]));
+  const sent = new Map<string, number>();
+  const entries = 68;
+  for (let i = 0; i < entries; i += 1) {
+    const tracker = ReplicaTracker.create({
+      clock: { now: () => 0, wall: () => 0 },
+      random,
+      dataCentre: "north",
+      liveEntryCount: () => entries,
+      kvCapacityOf: () => 200_000,
+    });
+    tracker.updateServers(servers);
+    tracker.updatePeerLoad("other", reported);
+    const promptParts = [{ id: `s${i}`, tokens: 100 }];
+    const { id } = tracker.select(request({ promptParts }))!.server;
+    sent.set(id, (sent.get(id) ?? 0) + 1);
+  }
+  t.true(Math.max(...sent.values()) <= entries / 2, JSON.stringify([...sent]));
+  t.true(sent.size >= 5);
+});
+
 test("only a replica with the model and the adapter is selected", (t) => {
   const { tracker } = createTracker([
     server("r1", { models: [{ name: "m", adapters: [] }] }),
