Gateway: terms of the lease, fewer store calls, announcements outlive outages

Cause: the lease lapsed for some ms, so the wait for the load's effect ended early, and as it was regained before the next planning round, nothing was read anew: the state still lacked the model, and it was loaded once more. Without a lease holder, as in an outage of the store, gateways fell back from the holder's last announcement to rows that may be older, so loaded models counted as missing. The newer of the two counts. Reads that fail back off to 1.2 s with jitter (every 0.3 s before); while the lease holder is lost, the gateways that poll the lease double every half second (all of them before); a gateway whose list has the same digest as that of one that has read it lately needs no own read within five seconds.

--- a/packages/gateway/src/configuration_watch.ts
+++ b/packages/gateway/src/configuration_watch.ts
@@ -8,9 +8,15 @@
 } from "@banyanspool/platform-adapter";
 import type { EventLog } from "@banyanspool/logger";
 import type { StoreError } from "@banyanspool/platform";
-import type { FleetConfiguration, Result, Sleep } from "@banyanspool/types";
+import type {
+  FleetConfiguration,
+  Random,
+  Result,
+  Sleep,
+} from "@banyanspool/types";
 import type { ChangeSignal } from "./change_signal.ts";
 import type { FleetState } from "./fleet_state.ts";
+import { StoreBackoff } from "./store_backoff.ts";
 import { StoreHealth } from "./store_health.ts";
 
 /** Options of {@link watchConfiguration}. */
@@ -25,6 +31,8 @@
   readonly liveCount: () => number;
   /** Notified when another gateway reports a newer configuration version. */
   readonly newerVersionSignal: ChangeSignal;
+  /** Random numbers from 0 to 1. */
+  readonly random: Random;
   /** Structured log. */
   readonly log: EventLog;
   /** Called with each configuration that has been activated. */
@@ -40,16 +48,16 @@
 const MIN_WAIT_MS = 2000;
 /** The store ends a call after this time. */
 const MAX_WAIT_MS = 30_000;
-const RETRY_MS = 300;
 
 /** Reads and activates newer configurations until the signal is aborted. */
 export async function watchConfiguration(
   options: ConfigurationWatchOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { store, sleep, log } = options;
+  const { store, sleep, log, random } = options;
   let after: number | undefined;
   const health = StoreHealth.create(log, CONFIGURATION_TABLE);
+  const backoff = StoreBackoff.create({ random });
   while (!signal.aborted) {
     const res = after === undefined
       ? await store.readTable(CONFIGURATION_TABLE)
@@ -63,10 +71,11 @@
       // The change feed may lack changes made while it couldn't be read, so the
       // whole table is read again.
       after = undefined;
-      await sleep(RETRY_MS, signal).catch(() => {});
+      await sleep(backoff.nextDelayMs(), signal).catch(() => {});
       continue;
     }
     health.recordSuccess();
+    backoff.reset();
     if ("kind" in res.value && res.value.kind === "historyLost") {
       log.write("store history lost", { table: CONFIGURATION_TABLE, after });
       after = undefined;
--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -91,6 +91,11 @@
     return this.#options.lease.held;
   }
 
+  /** Term of the placement lease; another process may act between two terms. */
+  get leaseTerm(): number {
+    return this.#options.lease.term;
+  }
+
   /** Increases with each possible change of the available names. */
   get version(): number {
     return this.#version;
@@ -147,6 +152,9 @@
       return;
     }
     known.server = server;
+    if (!known.isSynced && known.queuedTasks === 0) {
+      this.enqueue(known, () => this.#sync(known));
+    }
     // An order of the previous lease holder may still be in progress; the
     // report shows what it loads only once it has ended.
     if (known.isSynced && known.isBusy && known.queuedTasks === 0) {
@@ -260,6 +268,9 @@
       this.notifyAvailableModelsChange();
       return isDone();
     }
+    // What the order has done is unknown, so nothing is planned for the engine
+    // until its report has been read again.
+    state.isSynced = false;
     return false;
   }
 
--- a/packages/gateway/src/engine_controller_test.ts
+++ b/packages/gateway/src/engine_controller_test.ts
@@ -1,4 +1,4 @@
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import type { Lease } from "@banyanspool/platform";
 import { ReplicaStandin } from "@banyanspool/platform-adapter/testing";
 import { createSystemClock, sleep } from "@banyanspool/types";
@@ -8,7 +8,7 @@
 
 const LOG = { write: () => {}, dropped: () => 0, flush: () => {} };
 
-test("an unanswered order is repeated at once with the same order count, before a report is read", async (t) => {
+async function startController(t: ExecutionContext) {
   const replica = await ReplicaStandin.create({
     id: "i-1",
     service: "pool",
@@ -19,11 +19,11 @@
     pools.closeAllExcept([]);
     replica.close();
   });
-  const lease = { held: true, fencingToken: 1 } as unknown as Lease;
+  const lease = { held: true, fencingToken: 1, term: 1 };
   let onAvailable = () => {};
   const isAvailable = new Promise<void>((resolve) => onAvailable = resolve);
   const controller = EngineController.create({
-    lease,
+    lease: lease as unknown as Lease,
     holder: "g-1",
     clock: createSystemClock(),
     sleep,
@@ -42,8 +42,14 @@
     startedAt: 1,
     models: [],
   };
-  controller.follow(new Map([["i-1", server]]));
+  const follow = () => controller.follow(new Map([["i-1", server]]));
+  follow();
   await isAvailable;
+  return { replica, lease, controller, follow };
+}
+
+test("an unanswered order is repeated at once with the same order count, before a report is read", async (t) => {
+  const { replica, controller } = await startController(t);
   replica.engineCalls.length = 0;
   replica.unansweredOrders = 2;
   await controller.order(controller.get("i-1")!, {
@@ -55,3 +61,21 @@
   t.deepEqual(replica.engineCalls.slice(0, 3), [order, order, order]);
   t.deepEqual(replica.orders, ["load m1/a1"], "the order is carried out once");
 });
+
+test("after a lapse of the lease during a load, the engine's report is read before anything is planned for it", async (t) => {
+  const { replica, lease, controller, follow } = await startController(t);
+  const state = controller.get("i-1")!;
+  await controller.order(state, { operation: "load", model: "m2" });
+  lease.held = false;
+  t.false(
+    await controller.awaitEffect(state, () => state.models.has("m2")),
+  );
+  t.false(state.isSynced, "a planner would load the model once more");
+  lease.held = true;
+  follow();
+  for (let i = 0; i < 100 && !state.isSynced; i += 1) await sleep(20);
+  await state.lastTask;
+  t.true(state.isSynced);
+  t.true(state.isBusy || state.models.has("m2"));
+  t.deepEqual(replica.orders, ["load m2"]);
+});
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -48,6 +48,11 @@
 const HOLDER_TIMEOUT_MS = 2000;
 /** Number of gateways that poll the lease while its holder is live. */
 const LEASE_CANDIDATES = 2;
+/**
+ * While the holder is lost, twice as many gateways poll the lease after each of
+ * these times, in ms, as the first ones may not reach the store either.
+ */
+const CANDIDATES_DOUBLE_MS = 500;
 /**
  * Replica changes are repeated for this long, in ms, and in this number of
  * periodic reports, as datagrams may be lost.
@@ -85,6 +90,8 @@
   /** Version of the lease holder's models that each gateway knows. */
   readonly #knownByPeer: Map<string, { token: bigint; version: bigint }> =
     new Map();
+  /** When a holder was last known; the start of this process before that. */
+  #holderSeenAt: number;
   #heldSince: { token: number; at: number } | undefined;
   #isAnnouncePending = false;
   #announcedAt = -Infinity;
@@ -94,6 +101,7 @@
   private constructor(options: FleetExchangeOptions) {
     this.#options = options;
     const { cfg, ctx } = options;
+    this.#holderSeenAt = ctx.clock.now();
     const { host, port } = splitAddress(cfg.peer_listen);
     this.#peers = PeerExchange.create({
       instance: cfg.instance,
@@ -169,15 +177,15 @@
   /**
    * Whether this gateway should renew the placement lease or try to take it.
    * Only a few gateways do while the holder is live, which keeps the number of
-   * store calls low; all do when the holder is lost.
+   * store calls low; more and more do while it is lost.
    */
   mayHoldLease(): boolean {
     const { lease, ctx, cfg } = this.#options;
     if (lease.held) return true;
     const now = ctx.clock.now();
-    if (!this.#holder || now - this.#holder.receivedAt > HOLDER_TIMEOUT_MS) {
-      return true;
-    }
+    const lostMs = Math.max(0, now - this.#holderSeenAt - HOLDER_TIMEOUT_MS);
+    const candidates = LEASE_CANDIDATES *
+      2 ** Math.floor(lostMs / CANDIDATES_DOUBLE_MS);
     const live = [
       { id: cfg.instance },
       ...this.#peers.peers
@@ -186,7 +194,7 @@
         )
         .map(({ instance }) => ({ id: instance })),
     ];
-    return rankByAffinity("placement", live).slice(0, LEASE_CANDIDATES)
+    return rankByAffinity("placement", live).slice(0, candidates)
       .some(({ id }) => id === cfg.instance);
   }
 
@@ -349,7 +357,7 @@
   }
 
   #buildReport(): GatewayReport {
-    const { ctx, readSchedule } = this.#options;
+    const { ctx, readSchedule, registry } = this.#options;
     const now = ctx.clock.now();
     const listAge = readSchedule.ownAgeMs;
     return {
@@ -373,6 +381,7 @@
       })),
       suspected: ctx.replicaTracker.suspected(),
       listAgeMs: listAge === undefined ? undefined : Math.round(listAge),
+      listDigest: registry.digest,
       knowsWindow: ctx.limits.knowsWindow,
       use: [...ctx.limits.currentUsage()].map((
         [organisation, { admitted, inWindow }],
@@ -438,15 +447,18 @@
 
   #applyReplicaChanges(state: GatewayState): void {
     const { registry, readSchedule, onReplicaChange } = this.#options;
-    if (state.listAgeMs !== undefined) {
-      readSchedule.recordPeerRead(state.listAgeMs);
-    }
     let hasChanged = false;
     for (const news of state.news) {
       if (registry.applyPeerChange(decodeReplicaChange(news))) {
         hasChanged = true;
       }
     }
+    if (state.listAgeMs !== undefined) {
+      readSchedule.recordPeerRead(state.listAgeMs);
+      if (state.listDigest === registry.digest) {
+        readSchedule.recordEqualList(state.listAgeMs);
+      }
+    }
     if (hasChanged) onReplicaChange();
   }
 
@@ -454,11 +466,16 @@
     const { ctx } = this.#options;
     const { heldModels } = state;
     if (!heldModels) {
-      if (this.#holder?.instance === state.instance) this.#holder = undefined;
+      if (this.#holder?.instance === state.instance) {
+        this.#holder = undefined;
+        // The holder has given the lease up, so it need not be waited for.
+        this.#holderSeenAt = now - HOLDER_TIMEOUT_MS;
+      }
       return;
     }
     const { fencingToken } = heldModels;
     if (this.#holder && fencingToken < this.#holder.token) return;
+    this.#holderSeenAt = now;
     const isNewHolder = this.#holder?.instance !== state.instance;
     if (isNewHolder) {
       ctx.log.write("placement holder", {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -247,6 +247,7 @@
           sleep,
           liveCount: () => this.#exchange.liveCount,
           newerVersionSignal: this.#newerVersionSignal,
+          random: Math.random,
           log,
           onAccepted: ({ limits, version }) => {
             this.#publicServer.applyLimits(limits);
@@ -264,9 +265,11 @@
           readSchedule: this.#readSchedule,
           clock,
           sleep,
+          random: Math.random,
           log,
           onRead: () => {
             fleet.hasReplicaList = true;
+            this.#ctx.replicaTracker.recordListRead();
             this.#applyReplicaList();
           },
         }, signal),
--- a/packages/gateway/src/list_read_schedule.ts
+++ b/packages/gateway/src/list_read_schedule.ts
@@ -22,7 +22,10 @@
  * and the others receive the changes before their own reads are due.
  */
 const GAP_JITTER_PER_GATEWAY_MS = 150;
-/** Maximum time between two own reads, whatever other gateways report, in ms. */
+/**
+ * Maximum time between two own reads, in ms, unless a gateway that has read the
+ * list knows the same one.
+ */
 const MAX_OWN_GAP_MS = 5000;
 
 /**
@@ -35,6 +38,7 @@
   readonly #options: ListReadScheduleOptions;
   #lastOwnReadAt = -Infinity;
   #lastPeerReadAt = -Infinity;
+  #verifiedAt = -Infinity;
   #gapMs: number = MIN_GAP_MS;
 
   private constructor(options: ListReadScheduleOptions) {
@@ -60,6 +64,15 @@
     this.#gapMs = this.#drawGap();
   }
 
+  /**
+   * Records that another gateway, which read the list some time ago, in ms,
+   * knows the same list. This counts like an own read.
+   */
+  recordEqualList(ageMs: number): void {
+    const at = this.#options.clock.now() - ageMs;
+    this.#verifiedAt = Math.max(this.#verifiedAt, at);
+  }
+
   /** Time since this gateway's last own read, in ms; undefined before it. */
   get ownAgeMs(): number | undefined {
     if (this.#lastOwnReadAt === -Infinity) return undefined;
@@ -71,7 +84,7 @@
     const lastAt = Math.max(this.#lastOwnReadAt, this.#lastPeerReadAt);
     const dueAt = Math.min(
       lastAt + this.#gapMs,
-      this.#lastOwnReadAt + MAX_OWN_GAP_MS,
+      Math.max(this.#lastOwnReadAt, this.#verifiedAt) + MAX_OWN_GAP_MS,
     );
     return Math.max(0, dueAt - this.#options.clock.now());
   }
--- a/packages/gateway/src/list_read_schedule_test.ts
+++ b/packages/gateway/src/list_read_schedule_test.ts
@@ -86,3 +86,23 @@
   });
   t.true(longestGap(reads) <= 910);
 });
+
+test("a gateway whose list equals that of one that has read it needs no own read", (t) => {
+  let now = 0;
+  const schedule = ListReadSchedule.create({
+    clock: { now: () => now, wall: () => now },
+    random: () => 0,
+    liveCount: () => 10,
+  });
+  schedule.recordOwnRead(0);
+  for (; now <= 20_000; now += 400) {
+    schedule.recordPeerRead(100);
+    schedule.recordEqualList(100);
+    t.true(schedule.dueInMs > 0, `at ${now} ms`);
+  }
+  for (let ms = 0; ms <= 5000; ms += 400) {
+    now += 400;
+    schedule.recordPeerRead(100);
+  }
+  t.is(schedule.dueInMs, 0, "the lists have differed for five seconds");
+});
--- a/packages/gateway/src/placement_controller.ts
+++ b/packages/gateway/src/placement_controller.ts
@@ -64,9 +64,12 @@
   async run(signal: AbortSignal): Promise<void> {
     const { engineController, fleet, log, clock, sleep } = this.#options;
     let heldLease = false;
+    let term = 0;
     while (!signal.aborted) {
-      if (engineController.holdsLease !== heldLease) {
+      const isNewTerm = engineController.leaseTerm !== term;
+      if (engineController.holdsLease !== heldLease || isNewTerm) {
         heldLease = engineController.holdsLease;
+        term = engineController.leaseTerm;
         log.write(heldLease ? "placement lease held" : "placement lease lost");
         engineController.clear();
         this.#adapterScheduler.clear();
--- a/packages/gateway/src/replica_registry.ts
+++ b/packages/gateway/src/replica_registry.ts
@@ -1,3 +1,4 @@
+import { createHash } from "node:crypto";
 import type { EventLog } from "@banyanspool/logger";
 import type { BackendServer } from "@banyanspool/types";
 
@@ -44,6 +45,7 @@
   readonly #replicas: Map<string, ListedReplica> = new Map();
   readonly #tombstones: Map<string, number> = new Map();
   #listVersion = 0;
+  #digest: bigint | undefined;
   #hadOutage = false;
   #keepMissingUntil = -Infinity;
 
@@ -61,6 +63,15 @@
     return [...this.#replicas.values()].map(({ server }) => server);
   }
 
+  /**
+   * Digest of what requests are routed by: ids, starts, states, addresses and
+   * services. Two gateways with equal digests know the same list.
+   */
+  get digest(): bigint {
+    this.#digest ??= computeDigest(this.replicas);
+    return this.#digest;
+  }
+
   /** Records that the list could not be read. */
   recordReadFailure(): void {
     this.#hadOutage = true;
@@ -111,6 +122,7 @@
     if ((this.#tombstones.get(server.id) ?? -1) >= version) return false;
     this.#replicas.set(server.id, listed);
     this.#tombstones.delete(server.id);
+    this.#digest = undefined;
     const { log } = this.#options;
     if (!before) {
       log.write("replica listed", {
@@ -144,6 +156,7 @@
   #remove(id: string, version: number): void {
     const known = this.#replicas.get(id);
     this.#replicas.delete(id);
+    this.#digest = undefined;
     this.#tombstones.set(id, version);
     if (this.#tombstones.size > MAX_TOMBSTONES) {
       this.#tombstones.delete(this.#tombstones.keys().next().value!);
@@ -155,3 +168,11 @@
     });
   }
 }
+
+function computeDigest(replicas: readonly BackendServer[]): bigint {
+  const lines = replicas.map((
+    { id, startedAt, draining, address, service },
+  ) => `${id} ${startedAt} ${draining} ${address} ${service}`);
+  return createHash("md5").update(lines.sort().join("\n")).digest()
+    .readBigUInt64LE();
+}
--- a/packages/gateway/src/replica_watch.ts
+++ b/packages/gateway/src/replica_watch.ts
@@ -4,9 +4,10 @@
   type StoreClient,
 } from "@banyanspool/platform-adapter";
 import type { EventLog } from "@banyanspool/logger";
-import type { Clock, Sleep } from "@banyanspool/types";
+import type { Clock, Random, Sleep } from "@banyanspool/types";
 import type { ListReadSchedule } from "./list_read_schedule.ts";
 import type { ReplicaRegistry } from "./replica_registry.ts";
+import { StoreBackoff } from "./store_backoff.ts";
 import { StoreHealth } from "./store_health.ts";
 
 /** Options of {@link watchReplicas}. */
@@ -21,14 +22,14 @@
   readonly clock: Clock;
   /** Sleep function; rejects when its signal is aborted. */
   readonly sleep: Sleep;
+  /** Random numbers from 0 to 1. */
+  readonly random: Random;
   /** Structured log. */
   readonly log: EventLog;
   /** Called after each list that has been applied. */
   readonly onRead: () => void;
 }
 
-const RETRY_MS = 300;
-
 /** Reads the replica list whenever a read is due, until the signal is aborted. */
 export async function watchReplicas(
   options: ReplicaWatchOptions,
@@ -41,19 +42,22 @@
     clock,
     sleep,
     log,
+    random,
     onRead,
   } = options;
   const health = StoreHealth.create(log, SERVERS_TABLE);
+  const backoff = StoreBackoff.create({ random });
   while (!signal.aborted) {
     const startedAt = clock.now();
     const res = await store.readTable(SERVERS_TABLE);
     if (!res.ok) {
       health.recordFailure(res.error);
       registry.recordReadFailure();
-      await sleep(RETRY_MS, signal).catch(() => {});
+      await sleep(backoff.nextDelayMs(), signal).catch(() => {});
       continue;
     }
     health.recordSuccess();
+    backoff.reset();
     const listed = res.value.rows.flatMap((row) => {
       const server = decodeBackendServer(row);
       return server ? [{ server, version: row.version }] : [];
--- a/packages/platform/src/lease.ts
+++ b/packages/platform/src/lease.ts
@@ -44,6 +44,7 @@
   readonly #options: LeaseOptions;
   #heldSince: number | undefined;
   #fencingToken = 0;
+  #term = 0;
   /**
    * The row as this process last wrote it; undefined while a write is in
    * flight, after a failed one, and where the service returned no version.
@@ -76,6 +77,14 @@
     return this.#fencingToken;
   }
 
+  /**
+   * Number of times that this process has acquired the lease or regained it
+   * after a lapse; 0 before the first. Within one term no other process held it.
+   */
+  get term(): number {
+    return this.#term;
+  }
+
   /** Renews or acquires the lease. Returns whether it is held. */
   async renew(): Promise<boolean> {
     if (this.held && this.#written) return await this.#renewWritten();
@@ -139,6 +148,7 @@
       this.#heldSince = undefined;
       return false;
     }
+    if (!this.held) this.#term += 1;
     this.#heldSince = requestedAt;
     this.#fencingToken = next.fencingToken;
     if (result.value.version !== undefined) {
--- a/packages/platform/src/lease_test.ts
+++ b/packages/platform/src/lease_test.ts
@@ -129,3 +129,15 @@
   t.true(await second.renew());
   t.true(second.held);
 });
+
+test("a lease that lapsed between two renewals is held for a new term", async (t) => {
+  const { state, first } = createTimedLeases();
+  await first.renew();
+  state.now = 300;
+  await first.renew();
+  t.is(first.term, 1);
+  state.now = 300 + 650;
+  await first.renew();
+  t.true(first.held);
+  t.is(first.term, 2);
+});
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -81,8 +81,13 @@
   isStarted: boolean;
 }
 
-/** Announcements of the placement lease holder count for this long. */
+/**
+ * Announcements of the placement lease holder count for this long, and longer
+ * while no list has been read since.
+ */
 const MAX_AVAILABLE_MODELS_AGE_MS = 2500;
+/** Rows of the list may be this much older than its read. */
+const MAX_ROW_AGE_MS = 2000;
 /** How long a replica is skipped for a model that it rejected as missing. */
 const MISSING_MODEL_SKIP_MS = 1200;
 /** How long a replica is skipped for a missing adapter, or if it was busy. */
@@ -154,6 +159,7 @@
   #servers: Map<string, BackendServer> = new Map();
   #availableModels: ReadonlyMap<string, AvailableModels> = new Map();
   #availableModelsAt = -Infinity;
+  #listReadAt = -Infinity;
 
   private constructor(options: ReplicaTrackerOptions) {
     this.#options = options;
@@ -185,6 +191,11 @@
     this.#servers = next;
   }
 
+  /** Records that the rows of all replicas have just been read. */
+  recordListRead(): void {
+    this.#listReadAt = this.#options.clock.now();
+  }
+
   /**
    * Replaces the models and adapters that the placement lease holder announced
    * as available, by replica.
@@ -257,13 +268,18 @@
 
   /**
    * Whether a model, or an adapter as `model/adapter`, is available at a
-   * replica. A recent announcement of the placement lease holder takes
-   * precedence over the replica's own row, which may be older.
+   * replica. An announcement of the placement lease holder takes precedence over
+   * the replica's own row if it is recent, or newer than the row: during an
+   * outage of the store there is no holder, and the rows stay as they were.
    */
   isAvailable(server: BackendServer, name: string): boolean {
     const now = this.#options.clock.now();
     if ((this.#skipUntil.get(`${server.id} ${name}`) ?? 0) > now) return false;
-    if (now - this.#availableModelsAt < MAX_AVAILABLE_MODELS_AGE_MS) {
+    const isRecent =
+      now - this.#availableModelsAt < MAX_AVAILABLE_MODELS_AGE_MS;
+    if (
+      isRecent || this.#availableModelsAt > this.#listReadAt - MAX_ROW_AGE_MS
+    ) {
       const announced = this.#availableModels.get(server.id);
       if (announced && announced.startedAt === server.startedAt) {
         return announced.names.has(name);
--- a/packages/routing/src/replica_tracker_test.ts
+++ b/packages/routing/src/replica_tracker_test.ts
@@ -143,9 +143,24 @@
   t.is(tracker.select(request({ model: "new" }))?.server.id, "r1");
   t.is(tracker.select(request())?.server.id, "r2", "r2 has restarted since");
   advance(3000);
+  tracker.recordListRead();
   t.is(tracker.select(request({ model: "new" })), undefined);
 });
 
+test("an announcement counts until the list is read again, as in an outage of the store", (t) => {
+  const { tracker, advance } = createTracker([server("r1")]);
+  tracker.recordListRead();
+  advance(4000);
+  tracker.updateAvailableModels(
+    new Map([["r1", { startedAt: 1, names: new Set(["new"]) }]]),
+  );
+  advance(10_000);
+  t.is(tracker.select(request({ model: "new" }))?.server.id, "r1");
+  t.is(tracker.select(request()), undefined, "unloaded since the row was read");
+  tracker.recordListRead();
+  t.is(tracker.select(request())?.server.id, "r1");
+});
+
 test("a replica that rejected a model is skipped for a limited time", (t) => {
   const { tracker, advance } = createTracker([server("r1")]);
   tracker.markRejected("r1", { name: "m", reason: "missing" });
