--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from "@banyanspool/logger";
 import type { Lease } from "@banyanspool/platform";
 import {
+  type EngineReport,
   type OrderOutcome,
   readEngineReport,
   sendEngineOrder,
@@ -300,6 +301,10 @@
         pools.forReplica(state.server).pool,
       );
       if (read.ok) {
+        if (isOutdated(read.value, state)) {
+          await sleep(REPORT_LAG_MS);
+          continue;
+        }
         applyReport(state, read.value);
         this.notifyAvailableModelsChange();
         return;
@@ -324,3 +329,9 @@
     return this.#engines.get(state.server.id) === state;
   }
 }
+
+/** Whether a report is from before an order that the engine has accepted. */
+function isOutdated(report: EngineReport, state: EngineState): boolean {
+  return report.startedAt === state.server.startedAt &&
+    report.acceptedOrderCount < state.acceptedOrderCount;
+}
