Gateway: holder and demand in files of their own; streams resume after seconds

- A stream that was cut off was resumed only within two seconds of its arrival, as the caller's patience was counted from there.
It counts from the last event now, and a stream that has begun is not refused for a long queue (test red before).
- No report is sent after the exchange is closed.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -55,6 +55,17 @@
   );
 }
 
+/** A request that needs a replica. */
+export interface PendingRequest {
+  /** Properties by which a replica is selected. */
+  readonly request: SelectionRequest;
+  /**
+   * Since when its caller has waited for a byte, in ms: since its arrival, or
+   * since the last event of a stream that is to be resumed.
+   */
+  readonly waitingSince: number;
+}
+
 /**
  * Waits until a replica can take the request. Refuses a request for an unknown
  * model, one whose predicted time is too long for the caller, and one for which
@@ -64,14 +75,11 @@
 export async function acquireReplica(
   ctx: GatewayContext,
   scope: RequestScope,
-  request: SelectionRequest,
+  pending: PendingRequest,
 ): Promise<Result<ReplicaSelection, Refusal>> {
   const { clock, replicaTracker, waitingRequests, fleet } = ctx;
-  const waitUntil = Math.min(
-    scope.deadlineAt - RESPONSE_RESERVE_MS,
-    scope.arrivedAt + callerFirstByteTimeoutMs(scope.route) -
-      RESPONSE_RESERVE_MS,
-  );
+  const { request } = pending;
+  const waitUntil = callerLeavesAt(scope, pending) - RESPONSE_RESERVE_MS;
   const name = formatModelName(request);
   if (!isServable(scope, request)) return err(refuseUnknownModel(request));
   let stopWaiting: (() => void) | undefined;
@@ -79,7 +87,7 @@
     while (!scope.signal.aborted) {
       const selection = replicaTracker.select(request);
       if (selection) {
-        return checkPredictedTime(ctx, scope, { request, selection });
+        return checkPredictedTime(ctx, scope, { ...pending, selection });
       }
       const leftMs = waitUntil - clock.now();
       if (leftMs <= 0 || (name === undefined && request.excluded.size > 0)) {
@@ -105,6 +113,14 @@
   );
 }
 
+/** Time at which the caller is assumed to leave without a further byte, in ms. */
+function callerLeavesAt(
+  { deadlineAt, route }: RequestScope,
+  { waitingSince }: Pick<PendingRequest, "waitingSince">,
+): number {
+  return Math.min(deadlineAt, waitingSince + callerFirstByteTimeoutMs(route));
+}
+
 /** False only if the service has an engine that does not list the model. */
 function isServable(
   { activeConfiguration }: RequestScope,
@@ -123,19 +139,19 @@
 function checkPredictedTime(
   ctx: GatewayContext,
   scope: RequestScope,
-  { request, selection }: {
-    request: SelectionRequest;
+  { waitingSince, selection }: {
+    waitingSince: number;
     selection: ReplicaSelection;
   },
 ): Result<ReplicaSelection, Refusal> {
   const nowMs = ctx.clock.now();
-  const remainingWaitMs = Math.min(
-    scope.deadlineAt - nowMs,
-    scope.arrivedAt + callerFirstByteTimeoutMs(scope.route) - nowMs,
-  );
+  const remainingWaitMs = callerLeavesAt(scope, { waitingSince }) - nowMs;
   const { targetLatencyMs } = scope.route;
   const { waitMs, predictedMs } = selection;
-  const isQueueShort = predictedMs <= targetLatencyMs * MAX_TARGET_SHARE ||
+  // A refusal would cut a stream that has begun.
+  const isResumed = waitingSince > scope.arrivedAt;
+  const isQueueShort = isResumed ||
+    predictedMs <= targetLatencyMs * MAX_TARGET_SHARE ||
     waitMs <= targetLatencyMs * MIN_QUEUE_SHARE;
   if (
     isQueueShort &&
--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -66,6 +66,8 @@
   excluded: new Set(),
 };
 
+const PENDING = { request: REQUEST, waitingSince: 0 };
+
 /** A gateway whose waits for a change end at once and advance its clock. */
 function createGateway(servers: BackendServer[]) {
   let now = 0;
@@ -106,7 +108,7 @@
 test("a request for a model that takes longer to load than the caller waits is refused at once with the time of the load's end", async (t) => {
   const { ctx, scope, timers, elapsedMs } = createGateway([]);
   ctx.expectedModels.update(new Map([["m", 3200]]));
-  const acquired = await acquireReplica(ctx, scope, REQUEST);
+  const acquired = await acquireReplica(ctx, scope, PENDING);
   t.false(acquired.ok);
   t.is(elapsedMs(), 0);
   t.is(!acquired.ok && acquired.error.retryAfterMs, 3200);
@@ -120,7 +122,7 @@
 test("a request waits for a model that will be loaded in time", async (t) => {
   const { ctx, scope, elapsedMs } = createGateway([]);
   ctx.expectedModels.update(new Map([["m", 900]]));
-  const acquiring = acquireReplica(ctx, scope, REQUEST);
+  const acquiring = acquireReplica(ctx, scope, PENDING);
   ctx.replicaTracker.updateServers([backendServer("r1", ["m"])]);
   t.true((await acquiring).ok);
   t.true(elapsedMs() < 900);
@@ -130,7 +132,7 @@
   const { ctx, scope, elapsedMs } = createGateway([]);
   ctx.expectedModels.update(new Map([["m", 3500]]));
   const impatient = { ...scope, deadlineAt: 4000 };
-  const acquired = await acquireReplica(ctx, impatient, REQUEST);
+  const acquired = await acquireReplica(ctx, impatient, PENDING);
   t.false(acquired.ok);
   t.true(elapsedMs() > 400, "a third of its time is too short at once");
   t.true(elapsedMs() < 1850);
@@ -140,7 +142,7 @@
   const { ctx, scope } = createGateway([backendServer("r1", ["m"])]);
   let accepted = 0;
   for (let i = 0; i < 20; i += 1) {
-    const acquired = await acquireReplica(ctx, scope, REQUEST);
+    const acquired = await acquireReplica(ctx, scope, PENDING);
     if (!acquired.ok) continue;
     accepted += 1;
     ctx.replicaTracker.dispatch(REQUEST, acquired.value);
@@ -149,3 +151,12 @@
   t.true(accepted >= 4, "every slot is used");
   t.true(accepted < 20, "the rest is refused");
 });
+
+test("a stream that is cut off after seconds is resumed, as its caller waits since the last event", async (t) => {
+  const { ctx, scope } = createGateway([backendServer("r1", ["m"])]);
+  await ctx.fleet.changed.wait(5000);
+  const arrived = { request: REQUEST, waitingSince: 0 };
+  t.false((await acquireReplica(ctx, scope, arrived)).ok);
+  const resumed = { request: REQUEST, waitingSince: 4900 };
+  t.true((await acquireReplica(ctx, scope, resumed)).ok);
+});
--- /dev/null
+++ b/packages/gateway/src/fleet_demand.ts
@@ -0,0 +1,70 @@
+import type { Clock } from "@banyanspool/types";
+import type { FleetDemand } from "./placement_models.ts";
+
+interface ReceivedDemand {
+  readonly receivedAt: number;
+  readonly demand: ReadonlyMap<string, FleetDemand>;
+}
+
+/** A gateway's demand is ignored after this time without a report, in ms. */
+const MAX_DEMAND_AGE_MS = 3000;
+const NO_DEMAND = { fastReplicas: 0, slowReplicas: 0, waiting: 0 };
+
+/** Demand that the other gateways have reported to the lease holder. */
+export class FleetDemandTable {
+  readonly #clock: Clock;
+  readonly #received: Map<string, ReceivedDemand> = new Map();
+
+  private constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Creates a table without reports. */
+  static create({ clock }: { clock: Clock }): FleetDemandTable {
+    return new FleetDemandTable(clock);
+  }
+
+  /**
+   * Records a gateway's report. Returns whether requests wait for a name for
+   * which none of that gateway waited before.
+   */
+  record(
+    instance: string,
+    demand: ReadonlyMap<string, FleetDemand>,
+  ): boolean {
+    const before = this.#received.get(instance)?.demand;
+    this.#received.set(instance, { receivedAt: this.#clock.now(), demand });
+    for (const [name, { waiting }] of demand) {
+      if (waiting > 0 && !before?.get(name)?.waiting) return true;
+    }
+    return false;
+  }
+
+  /** Forgets all gateways but the given ones. */
+  retain(instances: ReadonlySet<string>): void {
+    for (const instance of this.#received.keys()) {
+      if (!instances.has(instance)) this.#received.delete(instance);
+    }
+  }
+
+  /** Adds the reported demand to a gateway's own. */
+  sumWith(
+    own: ReadonlyMap<string, FleetDemand>,
+  ): ReadonlyMap<string, FleetDemand> {
+    const oldest = this.#clock.now() - MAX_DEMAND_AGE_MS;
+    const sum = new Map(own);
+    for (const { receivedAt, demand } of this.#received.values()) {
+      if (receivedAt < oldest) continue;
+      for (const [name, reported] of demand) {
+        const before = sum.get(name) ?? { model: name, ...NO_DEMAND };
+        sum.set(name, {
+          model: name,
+          fastReplicas: before.fastReplicas + reported.fastReplicas,
+          slowReplicas: before.slowReplicas + reported.slowReplicas,
+          waiting: before.waiting + reported.waiting,
+        });
+      }
+    }
+    return sum;
+  }
+}
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -1,11 +1,13 @@
 import type { Lease } from "@banyanspool/platform";
-import { type AvailableModels, rankByAffinity } from "@banyanspool/routing";
+import type { AvailableModels } from "@banyanspool/routing";
 import { type GatewaySettings, splitAddress } from "@banyanspool/settings";
 import { createSystemClock, sleep } from "@banyanspool/types";
 import type { GatewayState } from "@banyanspool/wire";
 import type { GatewayContext } from "./context.ts";
 import { type GatewayReport, PeerExchange } from "./peer_exchange.ts";
 import type { EngineController } from "./engine_controller.ts";
+import { FleetDemandTable } from "./fleet_demand.ts";
+import { PlacementHolder } from "./placement_holder.ts";
 import type { FleetDemand } from "./placement_models.ts";
 import {
   decodeReplicaChange,
@@ -37,22 +39,6 @@
   readonly onNewerConfiguration: () => void;
 }
 
-interface ReceivedDemand {
-  readonly receivedAt: number;
-  readonly demand: ReadonlyMap<string, FleetDemand>;
-}
-
-/** A gateway's demand is ignored after this time without a report, in ms. */
-const MAX_DEMAND_AGE_MS = 3000;
-/** The lease holder counts as lost after this time without a report, in ms. */
-const HOLDER_TIMEOUT_MS = 2000;
-/** Number of gateways that poll the lease while its holder is live. */
-const LEASE_CANDIDATES = 2;
-/**
- * While the holder is lost, twice as many gateways poll the lease after each of
- * these times, in ms, as the first ones may not reach the store either.
- */
-const CANDIDATES_DOUBLE_MS = 500;
 /**
  * Replica changes are repeated for this long, in ms, and in this number of
  * periodic reports, as datagrams may be lost.
@@ -81,19 +67,16 @@
 export class FleetExchange {
   readonly #options: FleetExchangeOptions;
   readonly #peers: PeerExchange;
-  readonly #demand: Map<string, ReceivedDemand> = new Map();
-  #holder:
-    | { instance: string; token: bigint; receivedAt: number }
-    | undefined;
+  readonly #demand: FleetDemandTable;
+  readonly #holder: PlacementHolder;
   readonly #heldModels: HeldModelsPublisher = HeldModelsPublisher.create();
   readonly #knownModels: HeldModelsView = HeldModelsView.create();
   /** Version of the lease holder's models that each gateway knows. */
   readonly #knownByPeer: Map<string, { token: bigint; version: bigint }> =
     new Map();
-  /** When a holder was last known; the start of this process before that. */
-  #holderSeenAt: number;
   #heldSince: { token: number; at: number } | undefined;
   #isAnnouncePending = false;
+  #isClosed = false;
   #announcedAt = -Infinity;
   #recentChanges: { readonly change: ReplicaChange; readonly until: number }[] =
     [];
@@ -101,7 +84,8 @@
   private constructor(options: FleetExchangeOptions) {
     this.#options = options;
     const { cfg, ctx } = options;
-    this.#holderSeenAt = ctx.clock.now();
+    this.#demand = FleetDemandTable.create({ clock: ctx.clock });
+    this.#holder = PlacementHolder.create({ clock: ctx.clock });
     const { host, port } = splitAddress(cfg.peer_listen);
     this.#peers = PeerExchange.create({
       instance: cfg.instance,
@@ -135,6 +119,7 @@
 
   /** Closes the socket. */
   close(): void {
+    this.#isClosed = true;
     this.#peers.close();
   }
 
@@ -167,54 +152,29 @@
 
   #forgetExpiredPeers(): void {
     const present = new Set(this.#peers.peers.map(({ instance }) => instance));
-    for (const instance of this.#demand.keys()) {
-      if (present.has(instance)) continue;
-      this.#demand.delete(instance);
-      this.#knownByPeer.delete(instance);
+    this.#demand.retain(present);
+    for (const instance of this.#knownByPeer.keys()) {
+      if (!present.has(instance)) this.#knownByPeer.delete(instance);
     }
   }
 
-  /**
-   * Whether this gateway should renew the placement lease or try to take it.
-   * Only a few gateways do while the holder is live, which keeps the number of
-   * store calls low; more and more do while it is lost.
-   */
+  /** Whether this gateway should renew the placement lease or try to take it. */
   mayHoldLease(): boolean {
     const { lease, ctx, cfg } = this.#options;
     if (lease.held) return true;
     const now = ctx.clock.now();
-    const lostMs = Math.max(0, now - this.#holderSeenAt - HOLDER_TIMEOUT_MS);
-    const candidates = LEASE_CANDIDATES *
-      2 ** Math.floor(lostMs / CANDIDATES_DOUBLE_MS);
-    const live = [
-      { id: cfg.instance },
-      ...this.#peers.peers
-        .filter(({ lastReceivedAt }) =>
-          now - lastReceivedAt < HOLDER_TIMEOUT_MS
-        )
-        .map(({ instance }) => ({ id: instance })),
-    ];
-    return rankByAffinity("placement", live).slice(0, candidates)
-      .some(({ id }) => id === cfg.instance);
+    const silentMsByPeer = new Map(
+      this.#peers.peers.map(({ instance, lastReceivedAt }) => [
+        instance,
+        now - lastReceivedAt,
+      ]),
+    );
+    return this.#holder.isCandidate(cfg.instance, silentMsByPeer);
   }
 
   /** Demand of all gateways by `model` or `model/adapter`. */
   fleetDemand(): ReadonlyMap<string, FleetDemand> {
-    const now = this.#options.ctx.clock.now();
-    const sum = new Map(this.#ownDemand());
-    for (const { receivedAt, demand } of this.#demand.values()) {
-      if (now - receivedAt > MAX_DEMAND_AGE_MS) continue;
-      for (const [name, peerDemand] of demand) {
-        const before = sum.get(name) ?? { model: name, ...NO_DEMAND };
-        sum.set(name, {
-          model: name,
-          fastReplicas: before.fastReplicas + peerDemand.fastReplicas,
-          slowReplicas: before.slowReplicas + peerDemand.slowReplicas,
-          waiting: before.waiting + peerDemand.waiting,
-        });
-      }
-    }
-    return sum;
+    return this.#demand.sumWith(this.#ownDemand());
   }
 
   /**
@@ -264,7 +224,7 @@
     const dueInMs = this.#announcedAt + gapMs - this.#options.ctx.clock.now();
     setTimeout(() => {
       this.#isAnnouncePending = false;
-      this.announce();
+      if (!this.#isClosed) this.announce();
     }, Math.max(0, dueInMs));
   }
 
@@ -293,7 +253,8 @@
       ctx.fleet.changed.notify();
       return;
     }
-    if (this.#holder) this.#peers.announceTo(this.#holder.instance);
+    const { instance } = this.#holder;
+    if (instance !== undefined) this.#peers.announceTo(instance);
   }
 
   #ownDemand(): Map<string, FleetDemand> {
@@ -344,7 +305,7 @@
         },
       };
     }
-    if (this.#holder?.instance !== peer) return undefined;
+    if (this.#holder.instance !== peer) return undefined;
     return {
       demand: [...this.#ownDemand().values()].map((demand) => ({
         $typeName: "banyanspool.v1.ModelDemandReport",
@@ -399,7 +360,6 @@
 
   #applyPeerState(state: GatewayState): void {
     const { ctx } = this.#options;
-    const now = ctx.clock.now();
     ctx.replicaTracker.updatePeerLoad(
       state.instance,
       new Map(state.loads.map((load) => [load.replica, {
@@ -427,7 +387,6 @@
       token: state.knownFencingToken,
       version: state.knownHeldVersion,
     });
-    const before = this.#demand.get(state.instance);
     const demand = new Map(
       state.demand.map((entry) => [entry.name, {
         model: entry.name,
@@ -436,9 +395,10 @@
         slowReplicas: entry.slowReplicas,
       }]),
     );
-    this.#demand.set(state.instance, { receivedAt: now, demand });
-    if (hasNewWaiting(demand, before?.demand)) ctx.fleet.changed.notify();
-    this.#applyAvailableModels(state, now);
+    if (this.#demand.record(state.instance, demand)) {
+      ctx.fleet.changed.notify();
+    }
+    this.#applyAvailableModels(state);
     this.#applyReplicaChanges(state);
     if (Number(state.configurationVersion) > ctx.fleet.version) {
       this.#options.onNewerConfiguration();
@@ -462,32 +422,22 @@
     if (hasChanged) onReplicaChange();
   }
 
-  #applyAvailableModels(state: GatewayState, now: number): void {
+  #applyAvailableModels(state: GatewayState): void {
     const { ctx } = this.#options;
-    const { heldModels } = state;
+    const { instance, heldModels } = state;
     if (!heldModels) {
-      if (this.#holder?.instance === state.instance) {
-        this.#holder = undefined;
-        // The holder has given the lease up, so it need not be waited for.
-        this.#holderSeenAt = now - HOLDER_TIMEOUT_MS;
-      }
+      this.#holder.recordOther(instance);
       return;
     }
     const { fencingToken } = heldModels;
-    if (this.#holder && fencingToken < this.#holder.token) return;
-    this.#holderSeenAt = now;
-    const isNewHolder = this.#holder?.instance !== state.instance;
+    const isNewHolder = this.#holder.instance !== instance;
+    if (!this.#holder.recordHolder({ instance, token: fencingToken })) return;
     if (isNewHolder) {
       ctx.log.write("placement holder", {
-        holder: state.instance,
+        holder: instance,
         fencing_token: Number(fencingToken),
       });
     }
-    this.#holder = {
-      instance: state.instance,
-      token: fencingToken,
-      receivedAt: now,
-    };
     ctx.expectedModels.update(
       new Map(heldModels.loads.map((load) => [load.model, load.readyInMs])),
     );
@@ -499,13 +449,3 @@
     }
   }
 }
-
-function hasNewWaiting(
-  demand: ReadonlyMap<string, FleetDemand>,
-  before: ReadonlyMap<string, FleetDemand> | undefined,
-): boolean {
-  for (const [name, { waiting }] of demand) {
-    if (waiting > 0 && !before?.get(name)?.waiting) return true;
-  }
-  return false;
-}
--- a/packages/gateway/src/request_progress.ts
+++ b/packages/gateway/src/request_progress.ts
@@ -20,7 +20,7 @@
   /** Longest pause between two events of a stream, in ms. */
   longestPauseMs: number | undefined;
   /** When the last event of a stream was received, in ms. */
-  #lastEventAt: number | undefined;
+  lastEventAt: number | undefined;
   /** Id of the last event sent to the caller. */
   lastEventId: string | undefined;
 
@@ -33,9 +33,9 @@
 
   /** Records that events of a stream were received. */
   recordEvents(now: number): void {
-    const pauseMs = now - (this.#lastEventAt ?? now);
+    const pauseMs = now - (this.lastEventAt ?? now);
     this.longestPauseMs = Math.max(this.longestPauseMs ?? 0, pauseMs);
-    this.#lastEventAt = now;
+    this.lastEventAt = now;
   }
 
   /** Whether a replica may have run the request. */
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -110,7 +110,11 @@
   const { ctx, scope, progress, request, budget } = execution;
   while (true) {
     const waitStartedAt = ctx.clock.now();
-    const acquired = await acquireReplica(ctx, scope, request);
+    const waitingSince = progress.lastEventAt ?? scope.arrivedAt;
+    const acquired = await acquireReplica(ctx, scope, {
+      request,
+      waitingSince,
+    });
     progress.waitedMs += ctx.clock.now() - waitStartedAt;
     if (!acquired.ok) return endWithoutRetry(scope, acquired.error, progress);
     const needsBudget = progress.replicas.length > 0 &&
