Routing: a gateway compares all replicas before it refuses

Cause: with many gateways, a request was refused if the replicas of its sample were full, although others were free. All replicas are compared before that (test red before). The sample is drawn without repeats; with a constant source of random numbers, as in a test, drawing did not end.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -80,6 +80,8 @@
   const { clock, replicaTracker, waitingRequests, fleet } = ctx;
   const { request } = pending;
   const waitUntil = callerLeavesAt(scope, pending) - RESPONSE_RESERVE_MS;
+  const check = (selection: ReplicaSelection) =>
+    checkPredictedTime(ctx, scope, { ...pending, selection });
   const name = formatModelName(request);
   if (!isServable(scope, request)) return err(refuseUnknownModel(request));
   let stopWaiting: (() => void) | undefined;
@@ -87,7 +89,10 @@
     while (!scope.signal.aborted) {
       const selection = replicaTracker.select(request);
       if (selection) {
-        return checkPredictedTime(ctx, scope, { ...pending, selection });
+        const checked = check(selection);
+        if (checked.ok) return checked;
+        const best = replicaTracker.select(request, { compareAll: true })!;
+        return check(best);
       }
       const leftMs = waitUntil - clock.now();
       if (leftMs <= 0 || (name === undefined && request.excluded.size > 0)) {
--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -69,14 +69,14 @@
 const PENDING = { request: REQUEST, waitingSince: 0 };
 
 /** A gateway whose waits for a change end at once and advance its clock. */
-function createGateway(servers: BackendServer[]) {
+function createGateway(servers: BackendServer[], liveEntryCount = 1) {
   let now = 0;
   const clock = { now: () => now, wall: () => now };
   const replicaTracker = ReplicaTracker.create({
     clock,
     random: () => 0.7,
     dataCentre: "north",
-    liveEntryCount: () => 1,
+    liveEntryCount: () => liveEntryCount,
     kvCapacityOf: () => undefined,
   });
   replicaTracker.updateServers(servers);
@@ -160,3 +160,23 @@
   const resumed = { request: REQUEST, waitingSince: 4900 };
   t.true((await acquireReplica(ctx, scope, resumed)).ok);
 });
+
+test("one of many entries refuses nothing while any replica is free", async (t) => {
+  const servers = Array.from(
+    { length: 8 },
+    (_, i) => backendServer(`r${i}`, ["m"]),
+  );
+  const { ctx, scope } = createGateway(servers, 68);
+  const full = { requests: 40, prefillTokens: 0, kvTokens: 0, adapters: [] };
+  ctx.replicaTracker.updatePeerLoad(
+    "other",
+    new Map(
+      servers.slice(1).map(({ id }) => [
+        id,
+        { ...full, models: new Map([["m", 40]]) },
+      ]),
+    ),
+  );
+  const acquired = await acquireReplica(ctx, scope, PENDING);
+  t.is(acquired.ok && acquired.value.server.id, "r0");
+});
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -316,13 +316,22 @@
     return notEjected.length > 0 ? notEjected : usable;
   }
 
-  /** Selects the replica with the least cost; undefined if there is none. */
-  select(request: SelectionRequest): ReplicaSelection | undefined {
+  /**
+   * Selects the replica with the least cost; undefined if there is none. Many
+   * entries compare a sample only, unless `compareAll` is set.
+   */
+  select(
+    request: SelectionRequest,
+    { compareAll = false }: { compareAll?: boolean } = {},
+  ): ReplicaSelection | undefined {
     const candidates = this.candidates(request);
     const preferred = this.#preferredFor(request, candidates);
     let best: ReplicaSelection | undefined;
     let bestCost = Infinity;
-    for (const server of this.#sample(candidates, preferred)) {
+    const compared = compareAll
+      ? candidates
+      : this.#sample(candidates, preferred);
+    for (const server of compared) {
       const preference = preferred.indexOf(server);
       const selection = this.#predict(server, request, preference);
       const cost = this.#costOf(selection);
@@ -346,9 +355,11 @@
     if (liveEntryCount() < MANY_ENTRIES || candidates.length <= size) {
       return candidates;
     }
-    const sample = new Set(preferred);
-    while (sample.size < size) {
-      sample.add(candidates[Math.floor(random() * candidates.length)]!);
+    const others = candidates.filter((server) => !preferred.includes(server));
+    const sample = [...preferred];
+    for (let i = 0; i < SAMPLE_SIZE; i += 1) {
+      const index = Math.floor(random() * others.length);
+      sample.push(...others.splice(index, 1));
     }
     return sample;
   }
