--- a/packages/cli/src/commands/audit.ts
+++ b/packages/cli/src/commands/audit.ts
@@ -2,6 +2,7 @@
 import { type Decision, readDecisions } from "@banyanspool/audit";
 import type { Client } from "../client.ts";
 import { ClientCommand, EXIT_CODES } from "../client_command.ts";
+import { parseTimeOption } from "../parse_options.ts";
 
 /** Shows records of the decision log. */
 export class AuditCommand extends ClientCommand {
@@ -34,18 +35,19 @@
   });
 
   async run(client: Client): Promise<number> {
-    const since = parseTime(this.since);
-    const until = parseTime(this.until);
-    if (Number.isNaN(since) || Number.isNaN(until)) {
-      this.printError(`Cannot read the time "${this.since ?? this.until}"`);
+    const since = parseTimeOption(this.since);
+    const until = parseTimeOption(this.until);
+    for (const parsed of [since, until]) {
+      if (parsed.ok) continue;
+      this.printError(parsed.error);
       return EXIT_CODES.badUsage;
     }
     const found = await readDecisions(client.platform.objects, {
       request: this.request,
       organisation: this.organisation,
       kind: this.kind,
-      since,
-      until,
+      since: since.ok ? since.value : undefined,
+      until: until.ok ? until.value : undefined,
     });
     if (!found.ok) return this.printStoreError(found.error);
     for (const decision of found.value.decisions) {
@@ -60,10 +62,6 @@
   }
 }
 
-function parseTime(text: string | undefined): number | undefined {
-  return text === undefined ? undefined : Date.parse(text);
-}
-
 function formatDecision(decision: Decision): string {
   const ran = decision.ran === undefined ? "" : `, ran: ${decision.ran}`;
   const caller = decision.organisation === undefined
--- a/packages/cli/src/commands/replay.ts
+++ b/packages/cli/src/commands/replay.ts
@@ -10,6 +10,7 @@
 } from "@banyanspool/trace";
 import type { Client } from "../client.ts";
 import { ClientCommand, EXIT_CODES } from "../client_command.ts";
+import { parseCountOption } from "../parse_options.ts";
 
 const BYTES_PER_TOKEN = 3;
 const PROGRESS_INTERVAL_MS = 1000;
@@ -47,7 +48,12 @@
       this.printError((error as Error).message);
       return EXIT_CODES.badUsage;
     }
-    const requests = trace.slice(0, Number(this.limit ?? trace.length));
+    const limit = parseCountOption(this.limit);
+    if (!limit.ok) {
+      this.printError(limit.error);
+      return EXIT_CODES.badUsage;
+    }
+    const requests = trace.slice(0, limit.value ?? trace.length);
     const missing = requests.find(({ organisation }) =>
       !keys.has(organisation)
     );
