--- a/packages/supervisor/src/mod.ts
+++ b/packages/supervisor/src/mod.ts
@@ -28,11 +28,15 @@
   readonly name: string;
   /** Sleep function, for the delay before a restart. */
   readonly sleep: (ms: number, signal?: AbortSignal) => Promise<void>;
+  /** Monotonic time in ms; that of the process if absent. */
+  readonly now?: () => number;
 }
 
 const MIN_RESTART_DELAY_MS = 50;
 const MAX_RESTART_DELAY_MS = 5000;
 const RESTART_BACKOFF_FACTOR = 2;
+/** A task that ran for this long, in ms, restarts with the shortest delay. */
+const STABLE_RUN_MS = 60_000;
 
 /** Runs tasks, restarts them, and stops them in reverse order. */
 export class Supervisor {
@@ -65,9 +69,12 @@
   }
 
   async #supervise(task: Task, signal: AbortSignal): Promise<void> {
+    const now = this.#options.now ?? (() => performance.now());
     let delayMs = MIN_RESTART_DELAY_MS;
     while (!signal.aborted) {
+      const startedAt = now();
       const failed = await this.#runOnce(task, signal);
+      if (now() - startedAt >= STABLE_RUN_MS) delayMs = MIN_RESTART_DELAY_MS;
       if (signal.aborted || task.restart === "never") return;
       if (!failed && task.restart === "onError") return;
       try {
