Gateway: a port that is in use fails the start; tests take distinct ports

Cause of the test runs that ended by time-out (one of three whole runs): two tests of one file could pick the same free ports, and the bind of the datagram socket then neither resolved nor rejected, so a gateway's start hung without a word. The bind rejects now (test added; not run against the old code, whose hang is the time-out above), and ports are handed out once in a process.

--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -107,7 +107,7 @@
     return count;
   }
 
-  /** Binds the socket and starts to receive reports. */
+  /** Binds the socket and starts to receive reports; rejects if it can't. */
   async listen(): Promise<void> {
     const { host, port, log } = this.#options;
     this.#socket.on("message", (bytes, from) => {
@@ -116,8 +116,12 @@
     this.#socket.on("error", (error) => {
       log.write("datagram error", { detail: error.message });
     });
-    await new Promise<void>((resolve) => {
-      this.#socket.bind(port, host, resolve);
+    await new Promise<void>((resolve, reject) => {
+      this.#socket.once("error", reject);
+      this.#socket.bind(port, host, () => {
+        this.#socket.off("error", reject);
+        resolve();
+      });
     });
   }
 
--- a/packages/gateway/src/testing/running_gateway.ts
+++ b/packages/gateway/src/testing/running_gateway.ts
@@ -50,12 +50,18 @@
   return fleet;
 }
 
-/** Returns the first of several ports that no other process listens on. */
+const PORT_BLOCKS = (LAST_PORT - FIRST_PORT) / PORTS_PER_GATEWAY;
+/** Test files run in processes of their own, so they begin at other ports. */
+let nextBlock = process.pid * 31;
+
+/**
+ * Returns the first of several ports that no other process listens on, and that
+ * this function has not returned before.
+ */
 export async function findFreePort(host = "127.0.0.1"): Promise<number> {
   while (true) {
-    const blocks = (LAST_PORT - FIRST_PORT) / PORTS_PER_GATEWAY;
-    const port = FIRST_PORT +
-      PORTS_PER_GATEWAY * Math.floor(Math.random() * blocks);
+    nextBlock += 1;
+    const port = FIRST_PORT + PORTS_PER_GATEWAY * (nextBlock % PORT_BLOCKS);
     const used = await Promise.all(
       Array.from({ length: USED_PORTS }, (_, i) => isUsed(host, port + i)),
     );
