Gateway: a wrong order count is corrected, replicas to be read keep their models

Found on reading the change: - A report with fewer accepted orders than counted was skipped without an end. If the count here were too high, the engine would never be followed again. After three such reports the report counts (test ends now; it did not before). - An engine whose order's effect was not seen was published as unknown until its next report. A replica is unknown only once two reports in a row could not be read; a replica that was never read in a term becomes unknown then, too.

--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -52,6 +52,8 @@
 const REPORT_LAG_MS = 350;
 /** Consecutive failed report reads after which an engine counts as lost. */
 const MISSING_REPORTS_UNTIL_LOST = 2;
+/** Consecutive reports that are skipped as older than an accepted order. */
+const MAX_OUTDATED_REPORTS = 3;
 /** Minimum time between two report reads of a suspected replica, in ms. */
 const SUSPECT_CHECK_INTERVAL_MS = 1000;
 /** Interval of report reads while an order is being carried out, in ms. */
@@ -112,13 +114,13 @@
       }));
   }
 
-  /** Replicas whose report has not been read in this term of the lease. */
-  listUnreadReplicas(): Set<string> {
-    const unread = new Set<string>();
-    for (const [id, { hasBeenRead }] of this.#engines) {
-      if (!hasBeenRead) unread.add(id);
+  /** Replicas whose report has to be read before their models are known. */
+  listUnsettledReplicas(): Set<string> {
+    const unsettled = new Set<string>();
+    for (const [id, { isSynced, isLost }] of this.#engines) {
+      if (!isSynced && !isLost) unsettled.add(id);
     }
-    return unread;
+    return unsettled;
   }
 
   /** State of a replica's engine; undefined if the replica isn't followed. */
@@ -303,6 +305,7 @@
   async #sync(state: EngineState): Promise<void> {
     const { pools, log, sleep, clock } = this.#options;
     let missing = 0;
+    let outdated = 0;
     while (this.holdsLease && this.#isCurrent(state)) {
       state.reportRequestedAt = clock.now();
       const read = await readEngineReport(
@@ -310,7 +313,11 @@
         pools.forReplica(state.server).pool,
       );
       if (read.ok) {
-        if (isOutdated(read.value, state)) {
+        // After some time the report is right and the count here is wrong.
+        if (
+          isOutdated(read.value, state) && outdated < MAX_OUTDATED_REPORTS
+        ) {
+          outdated += 1;
           await sleep(REPORT_LAG_MS);
           continue;
         }
@@ -319,7 +326,7 @@
         return;
       }
       missing += 1;
-      const isLost = state.isSynced && missing >= MISSING_REPORTS_UNTIL_LOST;
+      const isLost = !state.isLost && missing >= MISSING_REPORTS_UNTIL_LOST;
       log.write("engine report missing", {
         replica: state.server.id,
         missing,
@@ -328,6 +335,7 @@
       });
       if (isLost) {
         state.isSynced = false;
+        state.isLost = true;
         this.notifyAvailableModelsChange();
       }
       await sleep(REPORT_LAG_MS);
--- a/packages/gateway/src/engine_controller_test.ts
+++ b/packages/gateway/src/engine_controller_test.ts
@@ -79,3 +79,28 @@
   t.true(state.isBusy || state.models.has("m2"));
   t.deepEqual(replica.orders, ["load m2"]);
 });
+
+test("a wrong count of accepted orders is corrected by the engine's reports", async (t) => {
+  const { replica, controller } = await startController(t);
+  const state = controller.get("i-1")!;
+  state.server = { ...state.server, startedAt: replica.startedAt };
+  state.acceptedOrderCount = 7;
+  await controller.resync(state);
+  t.is(state.acceptedOrderCount, 0);
+});
+
+test("a replica whose reports can't be read is lost, one that is to be read is unsettled", async (t) => {
+  const { replica, controller, follow } = await startController(t);
+  const state = controller.get("i-1")!;
+  t.deepEqual([...controller.listUnsettledReplicas()], []);
+  state.isSynced = false;
+  t.deepEqual([...controller.listUnsettledReplicas()], ["i-1"]);
+  replica.close();
+  for (let i = 0; i < 200 && !state.isLost; i += 1) {
+    follow();
+    await sleep(20);
+  }
+  t.true(state.isLost);
+  t.deepEqual([...controller.listUnsettledReplicas()], []);
+  controller.clear();
+});
--- a/packages/gateway/src/engine_state.ts
+++ b/packages/gateway/src/engine_state.ts
@@ -26,8 +26,8 @@
    * replica hasn't been lost since.
    */
   isSynced: boolean;
-  /** Whether a report of this run of the replica was read in this term. */
-  hasBeenRead: boolean;
+  /** Whether several reports in a row could not be read. */
+  isLost: boolean;
   /** When the report was last requested. */
   reportRequestedAt: number;
   /** Whether the engine is loading or unloading a model. */
@@ -54,7 +54,7 @@
     acceptedOrderCount: 0,
     localCopies: new Set(),
     isSynced: false,
-    hasBeenRead: false,
+    isLost: false,
     reportRequestedAt: listedAt,
     isBusy: false,
     lastTask: Promise.resolve(),
@@ -75,7 +75,7 @@
   state.localCopies = new Set(report.localCopies);
   state.isBusy = report.busy;
   state.isSynced = true;
-  state.hasBeenRead = true;
+  state.isLost = false;
 }
 
 /**
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -241,11 +241,11 @@
         startedAt: server.startedAt,
         names,
       }));
-    const unread = engineController.listUnreadReplicas();
-    const hasChanged = this.#heldModels.update(models, unread);
+    const unsettled = engineController.listUnsettledReplicas();
+    const hasChanged = this.#heldModels.update(models, unsettled);
     ctx.expectedModels.update(this.#options.expectedLoads());
     const availableModels = new Map<string, AvailableModels>();
-    for (const replica of unread) {
+    for (const replica of unsettled) {
       const known = this.#knownModels.replicas.get(replica);
       if (known) availableModels.set(replica, known);
       const published = this.#heldModels.get(replica);
--- a/packages/gateway/src/held_models.ts
+++ b/packages/gateway/src/held_models.ts
@@ -44,12 +44,13 @@
   }
 
   /**
-   * Replaces the published state, but for replicas that are `unread`: of these,
-   * what was published before still counts. Returns whether anything changed.
+   * Replaces the published state, but for unsettled replicas, whose reports have
+   * to be read: of these, what was published before still counts. Returns whether
+   * anything changed.
    */
   update(
     current: readonly ReplicaModels[],
-    unread: ReadonlySet<string> = new Set(),
+    unsettled: ReadonlySet<string> = new Set(),
   ): boolean {
     const next = this.#version + 1;
     let hasChanged = false;
@@ -69,7 +70,7 @@
     }
     for (const replica of missing) {
       const published = this.#replicas.get(replica)!;
-      if (published.isUnknown || unread.has(replica)) continue;
+      if (published.isUnknown || unsettled.has(replica)) continue;
       hasChanged = true;
       this.#replicas.set(replica, {
         ...published,
