Lease: a renewal that crosses the release doesn't hold the lease

Found on reading: at a stop, a renewal whose response came after the release set the lease as held again for up to 1.8 s, while another process takes a released lease after 0.75 s; both could have sent orders. A renewal that began before the release doesn't count, and a release whose row changed meanwhile is repeated. Test red before.

--- a/packages/platform/src/lease.ts
+++ b/packages/platform/src/lease.ts
@@ -45,6 +45,8 @@
   #heldSince: number | undefined;
   #fencingToken = 0;
   #term = 0;
+  /** Number of releases; a renewal that began before one doesn't count. */
+  #releases = 0;
   /**
    * The row as this process last wrote it; undefined while a write is in
    * flight, after a failed one, and where the service returned no version.
@@ -91,6 +93,7 @@
     const { table, key, holder, clock, durationMs } = this.#options;
     const takeoverMs = this.#options.takeoverMs ?? durationMs * 2;
     const requestedAt = clock.now();
+    const releases = this.#releases;
     const read = await table.get(key);
     if (!read.ok) return this.held;
     const row = read.value;
@@ -115,6 +118,7 @@
     return await this.#write(next, {
       version: row?.version ?? 0,
       requestedAt,
+      releases,
     });
   }
 
@@ -125,14 +129,16 @@
     const { row, version } = this.#written!;
     const requestedAt = this.#options.clock.now();
     const next = { ...row, renewal: row.renewal + 1 };
-    return await this.#write(next, { version, requestedAt });
+    const releases = this.#releases;
+    return await this.#write(next, { version, requestedAt, releases });
   }
 
   async #write(
     next: LeaseRow,
-    { version, requestedAt }: {
+    { version, requestedAt, releases }: {
       version: number;
       requestedAt: number;
+      releases: number;
     },
   ): Promise<boolean> {
     const { table, key } = this.#options;
@@ -143,7 +149,7 @@
     });
     // The write may have taken effect although its response was lost:
     // `#written` stays undefined, so the next renewal reads the row first.
-    if (!result.ok) return this.held;
+    if (!result.ok || releases !== this.#releases) return this.held;
     if (result.value.kind === "conflict") {
       this.#heldSince = undefined;
       return false;
@@ -161,10 +167,11 @@
    * Releases the lease if the row names this process, also after the lease has
    * lapsed, so that others need not wait for the take-over time. The fencing
    * token stays in the row. Returns false if the row could not be read or
-   * written, so that the release has to be repeated.
+   * written, or has changed meanwhile, so that the release has to be repeated.
    */
   async release(): Promise<boolean> {
     if (this.#fencingToken === 0) return true;
+    this.#releases += 1;
     this.#heldSince = undefined;
     this.#written = undefined;
     const { table, key } = this.#options;
@@ -177,7 +184,7 @@
       checks: [{ key, version: read.value.version }],
       puts: [{ key, value: JSON.stringify({ ...current, holder: RELEASED }) }],
     });
-    return result.ok;
+    return result.ok && result.value.kind !== "conflict";
   }
 
   #isTakeoverDue(version: number, afterMs: number): boolean {
--- a/packages/platform/src/lease_test.ts
+++ b/packages/platform/src/lease_test.ts
@@ -2,6 +2,7 @@
 import fc from "fast-check";
 import { Lease } from "./lease.ts";
 import { MemoryPlatform } from "./memory_platform.ts";
+import type { TableStore } from "./platform.ts";
 
 const DURATION_MS = 1000;
 const SEED = 20_261_204;
@@ -141,3 +142,36 @@
   t.true(first.held);
   t.is(first.term, 2);
 });
+
+test("a renewal whose response arrives after the release doesn't hold the lease", async (t) => {
+  const platform = MemoryPlatform.create();
+  let deliver = () => {};
+  let isDelayed = false;
+  const table: TableStore = {
+    get: (key) => platform.table.get(key),
+    scan: (prefix) => platform.table.scan(prefix),
+    commit: async (transaction) => {
+      const result = await platform.table.commit(transaction);
+      if (isDelayed) {
+        isDelayed = false;
+        await new Promise<void>((resolve) => deliver = resolve);
+      }
+      return result;
+    },
+  };
+  const lease = Lease.create({
+    table,
+    key: "duty",
+    holder: "a",
+    durationMs: 600,
+    clock: { now: () => 0, wall: () => 0 },
+  });
+  await lease.renew();
+  isDelayed = true;
+  const renewal = lease.renew();
+  await new Promise((resolve) => setImmediate(resolve));
+  t.true(await lease.release());
+  deliver();
+  t.false(await renewal);
+  t.false(lease.held, "another process may take the released lease");
+});
