Gateway: what grows without a bound, found on reading

- The lease holder kept every replica that it had ever followed, and a gateway what each earlier holder had announced.
The holder keeps a hundred unknown replicas; a gateway with an older version is sent everything.
What earlier holders announced is kept apart and forgotten with the replica's row.
- A report to a gateway that knows the newest version no longer walks over all replicas, once for each of the others.
- 'logs causes' compared each refusal by limit with all admitted requests; it uses sums and a binary search.

--- a/packages/audit/src/attribute_causes.ts
+++ b/packages/audit/src/attribute_causes.ts
@@ -49,11 +49,6 @@
   readonly to: number;
 }
 
-interface Admission {
-  readonly at: number;
-  readonly cost: number;
-}
-
 /** Surroundings that a request's cause depends on. */
 interface Surroundings {
   readonly outages: readonly Period[];
@@ -61,6 +56,7 @@
   readonly isOverLimit: (line: EventLine) => boolean;
 }
 
+const MS_PER_S = 1000;
 /** An outage of the store has effects for this long after its end, in ms. */
 const RECOVERY_MS = 3000;
 /** A gateway's start has effects for this long, in ms. */
@@ -90,7 +86,7 @@
     const result = resultOf(line);
     if (!result) continue;
     attributed.push({
-      arrivedAt: line.time - numberOf(line, "took_ms"),
+      arrivedAt: arrivalOf(line),
       route: String(line.fields.route),
       result,
       cause: causeOf(line, surroundings),
@@ -172,7 +168,7 @@
   line: EventLine,
   { outages, restarts }: Surroundings,
 ): RequestCause | undefined {
-  const arrivedAt = line.time - numberOf(line, "took_ms");
+  const arrivedAt = arrivalOf(line);
   const isIn = ({ from, to }: Period) => from <= line.time && arrivedAt <= to;
   if (outages.some(isIn)) return "store outage";
   const hasRestarted = (restarts.get(line.instance) ?? [])
@@ -228,36 +224,59 @@
   windowMs: number,
 ): (line: EventLine) => boolean {
   const allowances = new Map<string, number>();
-  const admissions = new Map<string, Admission[]>();
+  const admissions = new Map<string, AdmittedTokens>();
   for (const line of lines) {
-    const { event, fields } = line;
-    if (event === "configuration in force") {
-      for (const [name, limit] of Object.entries(fields.limits ?? {})) {
-        const [rate = 0, burst = 0] = String(limit).split("+").map(Number);
-        allowances.set(name, rate * windowMs / 1000 + burst);
-      }
+    if (line.event !== "configuration in force") continue;
+    for (const [name, limit] of Object.entries(line.fields.limits ?? {})) {
+      const [rate = 0, burst = 0] = String(limit).split("+").map(Number);
+      allowances.set(name, rate * windowMs / MS_PER_S + burst);
     }
-    if (event !== "request" || !hasReplica(line)) continue;
-    const name = String(fields.organisation);
-    const admission = {
-      at: line.time - numberOf(line, "took_ms"),
-      cost: numberOf(line, "cost"),
-    };
-    const earlier = admissions.get(name);
-    if (earlier) earlier.push(admission);
-    else admissions.set(name, [admission]);
+  }
+  const admitted = lines.filter((line) =>
+    line.event === "request" && hasReplica(line)
+  ).sort((a, b) => arrivalOf(a) - arrivalOf(b));
+  for (const line of admitted) {
+    const name = String(line.fields.organisation);
+    const tokens = admissions.get(name) ?? { times: [], sums: [0] };
+    tokens.times.push(arrivalOf(line));
+    tokens.sums.push(tokens.sums.at(-1)! + numberOf(line, "cost"));
+    admissions.set(name, tokens);
   }
   return (line) => {
     const name = String(line.fields.organisation);
-    const now = line.time;
-    let used = numberOf(line, "cost");
-    for (const { at, cost } of admissions.get(name) ?? []) {
-      if (at <= now && at > now - windowMs) used += cost;
-    }
+    const tokens = admissions.get(name);
+    const used = numberOf(line, "cost") +
+      (tokens
+        ? tokensUntil(tokens, line.time) -
+          tokensUntil(tokens, line.time - windowMs)
+        : 0);
     return used >= (allowances.get(name) ?? 0) * REACHED_SHARE;
   };
 }
 
+/** Times of admitted requests in order, and the sums of their tokens. */
+interface AdmittedTokens {
+  readonly times: number[];
+  /** Tokens of the first n requests, at index n. */
+  readonly sums: number[];
+}
+
+/** Tokens of the requests admitted at or before a time, by binary search. */
+function tokensUntil({ times, sums }: AdmittedTokens, time: number): number {
+  let low = 0;
+  let high = times.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (times[middle]! <= time) low = middle + 1;
+    else high = middle;
+  }
+  return sums[low]!;
+}
+
+function arrivalOf(line: EventLine): number {
+  return line.time - numberOf(line, "took_ms");
+}
+
 function hasReplica({ fields }: EventLine): boolean {
   return Array.isArray(fields.replicas) && fields.replicas.length > 0;
 }
--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -101,8 +101,8 @@
       if (name !== undefined) stopWaiting ??= waitingRequests.add(name);
       const refusal = refuseUntilLoaded(ctx, scope, { request, waitUntil });
       if (refusal) {
-        keepCounting(ctx, refusal, stopWaiting);
-        stopWaiting = undefined;
+        // The model is still to be loaded for the caller that returns.
+        waitingRequests.expectReturn(name!, refusal.retryAfterMs ?? 0);
         return err(refusal);
       }
       await fleet.changed.wait(
@@ -204,19 +204,6 @@
   });
 }
 
-/**
- * Counts a refused request as waiting until its caller is expected back, so that
- * the model is loaded for it.
- */
-function keepCounting(
-  { sleep }: GatewayContext,
-  { retryAfterMs }: Refusal,
-  stopWaiting: (() => void) | undefined,
-): void {
-  if (!stopWaiting) return;
-  sleep(retryAfterMs ?? 0).finally(stopWaiting);
-}
-
 function refuseNoReplica(
   ctx: GatewayContext,
   request: SelectionRequest,
--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -85,14 +85,12 @@
     now += maxMs;
     return Promise.resolve();
   };
-  const timers: (() => void)[] = [];
   const ctx = {
     clock,
-    sleep: () => new Promise<void>((resolve) => timers.push(resolve)),
     random: () => 0,
     replicaTracker,
     fleet: { changed },
-    waitingRequests: WaitingRequestCounts.create(),
+    waitingRequests: WaitingRequestCounts.create({ clock }),
     expectedModels: ExpectedModels.create({ clock }),
   } as unknown as GatewayContext;
   const scope = {
@@ -102,20 +100,18 @@
     signal: new AbortController().signal,
     activeConfiguration: { configuration: { services: new Map() } },
   } as unknown as RequestScope;
-  return { ctx, scope, timers, elapsedMs: () => now };
+  return { ctx, scope, elapsedMs: () => now };
 }
 
 test("a request for a model that takes longer to load than the caller waits is refused at once with the time of the load's end", async (t) => {
-  const { ctx, scope, timers, elapsedMs } = createGateway([]);
+  const { ctx, scope, elapsedMs } = createGateway([]);
   ctx.expectedModels.update(new Map([["m", 3200]]));
   const acquired = await acquireReplica(ctx, scope, PENDING);
   t.false(acquired.ok);
   t.is(elapsedMs(), 0);
   t.is(!acquired.ok && acquired.error.retryAfterMs, 3200);
   t.is(ctx.waitingRequests.waiting.get("m"), 1, "until the caller is back");
-  for (const end of timers) end();
-  await Promise.resolve();
-  await Promise.resolve();
+  await ctx.fleet.changed.wait(3300);
   t.is(ctx.waitingRequests.waiting.get("m"), undefined);
 });
 
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -88,7 +88,7 @@
       fastWindowMs: DEMAND_FAST_WINDOW_MS,
       slowWindowMs: DEMAND_SLOW_WINDOW_MS,
     }),
-    waitingRequests: WaitingRequestCounts.create(),
+    waitingRequests: WaitingRequestCounts.create({ clock }),
     expectedModels: ExpectedModels.create({ clock }),
     pools: ConnectionPools.create({
       maxConnectionsFor: (service) => {
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -149,12 +149,16 @@
     while (!signal.aborted) {
       this.announce();
       this.#peers.expirePeers();
-      this.#forgetExpiredPeers();
+      this.#forgetAbsent();
       await sleep(this.#peers.intervalMs, signal).catch(() => {});
     }
   }
 
-  #forgetExpiredPeers(): void {
+  #forgetAbsent(): void {
+    const { registry } = this.#options;
+    this.#knownModels.retainEarlier(
+      new Set(registry.replicas.map(({ id }) => id)),
+    );
     const present = new Set(this.#peers.peers.map(({ instance }) => instance));
     this.#demand.retain(present);
     for (const instance of this.#knownByPeer.keys()) {
@@ -245,8 +249,9 @@
     const hasChanged = this.#heldModels.update(models, unsettled);
     ctx.expectedModels.update(this.#options.expectedLoads());
     const availableModels = new Map<string, AvailableModels>();
+    const knownModels = this.#knownModels.replicas;
     for (const replica of unsettled) {
-      const known = this.#knownModels.replicas.get(replica);
+      const known = knownModels.get(replica);
       if (known) availableModels.set(replica, known);
       const published = this.#heldModels.get(replica);
       if (published) models.push(published);
--- a/packages/gateway/src/held_models.ts
+++ b/packages/gateway/src/held_models.ts
@@ -16,6 +16,9 @@
   readonly isUnknown: boolean;
 }
 
+/** Replicas kept as unknown, for gateways that know an older version. */
+const MAX_UNKNOWN_REPLICAS = 100;
+
 /**
  * Available models as the lease holder publishes them. Each change gets a
  * version, so that a gateway is sent only what changed since the version that
@@ -24,6 +27,8 @@
 export class HeldModelsPublisher {
   readonly #replicas: Map<string, PublishedReplica> = new Map();
   #version = 0;
+  /** Changes since an older version are no longer complete. */
+  #completeSince = 0;
 
   private constructor() {}
 
@@ -79,15 +84,19 @@
         isUnknown: true,
       });
     }
-    if (hasChanged) this.#version = next;
-    return hasChanged;
+    if (!hasChanged) return false;
+    this.#version = next;
+    this.#forgetUnknown();
+    return true;
   }
 
-  /** Returns what changed after a version; all replicas for version 0. */
+  /** Returns what changed after a version; all replicas for an old version. */
   changesSince(
-    baseVersion: number,
+    version: number,
   ): Pick<HeldModels, "version" | "baseVersion" | "replicas"> {
+    const baseVersion = version < this.#completeSince ? 0 : version;
     const replicas: ReplicaHoldings[] = [];
+    if (baseVersion === this.#version) return this.#describe(version, replicas);
     for (const published of this.#replicas.values()) {
       if (published.changedIn <= baseVersion) continue;
       if (baseVersion === 0 && published.isUnknown) continue;
@@ -99,12 +108,31 @@
         unknown: published.isUnknown,
       });
     }
+    return this.#describe(baseVersion, replicas);
+  }
+
+  #describe(
+    baseVersion: number,
+    replicas: ReplicaHoldings[],
+  ): Pick<HeldModels, "version" | "baseVersion" | "replicas"> {
     return {
       version: BigInt(this.#version),
       baseVersion: BigInt(baseVersion),
       replicas,
     };
   }
+
+  /** Forgets the replicas that have been unknown for longest. */
+  #forgetUnknown(): void {
+    const unknown = [...this.#replicas.values()]
+      .filter(({ isUnknown }) => isUnknown)
+      .sort((a, b) => a.changedIn - b.changedIn);
+    const forgotten = unknown.slice(0, -MAX_UNKNOWN_REPLICAS);
+    for (const { replica, changedIn } of forgotten) {
+      this.#replicas.delete(replica);
+      this.#completeSince = Math.max(this.#completeSince, changedIn);
+    }
+  }
 }
 
 /** Available models as a gateway knows them from the lease holder's messages. */
@@ -112,6 +140,11 @@
   #fencingToken = 0n;
   #version = 0n;
   #replicas: Map<string, AvailableModels> = new Map();
+  /**
+   * What earlier holders announced of replicas of which the current one, which
+   * has to read all reports first, has said nothing yet.
+   */
+  readonly #earlier: Map<string, AvailableModels> = new Map();
 
   private constructor() {}
 
@@ -132,7 +165,14 @@
 
   /** Available models by replica. */
   get replicas(): ReadonlyMap<string, AvailableModels> {
-    return this.#replicas;
+    return new Map([...this.#earlier, ...this.#replicas]);
+  }
+
+  /** Forgets what earlier holders announced of replicas not listed any more. */
+  retainEarlier(listed: ReadonlySet<string>): void {
+    for (const replica of this.#earlier.keys()) {
+      if (!listed.has(replica)) this.#earlier.delete(replica);
+    }
   }
 
   /**
@@ -145,14 +185,13 @@
     if (fencingToken > this.#fencingToken) {
       this.#fencingToken = fencingToken;
       this.#version = 0n;
+      for (const [id, models] of this.#replicas) this.#earlier.set(id, models);
+      this.#replicas = new Map();
     }
     if (baseVersion > this.#version || version < this.#version) return false;
-    const isFirst = this.#version === 0n;
-    // What the previous holder announced counts until its successor, which has
-    // to read all reports first, announces something else.
-    const keepsKnown = isFirst || baseVersion > 0n;
-    const next = keepsKnown ? new Map(this.#replicas) : new Map();
+    const next = baseVersion > 0n ? new Map(this.#replicas) : new Map();
     for (const { replica, startedAt, names, unknown } of replicas) {
+      this.#earlier.delete(replica);
       if (unknown) {
         next.delete(replica);
         continue;
--- a/packages/gateway/src/held_models_test.ts
+++ b/packages/gateway/src/held_models_test.ts
@@ -124,3 +124,26 @@
   t.true(view.apply(message(second, 0n, 2n)));
   t.deepEqual(contents(view), [models("r1", ["c"]), models("r2", ["b"])]);
 });
+
+test("with thousands of replaced replicas the published state stays bounded and a late gateway gets all of it", (t) => {
+  const publisher = HeldModelsPublisher.create();
+  const view = HeldModelsView.create();
+  publisher.update([models("r0", ["a"])]);
+  view.apply(message(publisher, 0n));
+  const acknowledged = view.version;
+  for (let i = 1; i <= 3000; i += 1) publisher.update([models(`r${i}`, ["a"])]);
+  const change = message(publisher, acknowledged);
+  t.true(change.replicas.length <= 101);
+  t.true(view.apply(change));
+  t.deepEqual(contents(view), [models("r3000", ["a"])]);
+});
+
+test("what an earlier holder announced is forgotten with its replica", (t) => {
+  const first = HeldModelsPublisher.create();
+  const view = HeldModelsView.create();
+  first.update([models("r1", ["a"]), models("r2", ["b"])]);
+  view.apply(message(first, 0n, 1n));
+  view.apply(message(HeldModelsPublisher.create(), 0n, 2n));
+  view.retainEarlier(new Set(["r2"]));
+  t.deepEqual(contents(view), [models("r2", ["b"])]);
+});
