--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -32,6 +32,7 @@
       violations.some(({ invariant }) =>
         invariant === EXPECTED_VIOLATIONS[fault]
       ),
+      `violations: ${JSON.stringify(violations)}`,
     );
   });
 }
