Gateway: a response that is cut off leaves a log line

An incident could not be traced from the logs: the 'request' line of a stream that ended short says 'answered', and no line says how the response was framed or whether it ended within an event. 'response cut off' gives the request, the replica, the framing, the transport's error and the bytes after the last complete event. Responses are relayed as before.

--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -8,14 +8,24 @@
 
 /** Result of relaying a response to the caller. */
 export type RelayOutcome =
-  | { readonly kind: "whole" }
+  | {
+    readonly kind: "whole";
+    /** Bytes after the last complete event of a stream. */
+    readonly incompleteBytes?: number;
+  }
   /**
    * A plain response was cut off. If a part of it had been sent to the caller,
    * the caller's connection was closed.
    */
-  | { readonly kind: "lost" }
+  | { readonly kind: "lost"; readonly reason: string }
   /** A stream was cut off; the caller has only complete events of it. */
-  | { readonly kind: "broken"; readonly lastEventId?: string }
+  | {
+    readonly kind: "broken";
+    readonly reason: string;
+    readonly lastEventId?: string;
+    /** Bytes after the last complete event, which the caller doesn't get. */
+    readonly incompleteBytes: number;
+  }
   /** The caller disconnected or the request's deadline has passed. */
   | { readonly kind: "given up" };
 
@@ -47,7 +57,9 @@
   } catch (error) {
     if (!(error instanceof ReplicaCallError)) throw error;
     if (res.headersSent) res.destroy();
-    return scope.signal.aborted ? { kind: "given up" } : { kind: "lost" };
+    return scope.signal.aborted
+      ? { kind: "given up" }
+      : { kind: "lost", reason: error.message };
   } finally {
     scope.signal.removeEventListener("abort", abort);
   }
@@ -86,12 +98,18 @@
   const abort = () => call.abort();
   scope.signal.addEventListener("abort", abort);
   if (scope.signal.aborted) call.abort();
+  const broken = (reason: string): RelayOutcome => ({
+    kind: "broken",
+    reason,
+    lastEventId,
+    incompleteBytes: splitter.incompleteEvent.length,
+  });
   try {
     for await (const chunk of call.body()) {
       const events = splitter.push(chunk);
       if (!events && splitter.incompleteEvent.length > MAX_EVENT_BYTES) {
         call.abort();
-        return { kind: "broken", lastEventId };
+        return broken("event too long");
       }
       if (!events) continue;
       if (!res.headersSent) {
@@ -107,7 +125,7 @@
   } catch (error) {
     if (!(error instanceof ReplicaCallError)) throw error;
     if (scope.signal.aborted) return { kind: "given up" };
-    return { kind: "broken", lastEventId };
+    return broken(error.message);
   } finally {
     scope.signal.removeEventListener("abort", abort);
   }
@@ -116,7 +134,7 @@
   }
   if (splitter.incompleteEvent.length > 0) res.write(splitter.incompleteEvent);
   res.end();
-  return { kind: "whole" };
+  return { kind: "whole", incompleteBytes: splitter.incompleteEvent.length };
 }
 
 /** Writes to the caller and waits while its buffer is full. */
--- a/packages/gateway/src/replica_call.ts
+++ b/packages/gateway/src/replica_call.ts
@@ -147,7 +147,7 @@
   ): void {
     this.#readGuard.recordProgress();
     if (status < FIRST_FINAL_STATUS) return;
-    if (isCloseDelimited(headers)) {
+    if (framingOf(headers) === "close") {
       this.#stopTracking = this.#resetDetector.trackCloseDelimited();
     }
     this.#resolveHead({ status, headers });
@@ -204,7 +204,11 @@
   }
 }
 
-function isCloseDelimited(headers: ResponseHeaders): boolean {
-  return headers["content-length"] === undefined &&
-    headers["transfer-encoding"] === undefined;
+/** What marks the end of a response's body; "close" is its connection's end. */
+export type ResponseFraming = "length" | "chunked" | "close";
+
+/** Returns how the response with these headers is framed. */
+export function framingOf(headers: ResponseHeaders): ResponseFraming {
+  if (headers["transfer-encoding"] !== undefined) return "chunked";
+  return headers["content-length"] === undefined ? "close" : "length";
 }
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -21,7 +21,12 @@
 } from "./final_responses.ts";
 import { RequestProgress } from "./request_progress.ts";
 import { jitterRetryAfter } from "./refusals.ts";
-import { relayPlainResponse, relayStream } from "./relay_response.ts";
+import {
+  type RelayOutcome,
+  relayPlainResponse,
+  relayStream,
+} from "./relay_response.ts";
+import { framingOf } from "./replica_call.ts";
 import type { RequestOutcome, RequestScope } from "./request_scope.ts";
 import {
   type AttemptOutcome,
@@ -230,8 +235,9 @@
     recordObservation(execution, selection, "failure");
     return endTruncated(scope, progress);
   }
-  const relayResult = await relay(execution, response, trackedRequest.started);
-  switch (relayResult) {
+  const relayed = await relay(execution, response, trackedRequest.started);
+  logResponseEnd(execution, { response, selection, relayed });
+  switch (relayed.kind) {
     case "whole":
       recordObservation(
         execution,
@@ -247,7 +253,7 @@
       return endAborted(scope, progress, true);
     default:
       if (canRepeat && hasTimeForAttempt(execution)) {
-        return recordRetry(execution, selection, relayResult);
+        return recordRetry(execution, selection, relayed.kind);
       }
       recordObservation(execution, selection, "failure");
       return endTruncated(scope, progress);
@@ -336,7 +342,7 @@
   { ctx, scope, progress }: RequestExecution,
   response: StartedResponse,
   markStarted: () => void,
-): Promise<"whole" | "lost" | "broken" | "given up"> {
+): Promise<RelayOutcome> {
   const onFirstByte = () => {
     markStarted();
     if (progress.firstByteMs !== undefined) return;
@@ -350,7 +356,7 @@
     response.head.status < FIRST_FAILURE_STATUS;
   if (!isStream) {
     onFirstByte();
-    return (await relayPlainResponse(scope, response)).kind;
+    return await relayPlainResponse(scope, response);
   }
   const outcome = await relayStream(scope, response, {
     onEvents: () => {
@@ -361,7 +367,29 @@
   if (outcome.kind === "broken") {
     progress.lastEventId = outcome.lastEventId ?? progress.lastEventId;
   }
-  return outcome.kind;
+  return outcome;
+}
+
+/** Logs a response that was cut off, or that ended within an event. */
+function logResponseEnd(
+  { ctx, scope }: RequestExecution,
+  { response, selection, relayed }: {
+    response: StartedResponse;
+    selection: ReplicaSelection;
+    relayed: RelayOutcome;
+  },
+): void {
+  const { kind } = relayed;
+  if (kind === "given up") return;
+  if (kind === "whole" && !relayed.incompleteBytes) return;
+  ctx.log.write("response cut off", {
+    id: scope.caller.id,
+    replica: selection.server.id,
+    relayed: kind,
+    reason: kind === "whole" ? undefined : relayed.reason,
+    framing: framingOf(response.head.headers),
+    incomplete_bytes: kind === "lost" ? undefined : relayed.incompleteBytes,
+  });
 }
 
 function hasTimeForAttempt({ ctx, scope }: RequestExecution): boolean {
