--- /dev/null
+++ b/packages/gateway/src/response_framing_test.ts
@@ -0,0 +1,227 @@
+import type { Socket } from "node:net";
+import type { ReplicaHandler } from "@banyanspool/platform-adapter/testing";
+import test, { type ExecutionContext } from "ava";
+import {
+  type CallerResponse,
+  chat,
+  event,
+  startFleet,
+  startGateway,
+} from "./testing/running_gateway.ts";
+
+type Framing = "length" | "chunked" | "close";
+type Ending = "closed" | "reset";
+
+/** Time for which bytes that were sent may be under way, in ms. */
+const FLIGHT_MS = 40;
+
+const STREAM = [1, 2, 3].map(event).join("") + "id: 4\ndata: é\n\n";
+
+/** Places inside an event at which a stream is cut off, in bytes. */
+const CUTS_INSIDE_EVENT = {
+  "after its first byte": 1,
+  "inside the first event": event(1).length - 3,
+  "before the blank line of an event": event(1).length + event(2).length - 1,
+  "inside a character": Buffer.byteLength(STREAM) - 3,
+};
+
+/**
+ * Writes the first bytes of a response to the socket and ends the connection.
+ */
+async function writePart(
+  socket: Socket,
+  { body, framing, type, bytes, ending }: {
+    body: Buffer;
+    framing: Framing;
+    type: string;
+    bytes: number;
+    ending: Ending;
+  },
+): Promise<void> {
+  const part = body.subarray(0, bytes);
+  const head = `HTTP/1.1 200 OK\r\ncontent-type: ${type}\r\n` +
+    "response-stamp: stamp\r\n";
+  const framingHeader = {
+    length: `content-length: ${body.length}\r\n`,
+    chunked: "transfer-encoding: chunked\r\n",
+    close: "",
+  }[framing];
+  socket.write(`${head}${framingHeader}\r\n`);
+  if (framing === "chunked" && bytes > 0) {
+    socket.write(`${part.length.toString(16)}\r\n`);
+  }
+  socket.write(part);
+  if (framing === "chunked" && bytes > 0) socket.write("\r\n");
+  if (framing === "chunked" && bytes === body.length) socket.write("0\r\n\r\n");
+  await new Promise((resolve) => setTimeout(resolve, FLIGHT_MS));
+  if (ending === "reset") socket.resetAndDestroy();
+  else socket.end();
+}
+
+function answerWith(
+  options: Omit<Parameters<typeof writePart>[1], "body"> & { body: string },
+): ReplicaHandler {
+  const body = Buffer.from(options.body);
+  return (_req, res) => {
+    if (res.socket) void writePart(res.socket, { ...options, body });
+  };
+}
+
+const EVENT_STREAM = "text/event-stream";
+
+/** Leaves little time to wait for another replica. */
+const CHAT = {
+  ...chat("m1"),
+  headers: { ...chat("m1").headers, "deadline-ms": "800" },
+};
+
+/** Asserts that a caller can tell that a response was cut off. */
+function assertCutOff(t: ExecutionContext, res: CallerResponse): void {
+  t.true(res.status >= 500 || !res.isComplete);
+  t.true(
+    res.status >= 500 || res.body === "" || res.body.endsWith("\n\n"),
+    "part of an event",
+  );
+}
+
+for (const [where, bytes] of Object.entries(CUTS_INSIDE_EVENT)) {
+  for (const framing of ["close", "chunked", "length"] as const) {
+    for (const ending of ["closed", "reset"] as const) {
+      // A stream that a crashed replica cut off inside an event ended as if it
+      // were complete.
+      test(`a stream (${framing}) whose connection is ${ending} ${where} is not complete`, async (t) => {
+        const fleet = await startFleet(t);
+        const answer = answerWith({
+          body: STREAM,
+          framing,
+          type: EVENT_STREAM,
+          bytes,
+          ending,
+        });
+        await fleet.addReplica({
+          id: "i-1",
+          service: "pool",
+          holds: ["m1"],
+          answer,
+        });
+        const { send } = await startGateway(t, fleet);
+        assertCutOff(t, await send("/chat/", CHAT));
+      });
+    }
+  }
+}
+
+for (const framing of ["close", "chunked", "length"] as const) {
+  // A stream that a crashed replica cut off inside an event ended as if it were
+  // complete, whatever its framing said.
+  test(`a stream (${framing}) that is framed as complete inside an event is not complete`, async (t) => {
+    const body = event(1) + "id: 2\ndata: pie";
+    const fleet = await startFleet(t);
+    const answer = answerWith({
+      body,
+      framing,
+      type: EVENT_STREAM,
+      bytes: body.length,
+      ending: "closed",
+    });
+    await fleet.addReplica({
+      id: "i-1",
+      service: "pool",
+      holds: ["m1"],
+      answer,
+    });
+    const { send } = await startGateway(t, fleet);
+    assertCutOff(t, await send("/chat/", CHAT));
+  });
+}
+
+// A stream that a crashed replica cut off before its first event ended as a
+// complete response without events.
+test("a close-delimited stream without events is not complete", async (t) => {
+  const fleet = await startFleet(t);
+  const answer = answerWith({
+    body: STREAM,
+    framing: "close",
+    type: EVENT_STREAM,
+    bytes: 0,
+    ending: "closed",
+  });
+  await fleet.addReplica({ id: "i-1", service: "pool", holds: ["m1"], answer });
+  const { send } = await startGateway(t, fleet);
+  assertCutOff(t, await send("/chat/", CHAT));
+});
+
+// A resumable stream that ended inside an event was not resumed.
+test("a close-delimited stream that ends inside an event is resumed at another replica", async (t) => {
+  const fleet = await startFleet(t);
+  const cut = answerWith({
+    body: STREAM,
+    framing: "close",
+    type: EVENT_STREAM,
+    bytes: event(1).length + 8,
+    ending: "closed",
+  });
+  const answer: ReplicaHandler = (req, res) => {
+    const lastId = Number(req.headers["last-event-id"] ?? 0);
+    if (lastId === 0) return cut(req, res);
+    res.writeHead(200, { "content-type": EVENT_STREAM });
+    res.end([2, 3].filter((id) => id > lastId).map(event).join(""));
+  };
+  for (const id of ["i-1", "i-2"]) {
+    await fleet.addReplica({ id, service: "pool", holds: ["m1"], answer });
+  }
+  const { send } = await startGateway(t, fleet);
+  const res = await send("/chat/", CHAT);
+  t.true(res.isComplete);
+  t.is(res.body, [1, 2, 3].map(event).join(""));
+});
+
+for (const ending of ["", ": end\n", ": end\r\n\r\n", "\n"]) {
+  test(`a close-delimited stream that ends with ${JSON.stringify(ending)} after an event is complete`, async (t) => {
+    const body = event(1) + event(2) + ending;
+    const fleet = await startFleet(t);
+    const answer = answerWith({
+      body,
+      framing: "close",
+      type: EVENT_STREAM,
+      bytes: Buffer.byteLength(body),
+      ending: "closed",
+    });
+    await fleet.addReplica({
+      id: "i-1",
+      service: "pool",
+      holds: ["m1"],
+      answer,
+    });
+    const { send } = await startGateway(t, fleet);
+    const res = await send("/chat/", CHAT);
+    t.true(res.isComplete);
+    t.is(res.body, body);
+  });
+}
+
+for (
+  const [status, type] of [[404, "text/plain"], [
+    200,
+    "application/json",
+  ]] as const
+) {
+  test(`a response with ${status} and ${type} on a streaming route needs no events`, async (t) => {
+    const fleet = await startFleet(t);
+    const answer: ReplicaHandler = (_req, res) => {
+      res.writeHead(status, { "content-type": type });
+      res.end("{}");
+    };
+    await fleet.addReplica({
+      id: "i-1",
+      service: "pool",
+      holds: ["m1"],
+      answer,
+    });
+    const { send } = await startGateway(t, fleet);
+    const res = await send("/chat/", CHAT);
+    t.is(res.status, status);
+    t.true(res.isComplete);
+    t.is(res.body, "{}");
+  });
+}
