Gateway: a stream that ends inside an event was cut off

Cause: the relay holds back what follows the last complete event; at the end of the replica's response it wrote these bytes to the caller and ended the caller's response. For a response without length or chunks the end of the connection is its only frame, and a crashed process's connection is closed in the ordinary way.

Evidence: a stand-in replica that writes the same bytes; of six shapes only the one that ends with its connection, closed in the ordinary way, looked complete. Ruled out: an unnoticed reset and a framing error of the replica, as those cases passed before; the request was sent once, and its own id came back.

Change: a stream that ends inside an event, or that ends with its connection before the first event, counts as cut off: it is resumed, or truncated visibly. A response of a streaming route that is no stream of events is relayed as a plain one, as it has no event to be complete.

--- a/packages/gateway/src/event_stream.ts
+++ b/packages/gateway/src/event_stream.ts
@@ -1,6 +1,7 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id:[ ]?(.*)$/;
+const COMMENTS_AND_BLANK_LINES = /^(?::[^\r\n]*\r?\n|\r?\n)*$/;
 
 /** Complete events of a stream, byte for byte. */
 export interface CompleteEvents {
@@ -29,6 +30,11 @@
     return this.#incompleteEvent;
   }
 
+  /** Whether the bytes so far end within an event or a line. */
+  get isInsideEvent(): boolean {
+    return !COMMENTS_AND_BLANK_LINES.test(this.#incompleteEvent.toString());
+  }
+
   /**
    * Adds bytes; returns the events that they complete, or undefined if none.
    */
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -2,17 +2,13 @@
 import type { ServerResponse } from "node:http";
 import { selectCallerHeaders } from "@banyanspool/platform-adapter";
 import { EventStreamSplitter } from "./event_stream.ts";
-import { ReplicaCallError } from "./replica_call.ts";
+import { framingOf, ReplicaCallError } from "./replica_call.ts";
 import type { RequestScope } from "./request_scope.ts";
 import type { StartedResponse } from "./send_attempt.ts";
 
 /** Result of relaying a response to the caller. */
 export type RelayOutcome =
-  | {
-    readonly kind: "whole";
-    /** Bytes after the last complete event of a stream. */
-    readonly incompleteBytes?: number;
-  }
+  | { readonly kind: "whole" }
   /**
    * A plain response was cut off. If a part of it had been sent to the caller,
    * the caller's connection was closed.
@@ -77,6 +73,16 @@
 /** Size from which bytes without the end of an event are no event. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
+/**
+ * Whether a response on a streaming route is a stream of events. One without a
+ * content type is, as the route promises events.
+ */
+export function isEventStream({ head }: StartedResponse): boolean {
+  const type = head.headers["content-type"];
+  return head.status === 200 &&
+    (type === undefined || String(type).startsWith("text/event-stream"));
+}
+
 /** Options of {@link relayStream}. */
 export interface StreamRelayOptions {
   /** Called before each write of events to the caller. */
@@ -85,7 +91,8 @@
 
 /**
  * Relays an event stream in complete events, so that it can be resumed at
- * another replica if it is cut off.
+ * another replica if it is cut off. A stream that ends inside an event was cut
+ * off, as the end of a connection may be all that frames it.
  */
 export async function relayStream(
   scope: RequestScope,
@@ -95,6 +102,7 @@
   const { res } = scope;
   const splitter = EventStreamSplitter.create();
   let lastEventId: string | undefined;
+  let hasEvents = false;
   const abort = () => call.abort();
   scope.signal.addEventListener("abort", abort);
   if (scope.signal.aborted) call.abort();
@@ -118,6 +126,7 @@
         );
         res.writeHead(head.status, headers);
       }
+      hasEvents = true;
       onEvents();
       lastEventId = events.lastId ?? lastEventId;
       await write(res, events.bytes);
@@ -129,12 +138,16 @@
   } finally {
     scope.signal.removeEventListener("abort", abort);
   }
+  if (splitter.isInsideEvent) return broken("ended inside an event");
+  if (!hasEvents && framingOf(head.headers) === "close") {
+    return broken("ended before its first event");
+  }
   if (!res.headersSent) {
     res.writeHead(head.status, selectCallerHeaders(head.headers));
   }
   if (splitter.incompleteEvent.length > 0) res.write(splitter.incompleteEvent);
   res.end();
-  return { kind: "whole", incompleteBytes: splitter.incompleteEvent.length };
+  return { kind: "whole" };
 }
 
 /** Writes to the caller and waits while its buffer is full. */
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -22,6 +22,7 @@
 import { RequestProgress } from "./request_progress.ts";
 import { jitterRetryAfter } from "./refusals.ts";
 import {
+  isEventStream,
   type RelayOutcome,
   relayPlainResponse,
   relayStream,
@@ -260,11 +261,6 @@
   }
 }
 
-function isEventStream({ head }: StartedResponse): boolean {
-  return head.status === 200 &&
-    String(head.headers["content-type"]).startsWith("text/event-stream");
-}
-
 /**
  * Records that a replica failed the request, which is retried at another one.
  */
@@ -352,9 +348,7 @@
       progress.firstByteMs / 1000,
     );
   };
-  const isStream = scope.route.streaming &&
-    response.head.status < FIRST_FAILURE_STATUS;
-  if (!isStream) {
+  if (!scope.route.streaming || !isEventStream(response)) {
     onFirstByte();
     return await relayPlainResponse(scope, response);
   }
@@ -370,7 +364,7 @@
   return outcome;
 }
 
-/** Logs a response that was cut off, or that ended within an event. */
+/** Logs a response that was cut off. */
 function logResponseEnd(
   { ctx, scope }: RequestExecution,
   { response, selection, relayed }: {
@@ -380,15 +374,14 @@
   },
 ): void {
   const { kind } = relayed;
-  if (kind === "given up") return;
-  if (kind === "whole" && !relayed.incompleteBytes) return;
+  if (kind !== "lost" && kind !== "broken") return;
   ctx.log.write("response cut off", {
     id: scope.caller.id,
     replica: selection.server.id,
     relayed: kind,
-    reason: kind === "whole" ? undefined : relayed.reason,
+    reason: relayed.reason,
     framing: framingOf(response.head.headers),
-    incomplete_bytes: kind === "lost" ? undefined : relayed.incompleteBytes,
+    incomplete_bytes: kind === "broken" ? relayed.incompleteBytes : undefined,
   });
 }
 
