--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -1,7 +1,7 @@
 import type { BackendServer } from "@banyanspool/types";
+import { ResetDetector } from "@banyanspool/responses";
 import { Pool } from "undici";
 import { ReadGuard } from "./read_guard.ts";
-import { ResetDetector } from "./reset_detector.ts";
 
 /** Connections to one incarnation of a replica. */
 export interface ReplicaConnections {
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -1,8 +1,8 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import { selectCallerHeaders } from "@banyanspool/platform-adapter";
-import { EventStreamSplitter } from "./event_stream.ts";
-import { framingOf, ReplicaCallError } from "./replica_call.ts";
+import { EventStreamSplitter, framingOf } from "@banyanspool/responses";
+import { ReplicaCallError } from "./replica_call.ts";
 import type { RequestScope } from "./request_scope.ts";
 import type { StartedResponse } from "./send_attempt.ts";
 
--- a/packages/gateway/src/replica_call.ts
+++ b/packages/gateway/src/replica_call.ts
@@ -1,8 +1,8 @@
 import type { ResponseHeaders } from "@banyanspool/platform-adapter";
+import { framingOf, type ResetDetector } from "@banyanspool/responses";
 import type { Dispatcher } from "undici";
 import type { ReplicaConnections } from "./connection_pools.ts";
 import type { ReadGuard } from "./read_guard.ts";
-import type { ResetDetector } from "./reset_detector.ts";
 
 /** The head of a replica's response. */
 export interface ResponseHead {
@@ -203,12 +203,3 @@
     wake?.();
   }
 }
-
-/** What marks the end of a response's body; "close" is its connection's end. */
-export type ResponseFraming = "length" | "chunked" | "close";
-
-/** Returns how the response with these headers is framed. */
-export function framingOf(headers: ResponseHeaders): ResponseFraming {
-  if (headers["transfer-encoding"] !== undefined) return "chunked";
-  return headers["content-length"] === undefined ? "close" : "length";
-}
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -4,6 +4,7 @@
   SelectionRequest,
   TrackedRequest,
 } from "@banyanspool/routing";
+import { framingOf } from "@banyanspool/responses";
 import type { RetryBudget } from "@banyanspool/retry";
 import type { Route } from "@banyanspool/types";
 import { refuse } from "@banyanspool/types";
@@ -27,7 +28,6 @@
   relayPlainResponse,
   relayStream,
 } from "./relay_response.ts";
-import { framingOf } from "./replica_call.ts";
 import type { RequestOutcome, RequestScope } from "./request_scope.ts";
 import {
   type AttemptOutcome,
--- /dev/null
+++ b/packages/responses/src/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Tells complete HTTP responses and event streams from those that were cut off.
+ *
+ * @module
+ */
+export { EventStreamSplitter } from "./event_stream.ts";
+export type { CompleteEvents } from "./event_stream.ts";
+export { framingOf } from "./framing.ts";
+export type { FramingHeaders, ResponseFraming } from "./framing.ts";
+export { ResetDetector } from "./reset_detector.ts";
