Agent: a plain service's response that was cut off is not complete

Found when the cause of the streams that ended inside an event was looked for elsewhere. The agent calls plain services with the same transport: a reset counted as the end of a response without length or chunks, and a stream that ended inside an event as complete. Model streams of the agent need their final event, so they aren't affected; the entry passes on only what the agent calls complete.

Change: the call checks for a reset as the gateway does, and the end of a stream of events for an incomplete event. Two tests that failed before.

--- a/packages/agent/src/engine_client.ts
+++ b/packages/agent/src/engine_client.ts
@@ -1,3 +1,4 @@
+import { framingOf, ResetDetector } from "@banyanspool/responses";
 import { Agent, Client, request } from "undici";
 import { err, ok, type Result } from "@banyanspool/types";
 import type { Inventory } from "@banyanspool/ledger";
@@ -225,13 +226,16 @@
   url: string,
   call: StreamCall,
 ): Promise<Result<EngineStream, EngineError>> {
+  const resetDetector = ResetDetector.create();
+  const stopTracking = resetDetector.trackCloseDelimited();
   const client = new Client(url, {
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: resetDetector.createConnector(CONNECT_TIMEOUT_MS),
     headersTimeout: 0,
     bodyTimeout: 0,
     pipelining: 1,
   });
   const destroy = () => {
+    stopTracking();
     client.destroy().catch(() => {});
   };
   try {
@@ -244,10 +248,13 @@
       reset: true,
     });
     const contentType = String(res.headers["content-type"] ?? "");
+    const isCloseDelimited = framingOf(res.headers) === "close";
     return ok({
       status: res.statusCode,
       contentType,
-      chunks: res.body,
+      chunks: isCloseDelimited
+        ? throwAfterReset(res.body, resetDetector)
+        : res.body,
       destroy,
     });
   } catch (error) {
@@ -256,6 +263,15 @@
   }
 }
 
+/** Yields a body; throws after its last chunk if its connection was reset. */
+async function* throwAfterReset(
+  body: AsyncIterable<Uint8Array>,
+  resetDetector: ResetDetector,
+): AsyncGenerator<Uint8Array> {
+  yield* body;
+  if (resetDetector.hasSeenReset) throw new Error("Connection was reset");
+}
+
 const NOT_SENT_ERROR_CODES = new Set([
   "ECONNREFUSED",
   "EHOSTUNREACH",
--- a/packages/agent/src/service_call.ts
+++ b/packages/agent/src/service_call.ts
@@ -1,5 +1,6 @@
 import { type Refusal, refuse } from "@banyanspool/types";
 import type { RunRequest } from "@banyanspool/wire";
+import { EventStreamSplitter, MAX_EVENT_BYTES } from "@banyanspool/responses";
 import type { AttemptBuffer } from "./attempt_buffer.ts";
 import { openStream, toEngineError } from "./engine_client.ts";
 
@@ -39,11 +40,21 @@
   }
   const { status, contentType, chunks, destroy: abandon } = opened.value;
   buffer.start({ status, contentType });
+  const splitter = contentType.startsWith("text/event-stream")
+    ? EventStreamSplitter.create()
+    : undefined;
   try {
     for await (const chunk of chunks) {
+      splitter?.push(Buffer.from(chunk));
+      if (splitter && splitter.incompleteEvent.length > MAX_EVENT_BYTES) {
+        throw new Error("Event too long");
+      }
       buffer.append(Uint8Array.from(chunk), 0);
       await buffer.waitForCapacity(signal);
     }
+    if (splitter?.isInsideEvent) {
+      throw new Error("Stream ended inside an event");
+    }
     const usage = { promptTokens: 0, generatedTokens: 0, cachedTokens: 0 };
     buffer.finish({ kind: "finished", usage });
   } catch (error) {
--- /dev/null
+++ b/packages/agent/src/service_call_test.ts
@@ -0,0 +1,67 @@
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { create } from "@bufbuild/protobuf";
+import test, { type ExecutionContext } from "ava";
+import { RunRequestSchema } from "@banyanspool/wire";
+import { AttemptBuffer, type AttemptEnd } from "./attempt_buffer.ts";
+import { runServiceCall } from "./service_call.ts";
+
+/** Calls a service that answers each request by this function. */
+async function callService(
+  t: ExecutionContext,
+  answer: (socket: Socket) => void,
+): Promise<AttemptEnd["kind"] | undefined> {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => answer(socket));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.teardown(() => server.close());
+  const buffer = AttemptBuffer.create({ maxUnreadBytes: 1024 });
+  await runServiceCall({
+    url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    request: create(RunRequestSchema, { method: "GET", path: "/" }),
+    buffer,
+    signal: new AbortController().signal,
+  });
+  return buffer.end?.kind;
+}
+
+const STREAM_HEAD =
+  "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+
+test("a service's close-delimited response is complete when its connection is closed", async (t) => {
+  const end = await callService(t, (socket) => {
+    socket.end("HTTP/1.1 200 OK\r\n\r\nwhole");
+  });
+  t.is(end, "finished");
+});
+
+// A response without a length that was reset was passed on as complete.
+test("a service's close-delimited response is cut off when its connection is reset", async (t) => {
+  for (const delayMs of [0, 30]) {
+    const end = await callService(t, (socket) => {
+      socket.write("HTTP/1.1 200 OK\r\n\r\ntor");
+      if (delayMs === 0) socket.resetAndDestroy();
+      else setTimeout(() => socket.resetAndDestroy(), delayMs);
+    });
+    t.is(end, "refused", `after ${delayMs} ms`);
+  }
+});
+
+// A stream that a crashed service cut off inside an event was passed on as
+// complete.
+test("a service's stream that ends inside an event is cut off", async (t) => {
+  const end = await callService(t, (socket) => {
+    socket.end(`${STREAM_HEAD}id: 1\ndata: a\n\nid: 2\nda`);
+  });
+  t.is(end, "refused");
+});
+
+test("a service's stream that ends between events is complete", async (t) => {
+  const end = await callService(t, (socket) => {
+    socket.end(`${STREAM_HEAD}id: 1\ndata: a\n\n`);
+  });
+  t.is(end, "finished");
+});
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -1,7 +1,11 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import { selectCallerHeaders } from "@banyanspool/platform-adapter";
-import { EventStreamSplitter, framingOf } from "@banyanspool/responses";
+import {
+  EventStreamSplitter,
+  framingOf,
+  MAX_EVENT_BYTES,
+} from "@banyanspool/responses";
 import { ReplicaCallError } from "./replica_call.ts";
 import type { RequestScope } from "./request_scope.ts";
 import type { StartedResponse } from "./send_attempt.ts";
@@ -70,9 +74,6 @@
   return { kind: "whole" };
 }
 
-/** Size from which bytes without the end of an event are no event. */
-const MAX_EVENT_BYTES = 1024 * 1024;
-
 /**
  * Whether a response on a streaming route is a stream of events. One without a
  * content type is, as the route promises events.
--- a/packages/responses/src/event_stream.ts
+++ b/packages/responses/src/event_stream.ts
@@ -3,6 +3,9 @@
 const ID_LINE = /^id:[ ]?(.*)$/;
 const COMMENTS_AND_BLANK_LINES = /^(?::[^\r\n]*\r?\n|\r?\n)*$/;
 
+/** Size from which bytes without the end of an event are no event. */
+export const MAX_EVENT_BYTES = 1024 * 1024;
+
 /** Complete events of a stream, byte for byte. */
 export interface CompleteEvents {
   /** Bytes of one or more complete events. */
--- a/packages/responses/src/mod.ts
+++ b/packages/responses/src/mod.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-export { EventStreamSplitter } from "./event_stream.ts";
+export { EventStreamSplitter, MAX_EVENT_BYTES } from "./event_stream.ts";
 export type { CompleteEvents } from "./event_stream.ts";
 export { framingOf } from "./framing.ts";
 export type { FramingHeaders, ResponseFraming } from "./framing.ts";
--- a/packages/responses/src/reset_detector.ts
+++ b/packages/responses/src/reset_detector.ts
@@ -19,6 +19,7 @@
 export class ResetDetector {
   #openResponses = 0;
   #isReset = false;
+  #hasSeenReset = false;
 
   private constructor() {}
 
@@ -32,6 +33,11 @@
     return this.#isReset;
   }
 
+  /** Whether a connection was reset during a tracked response. */
+  get hasSeenReset(): boolean {
+    return this.#hasSeenReset;
+  }
+
   /**
    * Starts detection for a close-delimited response. Returns a function that
    * must be called when the response has ended.
@@ -73,6 +79,7 @@
     if (this.#openResponses === 0) return;
     socket.write(EMPTY_LINE);
     this.#isReset = socket.errored !== null;
+    this.#hasSeenReset ||= this.#isReset;
     // undici's own listeners run before the next tick.
     process.nextTick(() => {
       this.#isReset = false;
