--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -21,6 +21,7 @@
   summariseProgress,
 } from "./final_responses.ts";
 import { RequestProgress } from "./request_progress.ts";
+import { sharedPartIds } from "./prompt_parts.ts";
 import { jitterRetryAfter } from "./refusals.ts";
 import {
   isEventStream,
@@ -180,6 +181,9 @@
     version: ctx.fleet.version,
     outcome: outcome.kind,
     reason: "reason" in outcome ? outcome.reason : undefined,
+    prompt_parts: outcome.kind === "unknown"
+      ? sharedPartIds(request.promptParts)
+      : undefined,
   });
   if (outcome.kind === "started") {
     return await finishResponse(execution, {
@@ -366,7 +370,7 @@
 
 /** Logs a response that was cut off. */
 function logResponseEnd(
-  { ctx, scope }: RequestExecution,
+  { ctx, scope, request }: RequestExecution,
   { response, selection, relayed }: {
     response: StartedResponse;
     selection: ReplicaSelection;
@@ -382,6 +386,7 @@
     reason: relayed.reason,
     framing: framingOf(response.head.headers),
     incomplete_bytes: kind === "broken" ? relayed.incompleteBytes : undefined,
+    prompt_parts: sharedPartIds(request.promptParts),
   });
 }
 
