Gateway: prompt parts that crash replicas are quarantined

Cause: a part of the prompt crashes each replica that begins to answer it, and no gateway kept which requests a replica had when it ended. A crash only took the replica out, and the next request with the part went to the next one. Class of fault: a failure that moves with the work is treated as one of the machine.

Ruled out: orders as the cause (the replicas crash tens of ms after a request began to run, none after an order), and retries as the only multiplier (each request counts anew).

Change: packages/quarantine finds the part from what was in flight at each crash and from completions, and gateways share both in their datagrams. A cut-off response is a crash only if the replica then refuses connections and was neither draining nor gone from the list. Requests with a quarantined part are refused with 'prompt_quarantined' when they arrive and while they wait. After a minute one gateway sends one request, whose completion ends the quarantine.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -1,8 +1,9 @@
 import type { ReplicaSelection, SelectionRequest } from "@banyanspool/routing";
 import { formatModelName } from "@banyanspool/routing";
-import type { Refusal, Result, Route } from "@banyanspool/types";
+import type { PromptPart, Refusal, Result, Route } from "@banyanspool/types";
 import { err, ok, refuse } from "@banyanspool/types";
 import type { GatewayContext } from "./context.ts";
+import { sharedPartIds } from "./prompt_parts.ts";
 import { jitterRetryAfter } from "./refusals.ts";
 import type { RequestScope } from "./request_scope.ts";
 
@@ -87,12 +88,20 @@
   let stopWaiting: (() => void) | undefined;
   try {
     while (!scope.signal.aborted) {
+      const quarantined = refuseQuarantined(ctx, request.promptParts);
+      if (quarantined) return err(quarantined);
       const selection = replicaTracker.select(request);
       if (selection) {
-        const checked = check(selection);
-        if (checked.ok) return checked;
-        const best = replicaTracker.select(request, { compareAll: true })!;
-        return check(best);
+        let checked = check(selection);
+        if (!checked.ok) {
+          checked = check(
+            replicaTracker.select(request, { compareAll: true })!,
+          );
+        }
+        if (checked.ok) {
+          ctx.quarantine.recordSent(sharedPartIds(request.promptParts));
+        }
+        return checked;
       }
       const leftMs = waitUntil - clock.now();
       if (leftMs <= 0 || (name === undefined && request.excluded.size > 0)) {
@@ -118,6 +127,21 @@
   );
 }
 
+/** Refuses a request with a prompt part that crashes replicas. */
+export function refuseQuarantined(
+  ctx: GatewayContext,
+  promptParts: readonly PromptPart[],
+): Refusal | undefined {
+  const quarantined = ctx.quarantine.check(sharedPartIds(promptParts));
+  if (!quarantined) return undefined;
+  const { part, retryAfterMs } = quarantined;
+  return refuse(
+    "prompt_quarantined",
+    `Replicas crashed at requests with part "${part}" in their prompts`,
+    { retryAfterMs: jitterRetryAfter(retryAfterMs, ctx.random) },
+  );
+}
+
 /** Time at which the caller is assumed to leave without a further byte, in ms. */
 function callerLeavesAt(
   { deadlineAt, route }: RequestScope,
--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { PromptQuarantine } from "@banyanspool/quarantine";
 import { ReplicaTracker, type SelectionRequest } from "@banyanspool/routing";
 import type { BackendServer, Route } from "@banyanspool/types";
 import { acquireReplica, callerFirstByteTimeoutMs } from "./acquire_replica.ts";
@@ -92,6 +93,12 @@
     fleet: { changed },
     waitingRequests: WaitingRequestCounts.create({ clock }),
     expectedModels: ExpectedModels.create({ clock }),
+    quarantine: PromptQuarantine.create({
+      clock,
+      isTrialOwner: () => true,
+      onStart: () => changed.notify(),
+      onCleared: () => {},
+    }),
   } as unknown as GatewayContext;
   const scope = {
     route: route({ targetLatencyMs: 400, eventGapTargetMs: 200 }),
@@ -176,3 +183,19 @@
   const acquired = await acquireReplica(ctx, scope, PENDING);
   t.is(acquired.ok && acquired.value.server.id, "r0");
 });
+
+test("a request that waits is refused when a part of its prompt is quarantined", async (t) => {
+  const { ctx, scope, elapsedMs } = createGateway([]);
+  const promptParts = ["bad", "own"].map((id) => ({ id, tokens: 10 }));
+  const acquiring = acquireReplica(ctx, scope, {
+    request: { ...REQUEST, promptParts },
+    waitingSince: 0,
+  });
+  for (const replica of ["r1", "r2", "r3"]) {
+    await ctx.fleet.changed.wait(300);
+    ctx.quarantine.recordCrash(replica, ["bad"]);
+  }
+  const acquired = await acquiring;
+  t.is(!acquired.ok && acquired.error.code, "prompt_quarantined");
+  t.true(elapsedMs() < 1500);
+});
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -2,9 +2,11 @@
 import type { EventLog } from "@banyanspool/logger";
 import type { DemandMeter } from "@banyanspool/placement";
 import type { RetryBudget } from "@banyanspool/retry";
+import type { PromptQuarantine } from "@banyanspool/quarantine";
 import type { ReplicaTracker } from "@banyanspool/routing";
 import type { Clock, Random, Sleep } from "@banyanspool/types";
 import type { ConnectionPools } from "./connection_pools.ts";
+import type { CrashWatch } from "./crash_watch.ts";
 import type { ExpectedModels } from "./expected_models.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
@@ -32,6 +34,10 @@
   readonly waitingRequests: WaitingRequestCounts;
   /** Models that are being loaded. */
   readonly expectedModels: ExpectedModels;
+  /** Crashes of replicas, told from other cut-off responses. */
+  readonly crashWatch: CrashWatch;
+  /** Prompt parts that crash replicas. */
+  readonly quarantine: PromptQuarantine;
   /** Connections to replicas. */
   readonly pools: ConnectionPools;
   /** Structured log. */
--- /dev/null
+++ b/packages/gateway/src/crash_watch_test.ts
@@ -0,0 +1,80 @@
+import test from "ava";
+import type { BackendServer } from "@banyanspool/types";
+import { type ConnectResult, CrashWatch } from "./crash_watch.ts";
+
+const REPLICA: BackendServer = {
+  id: "i-1",
+  service: "pool",
+  address: "127.0.0.1:1",
+  dataCentre: "north",
+  slots: 1,
+  draining: false,
+  startedAt: 7,
+  models: [],
+};
+
+/** A watch of replicas that answer connections in this way. */
+function createWatch(
+  results: readonly ConnectResult[],
+  isServing: () => boolean = () => true,
+) {
+  let now = 0;
+  const crashes: string[] = [];
+  const connects: string[] = [];
+  const watch = CrashWatch.create({
+    clock: { now: () => now, wall: () => now },
+    tryConnect: (address) => {
+      connects.push(address);
+      return Promise.resolve(results[connects.length - 1] ?? "unknown");
+    },
+    isServing,
+    onCrash: (_incarnation, parts) => crashes.push(parts.join()),
+  });
+  const settle = () => new Promise((resolve) => setImmediate(resolve));
+  return {
+    watch,
+    crashes,
+    connects,
+    settle,
+    advance: (ms: number) => now += ms,
+  };
+}
+
+test("a replica that cuts off requests and refuses connections has crashed", async (t) => {
+  const { watch, crashes, connects, settle } = createWatch(["refused"]);
+  watch.recordCutOff(REPLICA, ["a"]);
+  watch.recordCutOff(REPLICA, ["b"]);
+  await settle();
+  watch.recordCutOff(REPLICA, ["c"]);
+  t.deepEqual(crashes, ["a,b", "c"]);
+  t.is(connects.length, 1);
+});
+
+for (const result of ["accepted", "unknown"] as const) {
+  test(`a replica whose connection is ${result} has not crashed`, async (t) => {
+    const { watch, crashes, settle } = createWatch([result]);
+    watch.recordCutOff(REPLICA, ["a"]);
+    await settle();
+    t.deepEqual(crashes, []);
+  });
+}
+
+test("a replica that cut off one request and crashes later is checked again", async (t) => {
+  const { watch, crashes, settle, advance } = createWatch([
+    "accepted",
+    "refused",
+  ]);
+  watch.recordCutOff(REPLICA, ["a"]);
+  await settle();
+  advance(5000);
+  watch.recordCutOff(REPLICA, ["b"]);
+  await settle();
+  t.deepEqual(crashes, ["b"]);
+});
+
+test("a replica that was draining or has left the list has not crashed", async (t) => {
+  const { watch, connects, settle } = createWatch(["refused"], () => false);
+  watch.recordCutOff(REPLICA, ["a"]);
+  await settle();
+  t.is(connects.length, 0);
+});
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -1,12 +1,14 @@
 import { SlidingWindowLimiter } from "@banyanspool/limits";
 import type { EventLog } from "@banyanspool/logger";
 import { DemandMeter } from "@banyanspool/placement";
+import { PromptQuarantine } from "@banyanspool/quarantine";
 import { RetryBudget } from "@banyanspool/retry";
 import { ReplicaTracker } from "@banyanspool/routing";
 import type { GatewaySettings } from "@banyanspool/settings";
-import { type Clock, sleep } from "@banyanspool/types";
+import { type BackendServer, type Clock, sleep } from "@banyanspool/types";
 import { ConnectionPools } from "./connection_pools.ts";
 import type { GatewayContext } from "./context.ts";
+import { CrashWatch, tryConnect } from "./crash_watch.ts";
 import { ExpectedModels } from "./expected_models.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
@@ -26,6 +28,12 @@
   readonly fleet: FleetState;
   /** Number of gateways that reported lately, including this one. */
   readonly liveCount: () => number;
+  /** Whether this gateway tries a prompt part after its quarantine. */
+  readonly isTrialOwner: (part: string) => boolean;
+  /** Whether a replica is listed and not draining. */
+  readonly isServing: (server: BackendServer) => boolean;
+  /** Called when a replica has crashed. */
+  readonly onCrash: () => void;
 }
 
 /** Short, so that a shift of demand is followed within seconds. */
@@ -45,12 +53,14 @@
  * are this gateway's shares of the fleet's.
  */
 export function createContext(
-  { cfg, clock, log, metrics, fleet, liveCount }: ContextOptions,
+  options: ContextOptions,
 ): GatewayContext {
+  const { cfg, clock, log, metrics, fleet, liveCount } = options;
   const findEngine = (service: string) =>
     fleet.activeConfiguration?.configuration.services.get(service)?.engine;
   const budgets = new Map<string, RetryBudget>();
   const burst = () => cfg.retry_burst * RETRY_BUDGET_SHARE / liveCount();
+  const quarantine = createQuarantine(options);
   return {
     clock,
     sleep,
@@ -90,6 +100,20 @@
     }),
     waitingRequests: WaitingRequestCounts.create({ clock }),
     expectedModels: ExpectedModels.create({ clock }),
+    quarantine,
+    crashWatch: CrashWatch.create({
+      clock,
+      tryConnect,
+      isServing: options.isServing,
+      onCrash: (incarnation, parts) => {
+        log.write("replica crashed", {
+          replica: incarnation,
+          prompt_parts: parts,
+        });
+        quarantine.recordCrash(incarnation, parts);
+        options.onCrash();
+      },
+    }),
     pools: ConnectionPools.create({
       maxConnectionsFor: (service) => {
         const spec = fleet.activeConfiguration?.configuration.services.get(
@@ -105,3 +129,19 @@
     metrics,
   };
 }
+
+function createQuarantine(
+  { clock, log, metrics, fleet, isTrialOwner }: ContextOptions,
+): PromptQuarantine {
+  return PromptQuarantine.create({
+    clock,
+    isTrialOwner,
+    onStart: (part, durationMs) => {
+      metrics.quarantines.inc();
+      log.write("prompt part quarantined", { part, duration_ms: durationMs });
+      // Requests that wait with the part are refused now.
+      fleet.changed.notify();
+    },
+    onCleared: (part) => log.write("prompt part cleared", { part }),
+  });
+}
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -1,5 +1,5 @@
 import type { Lease } from "@banyanspool/platform";
-import type { AvailableModels } from "@banyanspool/routing";
+import { type AvailableModels, rankByAffinity } from "@banyanspool/routing";
 import { type GatewaySettings, splitAddress } from "@banyanspool/settings";
 import { createSystemClock, sleep } from "@banyanspool/types";
 import type { GatewayState } from "@banyanspool/wire";
@@ -7,6 +7,7 @@
 import { type GatewayReport, PeerExchange } from "./peer_exchange.ts";
 import type { EngineController } from "./engine_controller.ts";
 import { FleetDemandTable } from "./fleet_demand.ts";
+import { encodeQuarantineReport } from "./quarantine_codec.ts";
 import { PlacementHolder } from "./placement_holder.ts";
 import type { FleetDemand } from "./placement_models.ts";
 import {
@@ -111,6 +112,17 @@
     return new FleetExchange(options);
   }
 
+  /**
+   * Whether this gateway is the first of the live ones by rendezvous hashing of a
+   * key.
+   */
+  isFirstByAffinity(key: string): boolean {
+    const { instance } = this.#options.cfg;
+    const live = [instance, ...this.#peers.liveInstances];
+    const ranked = rankByAffinity(key, live.map((id) => ({ id })));
+    return ranked[0]?.id === instance;
+  }
+
   /** Number of live gateways, including this one. */
   get liveCount(): number {
     return this.#peers.liveCount;
@@ -161,6 +173,7 @@
     );
     const present = new Set(this.#peers.peers.map(({ instance }) => instance));
     this.#demand.retain(present);
+    this.#options.ctx.quarantine.retainPeers(present);
     for (const instance of this.#knownByPeer.keys()) {
       if (!present.has(instance)) this.#knownByPeer.delete(instance);
     }
@@ -210,6 +223,11 @@
     this.#announceSoon();
   }
 
+  /** Sends all gateways soon what this gateway knows of a replica's crash. */
+  publishCrash(): void {
+    this.#announceSoon();
+  }
+
   /** Sends all gateways a replica change that this gateway was first to read. */
   publishReplicaChange(change: ReplicaChange): void {
     const now = this.#options.ctx.clock.now();
@@ -368,6 +386,7 @@
         tokens: BigInt(Math.round(admitted)),
         windowTokens: BigInt(Math.round(inWindow)),
       })),
+      ...encodeQuarantineReport(ctx.quarantine.report()),
       demand: [],
       knownFencingToken: this.#knownModels.fencingToken,
       knownHeldVersion: this.#knownModels.version,
@@ -396,6 +415,10 @@
         ]),
       ),
     });
+    if (ctx.quarantine.applyReport(state.instance, state)) {
+      // This gateway may be able to clear parts that were in flight.
+      this.#announceSoon();
+    }
     for (const id of state.suspected) {
       this.#options.engineController.checkSuspected(id);
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -108,6 +108,13 @@
       metrics,
       fleet,
       liveCount: () => this.#exchange.liveCount,
+      isTrialOwner: (part) => this.#exchange.isFirstByAffinity(part),
+      isServing: ({ id, startedAt }) =>
+        this.#registry.replicas.some((listed) =>
+          listed.id === id && listed.startedAt === startedAt &&
+          !listed.draining
+        ),
+      onCrash: () => this.#exchange.publishCrash(),
     });
     const engineController = EngineController.create({
       lease: this.#lease,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -34,6 +34,8 @@
   readonly datagrams: Counter;
   /** Outlier ejections of replicas by service. */
   readonly ejections: Counter;
+  /** Prompt parts put into quarantine because they crash replicas. */
+  readonly quarantines: Counter;
   /** Version of the active configuration. */
   readonly configurationVersion: Gauge;
   /** Log lines dropped by the log's rate limit. */
@@ -76,6 +78,11 @@
     this.ejections = counter("replica_ejections_total", "Ejections", [
       "service",
     ]);
+    this.quarantines = counter(
+      "prompt_quarantines_total",
+      "Prompt parts put into quarantine",
+      [],
+    );
     this.configurationVersion = gauge(
       "configuration_version",
       "Version in force",
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -97,6 +97,14 @@
     }));
   }
 
+  /** Names of the peers that don't count as lost. */
+  get liveInstances(): readonly string[] {
+    const now = this.#options.clock.now();
+    return [...this.#peers]
+      .filter(([, { lastReceivedAt }]) => now - lastReceivedAt < LOST_AFTER_MS)
+      .map(([instance]) => instance);
+  }
+
   /** Number of gateways that don't count as lost, including this one. */
   get liveCount(): number {
     const now = this.#options.clock.now();
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -8,7 +8,7 @@
 import type { RetryBudget } from "@banyanspool/retry";
 import type { Route } from "@banyanspool/types";
 import { refuse } from "@banyanspool/types";
-import { acquireReplica } from "./acquire_replica.ts";
+import { acquireReplica, refuseQuarantined } from "./acquire_replica.ts";
 import { consumeRateLimit } from "./admit_request.ts";
 import type { GatewayContext } from "./context.ts";
 import {
@@ -72,7 +72,8 @@
   scope: RequestScope,
 ): Promise<RequestOutcome> {
   const progress = RequestProgress.create();
-  const refusal = await consumeRateLimit(ctx, scope);
+  const refusal = refuseQuarantined(ctx, scope.caller.promptParts) ??
+    await consumeRateLimit(ctx, scope);
   if (refusal) return refuseRequest(scope, refusal, progress);
   const outcome = await runAttempts(createExecution(ctx, scope, progress));
   if (progress.replicas.length === 0 && scope.organisation) {
@@ -241,7 +242,7 @@
     return endTruncated(scope, progress);
   }
   const relayed = await relay(execution, response, trackedRequest.started);
-  logResponseEnd(execution, { response, selection, relayed });
+  recordResponseEnd(execution, { response, selection, relayed });
   switch (relayed.kind) {
     case "whole":
       recordObservation(
@@ -310,6 +311,10 @@
     progress.possibleRuns += 1;
     progress.excluded.add(selection.server.id);
     recordObservation(execution, selection, "failure");
+    if (outcome.kind === "unknown") {
+      const parts = sharedPartIds(request.promptParts);
+      ctx.crashWatch.recordCutOff(selection.server, parts);
+    }
   }
   if (!canRetry || !hasTimeForAttempt(execution)) {
     return endWithoutRetry(
@@ -368,8 +373,8 @@
   return outcome;
 }
 
-/** Logs a response that was cut off. */
-function logResponseEnd(
+/** Records whether a response was complete or the replica cut it off. */
+function recordResponseEnd(
   { ctx, scope, request }: RequestExecution,
   { response, selection, relayed }: {
     response: StartedResponse;
@@ -378,7 +383,12 @@
   },
 ): void {
   const { kind } = relayed;
+  const parts = sharedPartIds(request.promptParts);
+  if (kind === "whole" && response.head.status === 200) {
+    ctx.quarantine.recordCompletion(parts);
+  }
   if (kind !== "lost" && kind !== "broken") return;
+  ctx.crashWatch.recordCutOff(selection.server, parts);
   ctx.log.write("response cut off", {
     id: scope.caller.id,
     replica: selection.server.id,
@@ -386,7 +396,7 @@
     reason: relayed.reason,
     framing: framingOf(response.head.headers),
     incomplete_bytes: kind === "broken" ? relayed.incompleteBytes : undefined,
-    prompt_parts: sharedPartIds(request.promptParts),
+    prompt_parts: parts,
   });
 }
 
--- a/packages/types/src/refusal.ts
+++ b/packages/types/src/refusal.ts
@@ -23,6 +23,7 @@
   | "not_ready"
   | "outcome_unknown"
   | "overloaded"
+  | "prompt_quarantined"
   | "prompt_too_long"
   | "rate_exceeded"
   | "retry_budget_spent"
@@ -82,6 +83,7 @@
   not_ready: 503,
   outcome_unknown: 502,
   overloaded: 503,
+  prompt_quarantined: 503,
   prompt_too_long: 400,
   rate_exceeded: 429,
   retry_budget_spent: 503,
