Gateway: events that were relayed before a cut reach the caller

Found by the tests of framing, once a stream that no other replica can go on with is refused without a wait: the caller's connection was closed in the tick in which its first events were written, so that head and events were discarded. Callers got a closed connection for a stream that had begun.

--- a/packages/gateway/src/final_responses.ts
+++ b/packages/gateway/src/final_responses.ts
@@ -3,6 +3,7 @@
 import type { GatewayContext } from "./context.ts";
 import type { RequestProgress } from "./request_progress.ts";
 import { jitterRetryAfter, sendRefusal } from "./refusals.ts";
+import { truncateResponse } from "./truncate_response.ts";
 import type { RequestOutcome, RequestScope } from "./request_scope.ts";
 import type { AttemptOutcome } from "./send_attempt.ts";
 
@@ -77,8 +78,7 @@
       progress,
     );
   }
-  // A truncated response must not look complete to the caller.
-  scope.res.destroy();
+  truncateResponse(scope.res);
   return { result: "broken", ...summariseProgress(progress) };
 }
 
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { Refusal } from "@banyanspool/types";
 import { HTTP_STATUS_BY_CODE } from "@banyanspool/types";
+import { truncateResponse } from "./truncate_response.ts";
 
 const MS_PER_S = 1000;
 /** Jitter as a share of the delay, so that callers don't all retry at once. */
@@ -14,7 +15,7 @@
 /** Sends a refusal; closes the connection if a response has already begun. */
 export function sendRefusal(res: ServerResponse, refusal: Refusal): void {
   if (res.headersSent || res.destroyed) {
-    res.destroy();
+    truncateResponse(res);
     return;
   }
   const { code, message, ran, retryAfterMs } = refusal;
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -9,6 +9,7 @@
 import { ReplicaCallError } from "./replica_call.ts";
 import type { RequestScope } from "./request_scope.ts";
 import type { StartedResponse } from "./send_attempt.ts";
+import { truncateResponse } from "./truncate_response.ts";
 
 /** Result of relaying a response to the caller. */
 export type RelayOutcome =
@@ -56,7 +57,7 @@
     }
   } catch (error) {
     if (!(error instanceof ReplicaCallError)) throw error;
-    if (res.headersSent) res.destroy();
+    if (res.headersSent) truncateResponse(res);
     return scope.signal.aborted
       ? { kind: "given up" }
       : { kind: "lost", reason: error.message };
--- a/packages/gateway/src/response_framing_test.ts
+++ b/packages/gateway/src/response_framing_test.ts
@@ -162,6 +162,23 @@
   t.is(res.body, [1, 2, 3].map(event).join(""));
 });
 
+// The connection of a stream that was cut off was closed before its last events
+// had been written.
+test("a caller receives the events that came in one packet with the end of a stream", async (t) => {
+  const body = event(1) + "id: 2\nda";
+  const answer: ReplicaHandler = (_req, res) => {
+    const head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n" +
+      `content-type: ${EVENT_STREAM}\r\n\r\n`;
+    const chunk = `${body.length.toString(16)}\r\n${body}\r\n`;
+    res.socket?.end(`${head}${chunk}0\r\n\r\n`);
+  };
+  const answers = Array.from({ length: 10 }, () => answer);
+  for (const res of await callThroughGateway(t, answers)) {
+    t.is(res.body, event(1));
+    t.false(res.isComplete);
+  }
+});
+
 test("a close-delimited stream that ends between events or after a comment is complete", async (t) => {
   const endings = ["", ": end\n", ": end\r\n\r\n", "\n"];
   const bodies = endings.map((ending) => event(1) + event(2) + ending);
