Gateway: streams stay with the software version that began them

Replicas of several software versions serve side by side, what they write doesn't fit together, and they don't check what they go on with. A stream that was cut off went on at any replica with its model, and a caller that took it up at another gateway was sent to any replica, too.

Each replica's row gives its version; selection is restricted to the version of the stream's first event, and that of the replica is checked once more before the first event is relayed. Two other gateways, in two data centres where there are, get a record of the version before the first event is relayed; a gateway that a caller returns to asks for it. Without a record the stream is refused at once, and so is one whose version no replica runs.

Left: models are placed without regard to versions.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -85,6 +85,11 @@
     checkPredictedTime(ctx, scope, { ...pending, selection });
   const name = formatModelName(request);
   if (!isServable(scope, request)) return err(refuseUnknownModel(request));
+  if (
+    request.softwareVersion !== undefined && !replicaTracker.hasVersion(request)
+  ) {
+    return err(refuseGoneVersion(request));
+  }
   let stopWaiting: (() => void) | undefined;
   try {
     while (!scope.signal.aborted) {
@@ -165,6 +170,16 @@
   return refuse("no_replica", `Service "${service}" has no model "${model}"`);
 }
 
+function refuseGoneVersion(
+  { service, softwareVersion }: SelectionRequest,
+): Refusal {
+  return refuse(
+    "stream_version_gone",
+    `No replica of "${service}" runs version "${softwareVersion}", ` +
+      "which began the stream",
+  );
+}
+
 function checkPredictedTime(
   ctx: GatewayContext,
   scope: RequestScope,
--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -53,6 +53,7 @@
     dataCentre: "north",
     slots: 4,
     draining: false,
+    softwareVersion: "v1",
     startedAt: 1,
     models: models.map((name) => ({ name, adapters: [] })),
   };
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -4,6 +4,7 @@
 import type { RetryBudget } from "@banyanspool/retry";
 import type { PromptQuarantine } from "@banyanspool/quarantine";
 import type { ReplicaTracker } from "@banyanspool/routing";
+import type { StreamOrigins, VersionHistory } from "@banyanspool/streams";
 import type { Clock, Random, Sleep } from "@banyanspool/types";
 import type { ConnectionPools } from "./connection_pools.ts";
 import type { CrashWatch } from "./crash_watch.ts";
@@ -38,6 +39,10 @@
   readonly crashWatch: CrashWatch;
   /** Prompt parts that crash replicas. */
   readonly quarantine: PromptQuarantine;
+  /** Software versions that began the streams of all gateways. */
+  readonly streamOrigins: StreamOrigins;
+  /** Software versions that replicas ran lately. */
+  readonly versionHistory: VersionHistory;
   /** Connections to replicas. */
   readonly pools: ConnectionPools;
   /** Structured log. */
--- a/packages/gateway/src/crash_watch_test.ts
+++ b/packages/gateway/src/crash_watch_test.ts
@@ -9,6 +9,7 @@
   dataCentre: "north",
   slots: 1,
   draining: false,
+  softwareVersion: "v1",
   startedAt: 7,
   models: [],
 };
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -5,6 +5,11 @@
 import { RetryBudget } from "@banyanspool/retry";
 import { ReplicaTracker } from "@banyanspool/routing";
 import type { GatewaySettings } from "@banyanspool/settings";
+import {
+  StreamOrigins,
+  type StreamOriginsOptions,
+  VersionHistory,
+} from "@banyanspool/streams";
 import { type BackendServer, type Clock, sleep } from "@banyanspool/types";
 import { ConnectionPools } from "./connection_pools.ts";
 import type { GatewayContext } from "./context.ts";
@@ -32,6 +37,10 @@
   readonly isTrialOwner: (part: string) => boolean;
   /** Whether a replica is listed and not draining. */
   readonly isServing: (server: BackendServer) => boolean;
+  /** Gateways that keep a stream's record, the most preferred first. */
+  readonly keepersOf: StreamOriginsOptions["keepersOf"];
+  /** Sends a message about streams to another gateway; it may be lost. */
+  readonly sendStreamMessage: StreamOriginsOptions["send"];
   /** Called when a replica has crashed. */
   readonly onCrash: () => void;
 }
@@ -47,6 +56,8 @@
 /** Share of a replica's connections that the gateways use together. */
 const CONNECTION_SHARE = 0.8;
 const MIN_CONNECTIONS = 8;
+/** Time for which callers may take up a stream that was cut off. */
+const RESUMPTION_WINDOW_MS = 30_000;
 
 /**
  * Creates the dependencies that requests share. Retry budgets and connections
@@ -114,6 +125,18 @@
         options.onCrash();
       },
     }),
+    streamOrigins: StreamOrigins.create({
+      clock,
+      sleep,
+      windowMs: RESUMPTION_WINDOW_MS,
+      keepersOf: options.keepersOf,
+      send: options.sendStreamMessage,
+    }),
+    versionHistory: VersionHistory.create({
+      clock,
+      isFirstStart: cfg.first_start,
+      windowMs: RESUMPTION_WINDOW_MS,
+    }),
     pools: ConnectionPools.create({
       maxConnectionsFor: (service) => {
         const spec = fleet.activeConfiguration?.configuration.services.get(
--- a/packages/gateway/src/engine_controller_test.ts
+++ b/packages/gateway/src/engine_controller_test.ts
@@ -39,6 +39,7 @@
     dataCentre: "north",
     slots: 64,
     draining: false,
+    softwareVersion: "v1",
     startedAt: 1,
     models: [],
   };
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -2,6 +2,7 @@
 import { type AvailableModels, rankByAffinity } from "@banyanspool/routing";
 import { type GatewaySettings, splitAddress } from "@banyanspool/settings";
 import { createSystemClock, sleep } from "@banyanspool/types";
+import type { StreamMessage } from "@banyanspool/streams";
 import type { GatewayState } from "@banyanspool/wire";
 import type { GatewayContext } from "./context.ts";
 import { type GatewayReport, PeerExchange } from "./peer_exchange.ts";
@@ -102,6 +103,8 @@
       buildReport: () => this.#buildReport(),
       buildPeerReport: (peer) => this.#buildPeerReport(peer),
       onState: (state) => this.#applyPeerState(state),
+      onStreamMessage: (instance, message) =>
+        ctx.streamOrigins.receive(instance, message),
       onDatagram: (direction) => ctx.metrics.datagrams.inc({ direction }),
     });
     ctx.waitingRequests.onFirstWaiting = () => this.#notifyLeaseHolder();
@@ -118,11 +121,40 @@
    */
   isFirstByAffinity(key: string): boolean {
     const { instance } = this.#options.cfg;
-    const live = [instance, ...this.#peers.liveInstances];
-    const ranked = rankByAffinity(key, live.map((id) => ({ id })));
+    const live = [{ instance }, ...this.#peers.livePeers];
+    const ranked = rankByAffinity(
+      key,
+      live.map((peer) => ({ id: peer.instance })),
+    );
     return ranked[0]?.id === instance;
   }
 
+  /**
+   * Names of the other live gateways by rendezvous hashing of a key, with one of
+   * another data centre than the first in second place if there is one. All
+   * gateways rank alike, so that each leaves itself out only afterwards.
+   */
+  rankByDataCentre(key: string): string[] {
+    const { instance, data_centre } = this.#options.cfg;
+    const live = this.#peers.livePeers.map((peer) => ({
+      id: peer.instance,
+      dataCentre: peer.dataCentre,
+    }));
+    live.push({ id: instance, dataCentre: data_centre });
+    const [first, ...others] = rankByAffinity(key, live);
+    const second = others.findIndex(({ dataCentre }) =>
+      dataCentre !== first!.dataCentre
+    );
+    if (second > 0) others.unshift(...others.splice(second, 1));
+    return [first!, ...others].map(({ id }) => id)
+      .filter((id) => id !== instance);
+  }
+
+  /** Sends a message about streams to another gateway; it may be lost. */
+  sendStreamMessage(instance: string, message: StreamMessage): void {
+    this.#peers.sendStreamMessage(instance, message);
+  }
+
   /** Number of live gateways, including this one. */
   get liveCount(): number {
     return this.#peers.liveCount;
@@ -361,6 +393,7 @@
         .map(({ change }) => encodeReplicaChange(change)),
       configurationVersion: BigInt(ctx.fleet.version),
       leaving: ctx.fleet.isStopping,
+      dataCentre: this.#options.cfg.data_centre,
       loads: [...ctx.replicaTracker.ownLoad()].map(([replica, load]) => ({
         $typeName: "banyanspool.v1.ReplicaLoad",
         replica,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -109,6 +109,9 @@
       fleet,
       liveCount: () => this.#exchange.liveCount,
       isTrialOwner: (part) => this.#exchange.isFirstByAffinity(part),
+      keepersOf: (id) => this.#exchange.rankByDataCentre(id),
+      sendStreamMessage: (instance, message) =>
+        this.#exchange.sendStreamMessage(instance, message),
       isServing: ({ id, startedAt }) =>
         this.#registry.replicas.some((listed) =>
           listed.id === id && listed.startedAt === startedAt &&
@@ -329,9 +332,10 @@
   }
 
   #applyReplicaList(): void {
-    const { replicaTracker, pools, fleet } = this.#ctx;
+    const { replicaTracker, versionHistory, pools, fleet } = this.#ctx;
     const { replicas } = this.#registry;
     replicaTracker.updateServers(replicas);
+    versionHistory.update(replicas);
     pools.closeAllExcept(replicas);
     fleet.changed.notify();
   }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -36,6 +36,8 @@
   readonly ejections: Counter;
   /** Prompt parts put into quarantine because they crash replicas. */
   readonly quarantines: Counter;
+  /** Streams that callers took up again, by whether their version was found. */
+  readonly resumptions: Counter;
   /** Version of the active configuration. */
   readonly configurationVersion: Gauge;
   /** Log lines dropped by the log's rate limit. */
@@ -83,6 +85,11 @@
       "Prompt parts put into quarantine",
       [],
     );
+    this.resumptions = counter(
+      "stream_resumptions_total",
+      "Streams that callers took up again",
+      ["outcome"],
+    );
     this.configurationVersion = gauge(
       "configuration_version",
       "Version in force",
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -1,6 +1,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { EventLog } from "@banyanspool/logger";
+import type { StreamMessage } from "@banyanspool/streams";
 import type { Clock } from "@banyanspool/types";
 import { type GatewayState, GatewayStateSchema } from "@banyanspool/wire";
 
@@ -12,12 +13,19 @@
   readonly host: string;
   /** When its last report was received; -Infinity if there is none. */
   readonly lastReceivedAt: number;
+  /** Data centre that it reported; empty before its first report. */
+  readonly dataCentre: string;
 }
 
 /** A gateway's report, without the fields that identify its sender. */
 export type GatewayReport = Omit<
   GatewayState,
-  "$typeName" | "$unknown" | "instance" | "incarnation" | "sequence"
+  | "$typeName"
+  | "$unknown"
+  | "instance"
+  | "incarnation"
+  | "sequence"
+  | "streamMessage"
 >;
 
 /** Options of {@link PeerExchange.create}. */
@@ -42,11 +50,14 @@
   ) => Partial<GatewayReport> | undefined;
   /** Called with each report of a peer that is newer than its previous one. */
   readonly onState: (state: GatewayState) => void;
+  /** Called with each message of a peer about streams. */
+  readonly onStreamMessage: (instance: string, message: StreamMessage) => void;
   /** Called for each datagram; `unreadable` if one can't be decoded. */
   readonly onDatagram: (direction: "sent" | "received" | "unreadable") => void;
 }
 
 interface PeerState {
+  dataCentre: string;
   host: string;
   lastReceivedAt: number;
   incarnation: bigint;
@@ -89,20 +100,21 @@
   /** All peers that haven't expired, including lost ones. */
   get peers(): readonly Peer[] {
     return [...this.#peers].map((
-      [instance, { host, lastReceivedAt }],
+      [instance, { host, lastReceivedAt, dataCentre }],
     ) => ({
       instance,
       host,
       lastReceivedAt,
+      dataCentre,
     }));
   }
 
-  /** Names of the peers that don't count as lost. */
-  get liveInstances(): readonly string[] {
+  /** Peers that don't count as lost. */
+  get livePeers(): readonly Peer[] {
     const now = this.#options.clock.now();
-    return [...this.#peers]
-      .filter(([, { lastReceivedAt }]) => now - lastReceivedAt < LOST_AFTER_MS)
-      .map(([instance]) => instance);
+    return this.peers.filter(({ lastReceivedAt }) =>
+      now - lastReceivedAt < LOST_AFTER_MS
+    );
   }
 
   /** Number of gateways that don't count as lost, including this one. */
@@ -149,6 +161,7 @@
     }
     this.#peers.set(instance, {
       host,
+      dataCentre: "",
       lastReceivedAt: -Infinity,
       incarnation: 0n,
       sequence: 0n,
@@ -173,6 +186,20 @@
     this.#send(this.#withPeerReport(bytes, instance), peer.host);
   }
 
+  /** Sends a message about streams to one peer; it may be lost. */
+  sendStreamMessage(instance: string, message: StreamMessage): void {
+    const peer = this.#peers.get(instance);
+    if (!peer) return;
+    const state = create(GatewayStateSchema, {
+      instance: this.#options.instance,
+      streamMessage: {
+        origins: message.origins.map(({ id, version }) => ({ id, version })),
+        queries: [...message.queries],
+      },
+    });
+    this.#send(toBinary(GatewayStateSchema, state), peer.host);
+  }
+
   /** Interval between two periodic reports to all peers, in ms. */
   get intervalMs(): number {
     return BASE_INTERVAL_MS + INTERVAL_PER_PEER_MS * this.#peers.size;
@@ -231,6 +258,10 @@
     }
     onDatagram("received");
     if (state.instance === this.#options.instance) return;
+    if (state.streamMessage) {
+      this.#options.onStreamMessage(state.instance, state.streamMessage);
+      return;
+    }
     const known = this.#peers.get(state.instance);
     if (known && isOlder(state, known)) return;
     const now = clock.now();
@@ -244,6 +275,7 @@
     }
     this.#peers.set(state.instance, {
       host,
+      dataCentre: state.dataCentre,
       lastReceivedAt: now,
       incarnation: state.incarnation,
       sequence: state.sequence,
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -87,6 +87,11 @@
 
 /** Options of {@link relayStream}. */
 export interface StreamRelayOptions {
+  /**
+   * Called before the first events are written to the caller. Returns whether
+   * they may be.
+   */
+  readonly mayBegin: () => boolean;
   /** Called before each write of events to the caller. */
   readonly onEvents: () => void;
 }
@@ -99,7 +104,7 @@
 export async function relayStream(
   scope: RequestScope,
   { call, head }: StartedResponse,
-  { onEvents }: StreamRelayOptions,
+  { mayBegin, onEvents }: StreamRelayOptions,
 ): Promise<RelayOutcome> {
   const { res } = scope;
   const splitter = EventStreamSplitter.create();
@@ -122,6 +127,10 @@
         return broken("event too long");
       }
       if (!events) continue;
+      if (!hasEvents && !mayBegin()) {
+        call.abort();
+        return broken("other software version");
+      }
       if (!res.headersSent) {
         const { "content-length": _, ...headers } = selectCallerHeaders(
           head.headers,
--- a/packages/gateway/src/replica_call_test.ts
+++ b/packages/gateway/src/replica_call_test.ts
@@ -28,6 +28,7 @@
     dataCentre: "north",
     slots: 1,
     draining: false,
+    softwareVersion: "v1",
     startedAt: 1,
     models: [],
   };
--- a/packages/gateway/src/replica_change_codec.ts
+++ b/packages/gateway/src/replica_change_codec.ts
@@ -15,6 +15,7 @@
       slots: 0,
       leaving: true,
       startedAt: 0n,
+      softwareVersion: "",
     };
   }
   const { server, version } = change.listed;
@@ -29,6 +30,7 @@
     slots: server.slots,
     leaving: server.draining,
     startedAt: BigInt(server.startedAt),
+    softwareVersion: server.softwareVersion,
   };
 }
 
@@ -39,7 +41,8 @@
 export function decodeReplicaChange(message: ServerNews): ReplicaChange {
   const version = Number(message.version);
   if (message.gone) return { kind: "gone", id: message.id, version };
-  const { id, service, address, dataCentre, slots, leaving } = message;
+  const { id, service, address, dataCentre, slots, leaving, softwareVersion } =
+    message;
   const startedAt = Number(message.startedAt);
   const server = {
     id,
@@ -48,6 +51,7 @@
     dataCentre,
     slots,
     draining: leaving,
+    softwareVersion,
     startedAt,
     models: [],
   };
--- a/packages/gateway/src/replica_registry.ts
+++ b/packages/gateway/src/replica_registry.ts
@@ -112,8 +112,8 @@
 
   /**
    * Stores a newer row. Returns whether the replica is new or its start,
-   * draining state, address or service has changed; a heartbeat changes only
-   * the version.
+   * draining state, address, service or software has changed; a heartbeat changes
+   * only the row's version.
    */
   #applyRow(listed: ListedReplica): boolean {
     const { server, version } = listed;
@@ -150,6 +150,7 @@
     }
     return hasDrainingChanged || hasRestarted ||
       server.address !== before.server.address ||
+      server.softwareVersion !== before.server.softwareVersion ||
       server.service !== before.server.service;
   }
 
@@ -171,8 +172,10 @@
 
 function computeDigest(replicas: readonly BackendServer[]): bigint {
   const lines = replicas.map((
-    { id, startedAt, draining, address, service },
-  ) => `${id} ${startedAt} ${draining} ${address} ${service}`);
+    { id, startedAt, draining, address, service, softwareVersion },
+  ) =>
+    `${id} ${startedAt} ${draining} ${address} ${service} ${softwareVersion}`
+  );
   return createHash("md5").update(lines.sort().join("\n")).digest()
     .readBigUInt64LE();
 }
--- a/packages/gateway/src/replica_registry_test.ts
+++ b/packages/gateway/src/replica_registry_test.ts
@@ -16,6 +16,7 @@
     dataCentre: "north",
     slots: 1,
     draining: false,
+    softwareVersion: "v1",
     startedAt: 1,
     models: [],
     ...options,
--- a/packages/gateway/src/request_progress.ts
+++ b/packages/gateway/src/request_progress.ts
@@ -21,6 +21,11 @@
   longestPauseMs: number | undefined;
   /** When the last event of a stream was received, in ms. */
   lastEventAt: number | undefined;
+  /**
+   * Software version that began the stream; undefined before its first event, and
+   * if it isn't certain.
+   */
+  streamVersion: string | undefined;
   /** Id of the last event sent to the caller. */
   lastEventId: string | undefined;
 
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -29,6 +29,7 @@
   relayPlainResponse,
   relayStream,
 } from "./relay_response.ts";
+import { findStreamVersion, versionOfResponse } from "./stream_version.ts";
 import type { RequestOutcome, RequestScope } from "./request_scope.ts";
 import {
   type AttemptOutcome,
@@ -75,13 +76,24 @@
   const refusal = refuseQuarantined(ctx, scope.caller.promptParts) ??
     await consumeRateLimit(ctx, scope);
   if (refusal) return refuseRequest(scope, refusal, progress);
-  const outcome = await runAttempts(createExecution(ctx, scope, progress));
+  const outcome = await resumeOrRun(createExecution(ctx, scope, progress));
   if (progress.replicas.length === 0 && scope.organisation) {
     ctx.limits.refund(scope.organisation, scope.cost);
   }
   return outcome;
 }
 
+/** Runs a request; one that resumes a stream only at the stream's version. */
+async function resumeOrRun(
+  execution: RequestExecution,
+): Promise<RequestOutcome> {
+  const { ctx, scope, progress, request } = execution;
+  const version = await findStreamVersion(ctx, scope, request.service);
+  if (!version.ok) return endWithoutRetry(scope, version.error, progress);
+  progress.streamVersion = version.value;
+  return await runAttempts(execution);
+}
+
 function createExecution(
   ctx: GatewayContext,
   scope: RequestScope,
@@ -102,6 +114,9 @@
     outputTokens: caller.tokens?.output ?? 0,
     promptParts: caller.promptParts,
     excluded: progress.excluded,
+    get softwareVersion() {
+      return progress.streamVersion;
+    },
   };
   if (request.model !== undefined) {
     const busyMs = request.promptTokens * PROMPT_TOKEN_BUSY_MS +
@@ -241,7 +256,11 @@
     recordObservation(execution, selection, "failure");
     return endTruncated(scope, progress);
   }
-  const relayed = await relay(execution, response, trackedRequest.started);
+  const relayed = await relay(execution, {
+    response,
+    selection,
+    markStarted: trackedRequest.started,
+  });
   recordResponseEnd(execution, { response, selection, relayed });
   switch (relayed.kind) {
     case "whole":
@@ -258,7 +277,7 @@
     case "given up":
       return endAborted(scope, progress, true);
     default:
-      if (canRepeat && hasTimeForAttempt(execution)) {
+      if (canRepeat && hasTimeForAttempt(execution) && canResume(execution)) {
         return recordRetry(execution, selection, relayed.kind);
       }
       recordObservation(execution, selection, "failure");
@@ -266,6 +285,15 @@
   }
 }
 
+/**
+ * Whether another attempt may go on where the response to the caller stands.
+ */
+function canResume({ scope, progress }: RequestExecution): boolean {
+  if (!scope.res.headersSent) return true;
+  return progress.lastEventId !== undefined &&
+    progress.streamVersion !== undefined;
+}
+
 /**
  * Records that a replica failed the request, which is retried at another one.
  */
@@ -345,8 +373,11 @@
 
 async function relay(
   { ctx, scope, progress }: RequestExecution,
-  response: StartedResponse,
-  markStarted: () => void,
+  { response, selection, markStarted }: {
+    response: StartedResponse;
+    selection: ReplicaSelection;
+    markStarted: () => void;
+  },
 ): Promise<RelayOutcome> {
   const onFirstByte = () => {
     markStarted();
@@ -361,7 +392,19 @@
     onFirstByte();
     return await relayPlainResponse(scope, response);
   }
+  const isResumable = scope.route.retrySafety === "resumable";
   const outcome = await relayStream(scope, response, {
+    mayBegin: () => {
+      if (!isResumable) return true;
+      const version = versionOfResponse(ctx, selection.server);
+      const isNew = progress.lastEventId === undefined;
+      if (!isNew) return version === progress.streamVersion;
+      progress.streamVersion = version;
+      if (version !== undefined) {
+        ctx.streamOrigins.record({ id: scope.caller.id, version });
+      }
+      return true;
+    },
     onEvents: () => {
       onFirstByte();
       progress.recordEvents(ctx.clock.now());
--- /dev/null
+++ b/packages/gateway/src/stream_version_test.ts
@@ -0,0 +1,169 @@
+import type {
+  FleetStandin,
+  ReplicaHandler,
+  ReplicaStandin,
+} from "@banyanspool/platform-adapter/testing";
+import test from "ava";
+import {
+  chat,
+  findFreePort,
+  startFleet,
+  startGateway,
+} from "./testing/running_gateway.ts";
+
+const LAST_EVENT = 4;
+
+/** Event of a stream that names the software version that wrote it. */
+function versionedEvent(id: number, version: string): string {
+  return `id: ${id}\ndata: by ${version}\n\n`;
+}
+
+/**
+ * Adds a replica that writes its version into its events. It cuts off new streams
+ * after their first event, and completes those that it goes on with.
+ */
+async function addReplica(
+  fleet: FleetStandin,
+  { id, version, cutsOff = true }: {
+    id: string;
+    version: string;
+    cutsOff?: boolean;
+  },
+): Promise<ReplicaStandin> {
+  const answer: ReplicaHandler = (req, res) => {
+    const lastId = Number(req.headers["last-event-id"] ?? 0);
+    res.writeHead(200, { "content-type": "text/event-stream" });
+    if (lastId === 0 && cutsOff) {
+      res.write(versionedEvent(1, version));
+      setTimeout(() => res.destroy(), 20);
+      return;
+    }
+    for (let event = lastId + 1; event <= LAST_EVENT; event += 1) {
+      res.write(versionedEvent(event, version));
+    }
+    res.end();
+  };
+  return await fleet.addReplica({
+    id,
+    service: "pool",
+    holds: ["m1"],
+    softwareVersion: version,
+    answer,
+  });
+}
+
+function versionsIn(body: string): string[] {
+  return [...new Set(body.match(/(?<=by )\S+/g))];
+}
+
+/** A chat request of a caller that has the first event of an attempt. */
+function resume(attempt: string | undefined): ReturnType<typeof chat> {
+  const request = chat("m1");
+  return {
+    ...request,
+    headers: {
+      ...request.headers,
+      "last-event-id": "1",
+      ...(attempt === undefined ? {} : { resumes: attempt }),
+    },
+  };
+}
+
+// A stream that was cut off went on at a replica of another software version.
+test("a stream goes on at a replica of the version that began it", async (t) => {
+  const fleet = await startFleet(t);
+  for (const [i, version] of ["v1", "v2", "v3", "v1", "v2", "v3"].entries()) {
+    await addReplica(fleet, { id: `i-${i}`, version });
+  }
+  const { send } = await startGateway(t, fleet);
+  for (let i = 0; i < 24; i += 1) {
+    const res = await send("/chat/", chat("m1"));
+    t.true(res.isComplete);
+    t.is(versionsIn(res.body).length, 1, res.body);
+  }
+});
+
+// A stream whose version had no other replica went on at another version.
+test("a stream whose version no other replica runs is cut off at once", async (t) => {
+  const fleet = await startFleet(t);
+  await addReplica(fleet, { id: "i-1", version: "v1" });
+  await addReplica(fleet, { id: "i-2", version: "v2" });
+  const { send } = await startGateway(t, fleet);
+  const startedAt = performance.now();
+  const res = await send("/chat/", chat("m1"));
+  t.false(res.isComplete);
+  t.is(versionsIn(res.body).length, 1);
+  t.true(performance.now() - startedAt < 1000);
+});
+
+// A stream that its caller took up at another gateway went on at another version.
+test("a stream that its caller takes up at any gateway goes on at its version or is refused", async (t) => {
+  const fleet = await startFleet(t);
+  await addReplica(fleet, { id: "i-1", version: "v1" });
+  await addReplica(fleet, { id: "i-2", version: "v2" });
+  const port = await findFreePort();
+  const first = await startGateway(t, fleet, { port });
+  const second = await startGateway(t, fleet, { host: "127.0.0.2", port });
+  const third = await startGateway(t, fleet, { host: "127.0.0.3", port });
+  await new Promise((resolve) => setTimeout(resolve, 600));
+  const began = new Map<string, string>();
+  for (let i = 0; i < 8; i += 1) {
+    const id = `attempt-${i}`;
+    const { method, body, headers } = chat("m1");
+    const res = await first.send("/chat/", {
+      method,
+      body,
+      headers: { ...headers, "request-id": id },
+    });
+    began.set(id, versionsIn(res.body)[0]!);
+  }
+  t.is(new Set(began.values()).size, 2);
+  await first.gateway.closeNow();
+  for (const [id, version] of began) {
+    for (const { send } of [second, third]) {
+      const res = await send("/chat/", resume(id));
+      t.is(res.status, 200);
+      t.deepEqual(versionsIn(res.body), [version]);
+    }
+  }
+  for (const attempt of ["never-seen", undefined]) {
+    const refused = await second.send("/chat/", resume(attempt));
+    t.is(refused.status, 503);
+    const { code, ran } = JSON.parse(refused.body).error;
+    t.is(code, "stream_origin_unknown");
+    t.is(ran, "no");
+  }
+});
+
+test("a stream without a named attempt goes on where only one version has served", async (t) => {
+  const fleet = await startFleet(t);
+  await addReplica(fleet, { id: "i-1", version: "v1" });
+  const { send } = await startGateway(t, fleet);
+  const res = await send("/chat/", resume(undefined));
+  t.is(res.status, 200);
+});
+
+// A replica that had restarted with another version was taken for the one listed.
+test("a stream of a replica that has restarted with another version is not resumed", async (t) => {
+  const fleet = await startFleet(t);
+  const restarted = await addReplica(fleet, { id: "i-1", version: "v1" });
+  const other = await addReplica(fleet, { id: "i-2", version: "v1" });
+  const goOn = other.answer;
+  other.answer = (req, res) => {
+    if (req.headers["last-event-id"] !== undefined) return goOn(req, res);
+    res.writeHead(503, { "not-executed": "1" }).end();
+  };
+  restarted.answer = async (_req, res) => {
+    res.writeHead(200, { "content-type": "text/event-stream" });
+    res.flushHeaders();
+    const row = restarted.row() as Record<string, unknown>;
+    fleet.setReplicaRow("i-1", { ...row, version: "v2", born: Date.now() });
+    await new Promise((resolve) => setTimeout(resolve, 1500));
+    res.write(versionedEvent(1, "v2"));
+    setTimeout(() => res.destroy(), 20);
+  };
+  const { send } = await startGateway(t, fleet);
+  const res = await send("/chat/", chat("m1"));
+  t.false(res.isComplete);
+  t.deepEqual(versionsIn(res.body), ["v2"]);
+});
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -37,6 +37,8 @@
   readonly promptParts: readonly PromptPart[];
   /** Replicas that must not be selected, such as those already tried. */
   readonly excluded: ReadonlySet<string>;
+  /** Software version that the replica must run; undefined for any. */
+  readonly softwareVersion?: string;
 }
 
 /** A replica selected for one request. */
@@ -289,22 +291,35 @@
   }
 
   /** Whether any replica has the request's model, with or without its adapter. */
-  isResident({ service, model }: SelectionRequest): boolean {
+  isResident(request: SelectionRequest): boolean {
+    const { model } = request;
     if (model === undefined) return true;
     for (const server of this.#servers.values()) {
-      if (server.service !== service || server.draining) continue;
+      if (!isEligible(server, request)) continue;
       if (this.isAvailable(server, model)) return true;
     }
     return false;
   }
 
+  /**
+   * Whether any replica of the service that isn't excluded runs the required
+   * software version, whatever it has loaded.
+   */
+  hasVersion(request: SelectionRequest): boolean {
+    for (const server of this.#servers.values()) {
+      if (request.excluded.has(server.id)) continue;
+      if (isEligible(server, request)) return true;
+    }
+    return false;
+  }
+
   /** Replicas that can be sent a request now; ejected ones only if all are. */
   candidates(request: SelectionRequest): BackendServer[] {
     const name = formatModelName(request);
     const now = this.#options.clock.now();
     const usable: BackendServer[] = [];
     for (const server of this.#servers.values()) {
-      if (server.service !== request.service || server.draining) continue;
+      if (!isEligible(server, request)) continue;
       if (request.excluded.has(server.id)) continue;
       if ((this.#unreachableUntil.get(server.id) ?? 0) > now) continue;
       if (name !== undefined && !this.isAvailable(server, name)) continue;
@@ -562,3 +577,13 @@
 function sumTokens(parts: readonly PromptPart[]): number {
   return parts.reduce((sum, { tokens }) => sum + tokens, 0);
 }
+
+/** Whether a replica may serve a request, whatever it has loaded. */
+function isEligible(
+  server: BackendServer,
+  { service, softwareVersion }: SelectionRequest,
+): boolean {
+  if (server.service !== service || server.draining) return false;
+  return softwareVersion === undefined ||
+    server.softwareVersion === softwareVersion;
+}
--- a/packages/routing/src/replica_tracker_test.ts
+++ b/packages/routing/src/replica_tracker_test.ts
@@ -10,6 +10,7 @@
     dataCentre: "north",
     slots: 64,
     draining: false,
+    softwareVersion: "v1",
     startedAt: 1,
     models: [{ name: "m", adapters: ["a1"] }],
     ...options,
--- /dev/null
+++ b/packages/streams/src/version_history_test.ts
@@ -0,0 +1,44 @@
+import test from "ava";
+import type { BackendServer } from "@banyanspool/types";
+import { VersionHistory } from "./version_history.ts";
+
+function createHistory(isFirstStart: boolean) {
+  let now = 0;
+  const history = VersionHistory.create({
+    clock: { now: () => now, wall: () => now },
+    isFirstStart,
+    windowMs: 30_000,
+  });
+  const list = (...versions: string[]) =>
+    history.update(
+      versions.map((softwareVersion) =>
+        ({ service: "pool", softwareVersion }) as BackendServer
+      ),
+    );
+  return { history, list, advance: (ms: number) => now += ms };
+}
+
+test("a single version is certain at once only at the first start", (t) => {
+  const first = createHistory(true);
+  first.list("v1");
+  t.is(first.history.onlyVersion("pool"), "v1");
+  const restarted = createHistory(false);
+  restarted.list("v1");
+  t.is(restarted.history.onlyVersion("pool"), undefined);
+  restarted.advance(30_000);
+  restarted.list("v1");
+  t.is(restarted.history.onlyVersion("pool"), "v1");
+});
+
+test("a version counts for as long as its streams may be taken up", (t) => {
+  const { history, list, advance } = createHistory(true);
+  list("v1", "v2");
+  t.is(history.onlyVersion("pool"), undefined);
+  advance(20_000);
+  list("v2");
+  t.is(history.onlyVersion("pool"), undefined);
+  advance(20_000);
+  list("v2");
+  t.is(history.onlyVersion("pool"), "v2");
+  t.is(history.onlyVersion("other"), undefined);
+});
--- a/packages/types/src/gateway.ts
+++ b/packages/types/src/gateway.ts
@@ -147,6 +147,8 @@
   readonly slots: number;
   /** True once it has announced that it is draining. */
   readonly draining: boolean;
+  /** Version of its software, which has no order; not of its models' weights. */
+  readonly softwareVersion: string;
   /** Unix time of its start, in ms; a new value means that it restarted. */
   readonly startedAt: number;
   /** Models that were resident when it wrote its row. */
@@ -185,4 +187,9 @@
   readonly deadlineMs?: number;
   /** Id of the last event that the caller received, if it resumes a stream. */
   readonly lastEventId?: string;
+  /**
+   * Id of the caller's attempt that received the first event of the stream that
+   * this one resumes.
+   */
+  readonly resumedAttempt?: string;
 }
--- a/packages/types/src/refusal.ts
+++ b/packages/types/src/refusal.ts
@@ -29,6 +29,8 @@
   | "retry_budget_spent"
   | "route_not_found"
   | "store_unavailable"
+  | "stream_origin_unknown"
+  | "stream_version_gone"
   | "tombstoned";
 
 /** The system's own final response to a request that it can't run. */
@@ -89,6 +91,8 @@
   retry_budget_spent: 503,
   route_not_found: 404,
   store_unavailable: 503,
+  stream_origin_unknown: 503,
+  stream_version_gone: 503,
   tombstoned: 503,
 };
 
