--- a/packages/gateway/src/crash_watch.ts
+++ b/packages/gateway/src/crash_watch.ts
@@ -12,11 +12,18 @@
   readonly tryConnect: (address: string) => Promise<ConnectResult>;
   /** Whether a replica is listed and not draining. */
   readonly isServing: (server: BackendServer) => boolean;
-  /**
-   * Called with an incarnation that has crashed and the prompt parts of a
-   * request that it cut off; once for each request.
-   */
-  readonly onCrash: (incarnation: string, parts: readonly string[]) => void;
+  /** Called for the requests that a crashed replica cut off. */
+  readonly onCrash: (crash: DetectedCrash) => void;
+}
+
+/** A crashed replica and the prompt parts of requests that it cut off. */
+export interface DetectedCrash {
+  /** Replica. */
+  readonly server: BackendServer;
+  /** Identifies its incarnation. */
+  readonly incarnation: string;
+  /** Ids of the parts. */
+  readonly parts: readonly string[];
 }
 
 interface CutOffs {
@@ -54,7 +61,7 @@
     const incarnation = `${server.id} ${server.startedAt}`;
     const known = this.#cutOffs.get(incarnation);
     if (known?.result === "refused") {
-      onCrash(incarnation, parts);
+      onCrash({ server, incarnation, parts });
       return;
     }
     if (known && clock.now() - known.checkedAt < RECHECK_MS) {
@@ -79,7 +86,8 @@
     };
     this.#cutOffs.set(incarnation, cutOffs);
     cutOffs.result = await tryConnect(server.address);
-    if (cutOffs.result === "refused") onCrash(incarnation, [...cutOffs.parts]);
+    if (cutOffs.result !== "refused") return;
+    onCrash({ server, incarnation, parts: [...cutOffs.parts] });
   }
 
   #forgetOld(): void {
--- a/packages/gateway/src/crash_watch_test.ts
+++ b/packages/gateway/src/crash_watch_test.ts
@@ -29,7 +29,7 @@
       return Promise.resolve(results[connects.length - 1] ?? "unknown");
     },
     isServing,
-    onCrash: (_incarnation, parts) => crashes.push(parts.join()),
+    onCrash: ({ parts }) => crashes.push(parts.join()),
   });
   const settle = () => new Promise((resolve) => setImmediate(resolve));
   return {
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -72,18 +72,19 @@
   const budgets = new Map<string, RetryBudget>();
   const burst = () => cfg.retry_burst * RETRY_BUDGET_SHARE / liveCount();
   const quarantine = createQuarantine(options);
+  const replicaTracker = ReplicaTracker.create({
+    clock,
+    random: Math.random,
+    dataCentre: cfg.data_centre,
+    liveEntryCount: liveCount,
+    kvCapacityOf: (service) => findEngine(service)?.kvCapacityTokens,
+  });
   return {
     clock,
     sleep,
     random: Math.random,
     fleet,
-    replicaTracker: ReplicaTracker.create({
-      clock,
-      random: Math.random,
-      dataCentre: cfg.data_centre,
-      liveEntryCount: liveCount,
-      kvCapacityOf: (service) => findEngine(service)?.kvCapacityTokens,
-    }),
+    replicaTracker,
     limits: SlidingWindowLimiter.create({
       clock,
       windowMs: cfg.limit_window_ms,
@@ -116,12 +117,14 @@
       clock,
       tryConnect,
       isServing: options.isServing,
-      onCrash: (incarnation, parts) => {
+      onCrash: ({ server, incarnation, parts }) => {
         log.write("replica crashed", {
           replica: incarnation,
           prompt_parts: parts,
         });
         quarantine.recordCrash(incarnation, parts);
+        // The placement lease holder checks it, and loads its models elsewhere.
+        replicaTracker.markCrashed(server.id);
         options.onCrash();
       },
     }),
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -96,6 +96,8 @@
 const SHORT_SKIP_MS = 250;
 /** How long a replica is skipped after a connection to it failed. */
 const UNREACHABLE_SKIP_MS = 600;
+/** Longest time for which a replica is skipped after a crash. */
+const CRASHED_SKIP_MS = 5000;
 /** Assumed prefill speed before a measurement, in tokens per ms. */
 const INITIAL_PREFILL_TOKENS_PER_MS = 30;
 /** Weight of the newest measurement in the moving averages. */
@@ -230,7 +232,19 @@
 
   /** Skips a replica for a while after a connection to it failed. */
   markUnreachable(replica: string): void {
-    const until = this.#options.clock.now() + UNREACHABLE_SKIP_MS;
+    this.#skipUnreachable(replica, UNREACHABLE_SKIP_MS);
+  }
+
+  /** Skips a replica that has crashed, until it is listed with a new start. */
+  markCrashed(replica: string): void {
+    this.#skipUnreachable(replica, CRASHED_SKIP_MS);
+  }
+
+  #skipUnreachable(replica: string, forMs: number): void {
+    const until = Math.max(
+      this.#unreachableUntil.get(replica) ?? 0,
+      this.#options.clock.now() + forMs,
+    );
     this.#unreachableUntil.set(replica, until);
   }
 
