Placement: models of cut-off streams are loaded at their software version

A stream goes on only at the version that began it. Where no other replica of that version had its model or adapter, the stream waited until its caller left, as the planner saw the model at replicas of other versions.

Gateways report to the lease holder what cut-off streams wait for, by version; the planner takes it as a need of a group of replicas and plans it first, and adapters are loaded at a replica of that version. Tests: a unit test of the plan, and a gateway test that fails without the reported needs.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -112,7 +112,9 @@
       if (leftMs <= 0 || (name === undefined && request.excluded.size > 0)) {
         return err(refuseNoReplica(ctx, request));
       }
-      if (name !== undefined) stopWaiting ??= waitingRequests.add(name);
+      if (name !== undefined) {
+        stopWaiting ??= waitingRequests.add(name, request.softwareVersion);
+      }
       const refusal = refuseUntilLoaded(ctx, scope, { request, waitUntil });
       if (refusal) {
         // The model is still to be loaded for the caller that returns.
@@ -226,8 +228,10 @@
   { request, waitUntil }: { request: SelectionRequest; waitUntil: number },
 ): Refusal | undefined {
   const { clock, expectedModels, random, replicaTracker } = ctx;
-  const { model } = request;
+  const { model, softwareVersion } = request;
   if (model === undefined || replicaTracker.isResident(request)) return;
+  // The expected load may be at a replica of another version.
+  if (softwareVersion !== undefined) return;
   const readyAt = expectedModels.readyAt(model);
   if (readyAt === undefined || readyAt <= waitUntil) return;
   const now = clock.now();
--- a/packages/gateway/src/adapter_scheduler.ts
+++ b/packages/gateway/src/adapter_scheduler.ts
@@ -14,6 +14,7 @@
 import type { EngineController } from "./engine_controller.ts";
 import type { EngineState } from "./engine_state.ts";
 import type { FleetDemand } from "./placement_models.ts";
+import type { StreamNeed } from "./waiting_request_counts.ts";
 
 /** Options of {@link AdapterScheduler.create}. */
 export interface AdapterSchedulerOptions {
@@ -27,6 +28,8 @@
   readonly replicaTracker: ReplicaTracker;
   /** Demand of all gateways by `model` or `model/adapter`. */
   readonly demand: () => ReadonlyMap<string, FleetDemand>;
+  /** What cut-off streams wait for at all gateways. */
+  readonly streamNeeds: () => readonly StreamNeed[];
   /** Whether a model is being loaded to or unloaded from a replica. */
   readonly hasMoveInProgress: (replica: string) => boolean;
   /** Structured log. */
@@ -62,31 +65,48 @@
 
   /** Plans and starts the next loads of one service with the given replicas. */
   plan(engine: EngineSpec, servers: readonly BackendServer[]): void {
-    const { engineController, clock, hasMoveInProgress } = this.#options;
     const demand = this.#options.demand();
+    for (const { name, version } of this.#options.streamNeeds()) {
+      const ofVersion = servers.filter(({ softwareVersion }) =>
+        softwareVersion === version
+      );
+      this.#planLoad(name, { engine, servers: ofVersion, demand });
+    }
     for (const [name, { waiting }] of demand) {
-      if (!name.includes("/") || waiting === 0) continue;
-      if (this.#pendingLoads.has(name)) continue;
-      const [model = ""] = name.split("/");
-      if (!engine.models.has(model)) continue;
-      const hosts = servers.flatMap((server) => {
-        const state = engineController.get(server.id);
-        if (!state?.isSynced || server.draining) return [];
-        if (!state.models.has(model) || state.unloading.has(model)) return [];
-        if (state.isBusy || hasMoveInProgress(server.id)) return [];
-        return [{ state, host: this.#describeHost(state, { engine, demand }) }];
-      });
-      this.#lastUsed.set(name, clock.now());
-      if (hosts.some(({ state }) => state.adapters.has(name))) continue;
-      const loadPlan = planAdapterLoad(hosts.map(({ host }) => host));
-      if (!loadPlan) continue;
-      const { state } = hosts.find(({ host }) =>
-        host.replica === loadPlan.replica
-      )!;
-      this.#startAdapterLoad(state, { name, evict: loadPlan.evict }, engine);
+      if (waiting > 0) this.#planLoad(name, { engine, servers, demand });
     }
   }
 
+  /** Loads an adapter at one of these replicas, unless one of them has it. */
+  #planLoad(
+    name: string,
+    { engine, servers, demand }: {
+      engine: EngineSpec;
+      servers: readonly BackendServer[];
+      demand: ReadonlyMap<string, FleetDemand>;
+    },
+  ): void {
+    const { engineController, clock, hasMoveInProgress } = this.#options;
+    if (!name.includes("/") || this.#pendingLoads.has(name)) return;
+    const [model = ""] = name.split("/");
+    if (!engine.models.has(model)) return;
+    const hosts = servers.flatMap((server) => {
+      const state = engineController.get(server.id);
+      if (!state?.isSynced || server.draining) return [];
+      if (!state.models.has(model) || state.unloading.has(model)) return [];
+      if (state.isBusy || hasMoveInProgress(server.id)) return [];
+      return [{ state, host: this.#describeHost(state, { engine, demand }) }];
+    });
+    this.#lastUsed.set(name, clock.now());
+    if (hosts.some(({ state }) => state.adapters.has(name))) return;
+    const loadPlan = planAdapterLoad(hosts.map(({ host }) => host));
+    if (!loadPlan) return;
+    const { state } = hosts.find(({ host }) =>
+      host.replica === loadPlan.replica
+    )!;
+    this.#startAdapterLoad(state, { name, evict: loadPlan.evict }, engine);
+  }
+
   #startAdapterLoad(
     state: EngineState,
     { name, evict }: { name: string; evict?: string },
--- a/packages/gateway/src/fleet_demand.ts
+++ b/packages/gateway/src/fleet_demand.ts
@@ -1,9 +1,11 @@
 import type { Clock } from "@banyanspool/types";
 import type { FleetDemand } from "./placement_models.ts";
+import type { StreamNeed } from "./waiting_request_counts.ts";
 
 interface ReceivedDemand {
   readonly receivedAt: number;
   readonly demand: ReadonlyMap<string, FleetDemand>;
+  readonly needs: readonly StreamNeed[];
 }
 
 /** A gateway's demand is ignored after this time without a report, in ms. */
@@ -26,18 +28,28 @@
 
   /**
    * Records a gateway's report. Returns whether requests wait for a name for
-   * which none of that gateway waited before.
+   * which none of that gateway waited before, or more streams wait.
    */
   record(
     instance: string,
     demand: ReadonlyMap<string, FleetDemand>,
+    needs: readonly StreamNeed[] = [],
   ): boolean {
-    const before = this.#received.get(instance)?.demand;
-    this.#received.set(instance, { receivedAt: this.#clock.now(), demand });
+    const before = this.#received.get(instance);
+    const receivedAt = this.#clock.now();
+    this.#received.set(instance, { receivedAt, demand, needs });
     for (const [name, { waiting }] of demand) {
-      if (waiting > 0 && !before?.get(name)?.waiting) return true;
+      if (waiting > 0 && !before?.demand.get(name)?.waiting) return true;
     }
-    return false;
+    return needs.length > (before?.needs.length ?? 0);
+  }
+
+  /** Adds what streams at other gateways wait for to a gateway's own. */
+  needsWith(own: readonly StreamNeed[]): readonly StreamNeed[] {
+    const oldest = this.#clock.now() - MAX_DEMAND_AGE_MS;
+    const received = [...this.#received.values()]
+      .filter(({ receivedAt }) => receivedAt >= oldest);
+    return [...own, ...received.flatMap(({ needs }) => needs)];
   }
 
   /** Forgets all gateways but the given ones. */
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -20,6 +20,7 @@
   HeldModelsView,
   type ReplicaModels,
 } from "./held_models.ts";
+import type { StreamNeed } from "./waiting_request_counts.ts";
 import type { ListReadSchedule } from "./list_read_schedule.ts";
 import type { ReplicaChange, ReplicaRegistry } from "./replica_registry.ts";
 
@@ -230,6 +231,11 @@
     return this.#demand.sumWith(this.#ownDemand());
   }
 
+  /** What cut-off streams wait for at all gateways. */
+  streamNeeds(): readonly StreamNeed[] {
+    return this.#demand.needsWith(this.#options.ctx.waitingRequests.needs);
+  }
+
   /**
    * Whether this gateway, as the lease holder, knows the demand of all gateways.
    * Gateways report it only once they know of the new holder.
@@ -373,6 +379,11 @@
     }
     if (this.#holder.instance !== peer) return undefined;
     return {
+      streamNeeds: this.#options.ctx.waitingRequests.needs.map((need) => ({
+        $typeName: "banyanspool.v1.StreamNeed",
+        name: need.name,
+        softwareVersion: need.version,
+      })),
       demand: [...this.#ownDemand().values()].map((demand) => ({
         $typeName: "banyanspool.v1.ModelDemandReport",
         name: demand.model,
@@ -421,6 +432,7 @@
       })),
       ...encodeQuarantineReport(ctx.quarantine.report()),
       demand: [],
+      streamNeeds: [],
       knownFencingToken: this.#knownModels.fencingToken,
       knownHeldVersion: this.#knownModels.version,
     };
@@ -467,7 +479,11 @@
         slowReplicas: entry.slowReplicas,
       }]),
     );
-    if (this.#demand.record(state.instance, demand)) {
+    const needs = state.streamNeeds.map(({ name, softwareVersion }) => ({
+      name,
+      version: softwareVersion,
+    }));
+    if (this.#demand.record(state.instance, demand, needs)) {
       ctx.fleet.changed.notify();
     }
     this.#applyAvailableModels(state);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -137,6 +137,7 @@
       replicaTracker: this.#ctx.replicaTracker,
       demand: () => this.#exchange.fleetDemand(),
       hasFleetDemand: () => this.#exchange.hasFleetDemand(),
+      streamNeeds: () => this.#exchange.streamNeeds(),
       log,
     });
     this.#registry = ReplicaRegistry.create({
--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -2,6 +2,7 @@
 import {
   assemblePlacementPlan,
   fitsModel,
+  type GroupNeed,
   type PlacementMove,
 } from "@banyanspool/placement";
 import type { ReplicaTracker } from "@banyanspool/routing";
@@ -20,6 +21,7 @@
   buildReplicaReport,
   type FleetDemand,
 } from "./placement_models.ts";
+import type { StreamNeed } from "./waiting_request_counts.ts";
 
 /** Options of {@link ModelScheduler.create}. */
 export interface ModelSchedulerOptions {
@@ -33,6 +35,8 @@
   readonly replicaTracker: ReplicaTracker;
   /** Demand of all gateways by `model` or `model/adapter`. */
   readonly demand: () => ReadonlyMap<string, FleetDemand>;
+  /** What cut-off streams wait for at all gateways. */
+  readonly streamNeeds: () => readonly StreamNeed[];
   /** Structured log. */
   readonly log: EventLog;
 }
@@ -131,6 +135,7 @@
       keepResident: this.#listRecentlyLoaded(reports),
       inUse: this.#countRequestsInFlight(reports),
       localCopies: this.#listLocalCopies(reports),
+      groupNeeds: this.#listGroupNeeds(engine, servers),
     }, {
       maxMoves: pendingMoves.length + MAX_NEW_MOVES,
       busyShare: BUSY_SHARE,
@@ -140,6 +145,23 @@
     for (const move of plan) this.#startMove(move, engine);
   }
 
+  /** The models that cut-off streams need at the versions that began them. */
+  #listGroupNeeds(
+    engine: EngineSpec,
+    servers: readonly BackendServer[],
+  ): GroupNeed[] {
+    const needs = new Map<string, GroupNeed>();
+    for (const { name, version } of this.#options.streamNeeds()) {
+      const model = name.split("/")[0]!;
+      if (!engine.models.has(model)) continue;
+      const replicas = servers
+        .filter(({ softwareVersion }) => softwareVersion === version)
+        .map(({ id }) => id);
+      needs.set(`${model} ${version}`, { model, replicas: new Set(replicas) });
+    }
+    return [...needs.values()];
+  }
+
   /** Whether the first report of a replica listed recently is still missing. */
   #isReportMissing(servers: readonly BackendServer[]): boolean {
     const { engineController, clock } = this.#options;
--- a/packages/gateway/src/placement_controller.ts
+++ b/packages/gateway/src/placement_controller.ts
@@ -6,6 +6,7 @@
 import type { FleetState } from "./fleet_state.ts";
 import { ModelScheduler } from "./model_scheduler.ts";
 import type { FleetDemand } from "./placement_models.ts";
+import type { StreamNeed } from "./waiting_request_counts.ts";
 
 /** Options of {@link PlacementController.create}. */
 export interface PlacementControllerOptions {
@@ -21,6 +22,8 @@
   readonly replicaTracker: ReplicaTracker;
   /** Demand of all gateways by `model` or `model/adapter`. */
   readonly demand: () => ReadonlyMap<string, FleetDemand>;
+  /** What cut-off streams wait for at all gateways. */
+  readonly streamNeeds: () => readonly StreamNeed[];
   /** Whether the demand of all gateways is known. */
   readonly hasFleetDemand: () => boolean;
   /** Structured log. */
--- a/packages/gateway/src/stream_version_test.ts
+++ b/packages/gateway/src/stream_version_test.ts
@@ -24,10 +24,11 @@
  */
 async function addReplica(
   fleet: FleetStandin,
-  { id, version, cutsOff = true }: {
+  { id, version, cutsOff = true, holds = ["m1"] }: {
     id: string;
     version: string;
     cutsOff?: boolean;
+    holds?: readonly string[];
   },
 ): Promise<ReplicaStandin> {
   const answer: ReplicaHandler = (req, res) => {
@@ -46,7 +47,7 @@
   return await fleet.addReplica({
     id,
     service: "pool",
-    holds: ["m1"],
+    holds,
     softwareVersion: version,
     answer,
   });
@@ -135,6 +136,31 @@
   }
 });
 
+// A stream whose replica had crashed found no other one of its version with its
+// model, although one of that version served.
+test("the model and adapter of a stream whose replica crashed are loaded at one of its version", async (t) => {
+  for (const model of ["m1", "m1/a1"]) {
+    const fleet = await startFleet(t);
+    const holds = ["m1", "m1/a1"];
+    const began = await addReplica(fleet, { id: "i-1", version: "v1", holds });
+    began.answer = (_req, res) => {
+      res.writeHead(200, { "content-type": "text/event-stream" });
+      res.write(versionedEvent(1, "v1"));
+      setTimeout(() => began.close(), 20);
+    };
+    await addReplica(fleet, { id: "i-2", version: "v1", holds: ["m2"] });
+    const newer = await addReplica(fleet, { id: "i-3", version: "v2", holds });
+    newer.answer = (_req, res) => {
+      res.writeHead(503, { "not-executed": "1" }).end();
+    };
+    const { send } = await startGateway(t, fleet);
+    const res = await send("/chat/", chat(model));
+    t.is(res.status, 200, model);
+    t.true(res.isComplete, model);
+    t.deepEqual(versionsIn(res.body), ["v1"]);
+  }
+});
+
 test("a stream without a named attempt goes on where only one version has served", async (t) => {
   const fleet = await startFleet(t);
   await addReplica(fleet, { id: "i-1", version: "v1" });
--- a/packages/gateway/src/waiting_request_counts.ts
+++ b/packages/gateway/src/waiting_request_counts.ts
@@ -1,5 +1,13 @@
 import type { Clock } from "@banyanspool/types";
 
+/** A model or adapter that a stream waits for at a software version. */
+export interface StreamNeed {
+  /** Name, as `model` or `model/adapter`. */
+  readonly name: string;
+  /** Software version that began the stream. */
+  readonly version: string;
+}
+
 /** Callers counted as returning for one name; more add nothing to the demand. */
 const MAX_RETURNING = 1000;
 
@@ -12,6 +20,7 @@
   readonly #waiting: Map<string, number> = new Map();
   /** Times at which callers are due, by name. */
   readonly #returning: Map<string, number[]> = new Map();
+  readonly #needs: Set<StreamNeed> = new Set();
   #onFirstWaiting: (() => void) | undefined;
 
   private constructor(clock: Clock) {
@@ -42,15 +51,26 @@
     return counts;
   }
 
-  /** Counts a request as waiting until the returned function is first called. */
-  add(name: string): () => void {
+  /** What cut-off streams wait for now; the same once for each of them. */
+  get needs(): readonly StreamNeed[] {
+    return [...this.#needs];
+  }
+
+  /**
+   * Counts a request as waiting until the returned function is first called. A
+   * version is given for a stream that goes on only there.
+   */
+  add(name: string, version?: string): () => void {
     const before = this.#waiting.get(name) ?? 0;
     this.#waiting.set(name, before + 1);
-    if (before === 0) this.#onFirstWaiting?.();
+    const need = version === undefined ? undefined : { name, version };
+    if (need) this.#needs.add(need);
+    if (before === 0 || need) this.#onFirstWaiting?.();
     let isReleased = false;
     return () => {
       if (isReleased) return;
       isReleased = true;
+      if (need) this.#needs.delete(need);
       const remaining = (this.#waiting.get(name) ?? 1) - 1;
       if (remaining === 0) this.#waiting.delete(name);
       else this.#waiting.set(name, remaining);
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -5,6 +5,7 @@
  */
 export { assemblePlacementPlan } from "./plan.ts";
 export type {
+  GroupNeed,
   PlacementInput,
   PlacementModel,
   PlacementMove,
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -40,6 +40,16 @@
   readonly inUse?: ReadonlyMap<string, number>;
   /** Models that a replica loads without the weight store, as `replica model`. */
   readonly localCopies?: ReadonlySet<string>;
+  /** Models that at least one replica of a group must have. */
+  readonly groupNeeds?: readonly GroupNeed[];
+}
+
+/** A model that at least one replica of a group must have. */
+export interface GroupNeed {
+  /** Model name. */
+  readonly model: string;
+  /** Ids of the group's replicas. */
+  readonly replicas: ReadonlySet<string>;
 }
 
 /** Limits and thresholds of a plan. */
@@ -64,9 +74,10 @@
   readonly unload: readonly string[];
   /**
    * `reach`: no replica has the model; `copies`: fewer than `minReplicas` have
-   * it; `demand`: a copy relieves busy replicas.
+   * it; `demand`: a copy relieves busy replicas; `group`: no replica of a group
+   * that needs the model has it.
    */
-  readonly reason: "reach" | "copies" | "demand";
+  readonly reason: "reach" | "copies" | "demand" | "group";
 }
 
 interface CopyCandidate {
@@ -85,8 +96,8 @@
 const UNREACHABLE_FACTOR = 2;
 
 /**
- * Plans the next few moves. Models with fewer replicas than `minReplicas` come
- * first, ordered by the demand that one further replica would serve, so that a
+ * Plans the next few moves. The needs of groups come first, as running streams
+ * wait for them. Models with fewer replicas than `minReplicas` follow, ordered by the demand that one further replica would serve, so that a
  * saturated model gets its copies before a rare one is loaded. Copies follow
  * that relieve busy replicas by more than `minGain`.
  */
@@ -98,6 +109,21 @@
   const moves: PlacementMove[] = [];
   const remainingMoves = () =>
     options.maxMoves - moves.length - input.pendingMoves.length;
+  for (const { model, replicas } of input.groupNeeds ?? []) {
+    if (remainingMoves() <= 0) return moves;
+    const group = [...working.replicas.values()]
+      .filter((report) => replicas.has(report.replica) && !report.leaving);
+    if (group.some(({ readyModels }) => readyModels.includes(model))) continue;
+    const candidates = group.filter((report) => mayChange(report, input));
+    const found = findTarget(model, candidates, {
+      input,
+      working,
+      options: { kvShare: 0 },
+    });
+    if (found) {
+      addMove(moves, { working, target: found, load: model, reason: "group" });
+    }
+  }
   for (const { model, reason } of findMissingReplicas(working)) {
     if (remainingMoves() <= 0) return moves;
     const local = [...working.replicas.values()]
--- a/packages/placement/src/plan_test.ts
+++ b/packages/placement/src/plan_test.ts
@@ -180,3 +180,22 @@
   );
   t.pass();
 });
+
+test("a model that a group needs is loaded at one of its replicas", (t) => {
+  const models = [createModel("a"), createModel("b")];
+  const replicas = [
+    createReport("r1", ["a"]),
+    createReport("r2", ["b"]),
+    createReport("r3", ["a", "b"]),
+  ];
+  const planFor = (...group: string[]) =>
+    assemblePlacementPlan({
+      models,
+      replicas,
+      pendingMoves: [],
+      groupNeeds: [{ model: "a", replicas: new Set(group) }],
+    }, OPTIONS);
+  t.deepEqual(planFor("r1", "r2"), []);
+  t.like(planFor("r2"), [{ replica: "r2", load: "a", reason: "group" }]);
+  t.deepEqual(planFor("gone"), []);
+});
