Soak: streams of several software versions, upgrades and rolling stops

Replicas with models run two software versions and write theirs into the events of their streams. Callers take up streams that were cut off, at any gateway. New invariants: a stream holds events of one software version, over all attempts of its caller; after the last fault at least half of the streams that are cut off are completed, if two replicas of their version serve. New faults: a replica starts again under its id with the other version; all gateways are stopped one after the other.

The injected defects ignoreVersion and guessVersion are detected; the first one was not, until the replicas of both versions had the models from the start, as a model at one replica only can't mix.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -3,9 +3,11 @@
 import {
   callGateway,
   type GatewayRequest,
+  type GatewayResponse,
 } from "@banyanspool/platform-adapter/testing";
 import { type Random, sleep } from "@banyanspool/types";
 import { pick } from "./schedule.ts";
+import { parseStreamEvents, STREAM_EVENTS } from "./stream_events.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
 
@@ -25,6 +27,8 @@
 const DEADLINE_MS = 3000;
 /** Longest pause between two requests of a caller. */
 const MAX_PAUSE_MS = 40;
+/** Attempts to take up one stream. */
+const MAX_RESUMPTIONS = 3;
 const ROUTES = ["book", "look", "open", "chat"] as const;
 const MODELS = ["m1", "m2", "m1/a1"];
 
@@ -65,12 +69,58 @@
     const { host, incarnation } = fleet.gateways[gateway]!;
     checker.recordRequest({ ...call, gateway, incarnation, atMs: now() });
     const port = fleet.callerPort;
-    checker.recordResponse(id, await callGateway(call, { host, port, agent }));
+    const response = await callGateway(call, { host, port, agent });
+    checker.recordResponse(id, response);
+    if (isCutOffStream(call, response)) {
+      await resumeStream({ fleet, checker, now }, { call, response, random });
+    }
     await sleep(random() * MAX_PAUSE_MS);
   }
   agent.destroy();
 }
 
+function isCutOffStream(
+  { route }: GatewayRequest,
+  { status, isComplete, text }: GatewayResponse,
+): boolean {
+  return route === "chat" && status === 200 && !isComplete &&
+    parseStreamEvents(text).length > 0;
+}
+
+/**
+ * Takes up a stream that was cut off at any gateway, until it is complete, the
+ * caller is refused or it has tried a few times. Returns the last status if the
+ * stream was completed.
+ */
+export async function resumeStream(
+  { fleet, checker, now }: Omit<CallerOptions, "seed">,
+  { call, response, random }: {
+    call: GatewayRequest;
+    response: GatewayResponse;
+    random: Random;
+  },
+): Promise<boolean> {
+  let lastEventId = 0;
+  let last = response;
+  for (let attempt = 1; attempt <= MAX_RESUMPTIONS; attempt += 1) {
+    lastEventId = parseStreamEvents(last.text).at(-1)?.id ?? lastEventId;
+    if (lastEventId === STREAM_EVENTS) return true;
+    const gateway = Math.floor(random() * fleet.gateways.length);
+    const { host, incarnation } = fleet.gateways[gateway]!;
+    const resumed = {
+      ...call,
+      id: `${call.id}-resumed-${attempt}`,
+      resumes: { attempt: call.id, lastEventId },
+    };
+    checker.recordRequest({ ...resumed, gateway, incarnation, atMs: now() });
+    last = await callGateway(resumed, { host, port: fleet.callerPort });
+    checker.recordResponse(resumed.id, last);
+    if (last.status === 200 && last.isComplete) return true;
+    if (last.status !== 200) return false;
+  }
+  return false;
+}
+
 /** Draws a request with any key granted so far, including withdrawn ones. */
 function drawCall(
   id: string,
--- a/packages/soak/src/commands/soak.ts
+++ b/packages/soak/src/commands/soak.ts
@@ -1,4 +1,5 @@
 import { Command, Option, type Usage } from "clipanion";
+import type { InjectedFault } from "../injected_fault.ts";
 import { writeReport } from "../report.ts";
 import { runSeed, type SeedResult } from "../run_seed.ts";
 
@@ -42,12 +43,10 @@
     description: "folder that the report is written to",
   });
   /** Defect to inject into the gateways. */
-  injectedFault?: "runTwice" | "passKeyOn" | "oldConfiguration" = Option.String(
-    "--planted",
-    {
-      description: "defect to inject: runTwice, passKeyOn or oldConfiguration",
-    },
-  );
+  injectedFault?: InjectedFault = Option.String("--planted", {
+    description: "defect to inject: runTwice, passKeyOn, oldConfiguration, " +
+      "ignoreVersion or guessVersion",
+  });
 
   /** Runs all seeds; the exit code is 1 if any of them has violations. */
   async execute(): Promise<number> {
@@ -58,7 +57,11 @@
     );
     const results: SeedResult[] = [];
     const runWaiting = async () => {
-      for (let seed = seeds.shift(); seed; seed = seeds.shift()) {
+      for (
+        let seed = seeds.shift();
+        seed !== undefined;
+        seed = seeds.shift()
+      ) {
         results.push(await this.#run(seed));
       }
     };
--- a/packages/soak/src/invariant_checker.ts
+++ b/packages/soak/src/invariant_checker.ts
@@ -3,6 +3,7 @@
   ReceivedCall,
 } from "@banyanspool/platform-adapter/testing";
 import { guaranteesNotRun } from "@banyanspool/platform-adapter/testing";
+import { parseStreamEvents, STREAM_EVENTS } from "./stream_events.ts";
 
 /** A violated invariant. */
 export interface Violation {
@@ -26,6 +27,8 @@
   readonly incarnation: number;
   /** When it was sent, in ms from the start of the run. */
   readonly atMs: number;
+  /** The attempt and the last event of the stream that it resumes, if any. */
+  readonly resumes?: { readonly attempt: string; readonly lastEventId: number };
 }
 
 /** Time bounds of the invariants that have one. */
@@ -59,6 +62,8 @@
   readonly #runs: Map<string, Run[]> = new Map();
   readonly #organisations: Map<string, string> = new Map();
   readonly #withdrawals: Map<string, number> = new Map();
+  /** Software versions that wrote the events of each stream, by first attempt. */
+  readonly #streamVersions: Map<string, Set<string>> = new Map();
   readonly #drainNotices: Map<string, number> = new Map();
   readonly #disturbances: { gateway: number; from: number; to: number }[] = [];
   readonly #violations: Map<string, Violation> = new Map();
@@ -148,10 +153,14 @@
     this.#responses.set(id, response);
     const { status, isComplete, stamp, text } = response;
     this.#checkNotRun(id);
+    if (status === 200 && this.#requests.get(id)?.route === "chat") {
+      this.#checkStream(id, response);
+    }
     if (status !== 200 || !isComplete) return;
     const runs = this.#runs.get(id) ?? [];
     const hasRun = runs.some(({ replica }) => stamp === `stamp-of-${replica}`);
     if (!hasRun) this.#fail("a replica sends each 200", `${id}: ${stamp}`);
+    if (this.#requests.get(id)?.route === "chat") return;
     const parts = text.match(/\S+ (begins|ends)/g) ?? [];
     if (parts.join() !== `${id} begins,${id} ends`) {
       this.#fail(
@@ -161,6 +170,48 @@
     }
   }
 
+  /** Counts responses to requests that resume a stream, by status. */
+  countResumptions(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const [id, { status, isComplete }] of this.#responses) {
+      if (!this.#requests.get(id)?.resumes) continue;
+      const name = status === undefined || !isComplete ? "cut" : String(status);
+      counts.set(name, (counts.get(name) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  /**
+   * Checks that a stream has each event once, in order, from its own request and
+   * from replicas of one software version, over all attempts of its caller.
+   */
+  #checkStream(id: string, { text, isComplete }: GatewayResponse): void {
+    const resumes = this.#requests.get(id)?.resumes;
+    const stream = resumes?.attempt ?? id;
+    const firstId = (resumes?.lastEventId ?? 0) + 1;
+    const events = parseStreamEvents(text);
+    const isWhole = !isComplete ||
+      firstId + events.length - 1 === STREAM_EVENTS;
+    const isOrdered = events.every((event, i) =>
+      event.id === firstId + i && event.request === id
+    );
+    if (!isWhole || !isOrdered) {
+      this.#fail(
+        "a 200 response is complete and belongs to its request",
+        `${id}: "${text}"`,
+      );
+    }
+    const versions = this.#streamVersions.get(stream) ?? new Set();
+    this.#streamVersions.set(stream, versions);
+    for (const { version } of events) versions.add(version);
+    if (versions.size > 1) {
+      this.#fail(
+        "a stream holds events of one software version",
+        `${id}: ${[...versions].join(", ")}`,
+      );
+    }
+  }
+
   /** Records the violation of an invariant that is checked elsewhere. */
   recordViolation(invariant: string, detail: string): void {
     this.#fail(invariant, detail);
--- a/packages/soak/src/preload.ts
+++ b/packages/soak/src/preload.ts
@@ -8,6 +8,8 @@
   type InjectedFault,
 } from "./injected_fault.ts";
 import { FleetState, ReplicaCall } from "@banyanspool/gateway/fault_injection";
+import { ReplicaTracker } from "@banyanspool/routing";
+import { StreamOrigins } from "@banyanspool/streams";
 
 /** How far SIGUSR2 moves the wall clock forward; a second one moves it back. */
 const CLOCK_STEP_MS = 2000;
@@ -34,6 +36,10 @@
       return forwardKey();
     case "oldConfiguration":
       return keepFirstConfiguration();
+    case "ignoreVersion":
+      return ignoreVersions();
+    case "guessVersion":
+      return guessVersions();
   }
 }
 
@@ -54,6 +60,20 @@
   };
 }
 
+/** Lets all replicas look as if they ran one software version. */
+function ignoreVersions(): void {
+  const updateServers = ReplicaTracker.prototype.updateServers;
+  ReplicaTracker.prototype.updateServers = function (servers) {
+    const alike = servers.map((server) => ({ ...server, softwareVersion: "" }));
+    updateServers.call(this, alike);
+  };
+}
+
+/** Lets the gateway take one version for that of all resumed streams. */
+function guessVersions(): void {
+  StreamOrigins.prototype.find = () => Promise.resolve("v1");
+}
+
 /** Lets the gateway keep the first configuration that it receives. */
 function keepFirstConfiguration(): void {
   const accept = FleetState.prototype.accept;
--- a/packages/soak/src/report.ts
+++ b/packages/soak/src/report.ts
@@ -20,11 +20,9 @@
 /** Formats a Markdown table of all seeds and a list of their violations. */
 export function describeResults(results: readonly SeedResult[]): string {
   const rows = results.map(
-    ({ seed, steps, sent, responses, violations }) => {
-      const counts = [...responses].sort().map(([name, n]) => `${name}: ${n}`);
-      return `| ${seed} | ${steps.length} | ${sent} | ${counts.join(", ")} | ` +
-        `${violations.length} |`;
-    },
+    ({ seed, steps, sent, responses, resumptions, violations }) =>
+      `| ${seed} | ${steps.length} | ${sent} | ${formatCounts(responses)} | ` +
+      `${formatCounts(resumptions)} | ${violations.length} |`,
   );
   const violationLines = results.flatMap(({ seed, violations }) =>
     violations.map(({ invariant, detail }) =>
@@ -32,8 +30,8 @@
     )
   );
   return [
-    "| seed | faults | requests | responses | violations |",
-    "| --- | --- | --- | --- | --- |",
+    "| seed | faults | requests | responses | resumed streams | violations |",
+    "| --- | --- | --- | --- | --- | --- |",
     ...rows,
     "",
     ...violationLines,
@@ -41,6 +39,10 @@
   ].join("\n");
 }
 
+function formatCounts(counts: ReadonlyMap<string, number>): string {
+  return [...counts].sort().map(([name, n]) => `${name}: ${n}`).join(", ");
+}
+
 async function plotFaults(results: readonly SeedResult[]): Promise<string> {
   const spec: TopLevelSpec = {
     title: "faults by seed",
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -2,8 +2,10 @@
   callGateway,
   STANDIN_KEY,
 } from "@banyanspool/platform-adapter/testing";
-import { sleep } from "@banyanspool/types";
-import { runCallers } from "./callers.ts";
+import { type Random, sleep } from "@banyanspool/types";
+import { createRandom } from "@banyanspool/bench";
+import { resumeStream, runCallers } from "./callers.ts";
+import { parseStreamEvents } from "./stream_events.ts";
 import type { InjectedFault } from "./injected_fault.ts";
 import { drawSchedule, type FaultStep } from "./schedule.ts";
 import { REPLICA_SERVICES, SoakFleet, type SoakGateway } from "./soak_fleet.ts";
@@ -29,6 +31,8 @@
   readonly sent: number;
   /** Number of responses by status; `cut` stands for incomplete ones. */
   readonly responses: ReadonlyMap<string, number>;
+  /** The same of requests that resumed a stream. */
+  readonly resumptions: ReadonlyMap<string, number>;
   /** Violated invariants; empty if the run passed. */
   readonly violations: readonly Violation[];
 }
@@ -68,6 +72,8 @@
   const steps = injectedFault
     ? createKeyWithdrawals(durationMs)
     : drawSchedule(seed, { durationMs, gateways, replicas });
+  // Shows defects of streams that are taken up again.
+  fleet.cutsOffNewStreams = injectedFault !== undefined;
   const callersAbort = new AbortController();
   const callers = runCallers(
     { fleet, checker, seed, now },
@@ -82,9 +88,11 @@
       await injectFault(step, run);
     }),
   ]);
+  fleet.cutsOffNewStreams = false;
   await checkRecovery(run);
   callersAbort.abort();
   await callers;
+  await checkResumptions(run, createRandom(seed));
   const codes = await fleet.stop();
   for (const [index, code] of codes.entries()) {
     if (code !== 0) {
@@ -99,6 +107,7 @@
     steps,
     sent: checker.sentCount,
     responses: checker.countResponses(),
+    resumptions: checker.countResumptions(),
     violations: checker.violations,
   };
 }
@@ -160,6 +169,16 @@
       return;
     case "replicaCrash":
       return await fleet.restartReplica(fleet.replicas[target]!);
+    case "replicaUpgrade":
+      return await fleet.upgradeReplica(fleet.replicas[target]!);
+    case "rollingStop":
+      for (const index of fleet.gateways.keys()) {
+        const stopStep = { ...step, kind: "stop" as const, target: index };
+        const stoppedFrom = now();
+        await injectGatewayFault(stopStep, run);
+        checker.recordDisturbance(index, stoppedFrom, now());
+      }
+      return;
     case "replicaDrain":
       fleet.announceDraining(fleet.replicas[target]!);
       await sleep(DRAIN_NOTICE_MS);
@@ -270,3 +289,47 @@
     }
   }
 }
+
+/** Streams that are cut off after the last fault. */
+const CUT_OFF_STREAMS = 12;
+/** Share of them that must be completed at any gateway. */
+const MIN_RESUMED_SHARE = 0.5;
+
+/**
+ * Checks that streams whose version two replicas run are taken up again at any
+ * gateway after the last fault.
+ */
+async function checkResumptions(run: Run, random: Random): Promise<void> {
+  const { fleet, checker, now } = run;
+  let begun = 0;
+  let completed = 0;
+  fleet.cutsOffNewStreams = true;
+  for (let i = 0; i < CUT_OFF_STREAMS; i += 1) {
+    const gateway = i % fleet.gateways.length;
+    const { host, incarnation } = fleet.gateways[gateway]!;
+    const call = {
+      id: `cut-${i}`,
+      route: "chat",
+      key: STANDIN_KEY,
+      model: "m2",
+      deadlineMs: 3000,
+      body: "cut",
+    } as const;
+    checker.recordRequest({ ...call, gateway, incarnation, atMs: now() });
+    const response = await callGateway(call, { host, port: fleet.callerPort });
+    checker.recordResponse(call.id, response);
+    const [first] = parseStreamEvents(response.text);
+    if (!first || !fleet.servedVersions.has(first.version)) continue;
+    begun += 1;
+    const isCompleted = response.isComplete ||
+      await resumeStream(run, { call, response, random });
+    if (isCompleted) completed += 1;
+  }
+  const isExpected = fleet.servedVersions.size > 0;
+  if (isExpected && (begun === 0 || completed < begun * MIN_RESUMED_SHARE)) {
+    checker.recordViolation(
+      "streams that were cut off are taken up again",
+      `${completed} of ${begun}`,
+    );
+  }
+}
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -27,6 +27,10 @@
   | "replicaLink"
   /** Restarts a replica under its old id, without resident models. */
   | "replicaCrash"
+  /** Restarts a replica under its old id with another software version. */
+  | "replicaUpgrade"
+  /** Stops all gateways gracefully, one after the other, and starts them again. */
+  | "rollingStop"
   /** Drains a replica and replaces it by a new one. */
   | "replicaDrain"
   /** Lets a replica execute orders late and without a response. */
@@ -79,6 +83,8 @@
   "storeLink",
   "replicaLink",
   "replicaCrash",
+  "replicaUpgrade",
+  "rollingStop",
   "replicaDrain",
   "lateOrders",
   "withdrawKey",
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from "node:http";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -6,12 +7,14 @@
 import {
   decodeReceivedCall,
   FleetStandin,
+  type ReceivedCall,
   ReplicaStandin,
   STANDIN_KEY,
 } from "@banyanspool/platform-adapter/testing";
 import { pickPorts } from "@banyanspool/standins";
 import { ChildProcess } from "@banyanspool/testbed";
 import { sleep } from "@banyanspool/types";
+import { formatStreamEvent, STREAM_EVENTS } from "./stream_events.ts";
 import { FaultProxy } from "./fault_proxy.ts";
 import {
   INJECTED_FAULT_VARIABLE,
@@ -37,6 +40,8 @@
   id: string;
   /** Service name. */
   readonly service: string;
+  /** Version of its software; a restart may change it. */
+  softwareVersion: string;
   /** Stand-in for the replica; a restart creates a new one. */
   standin: ReplicaStandin;
   /** Proxy between all gateways and the replica. */
@@ -65,11 +70,17 @@
   "annex",
   "pool",
   "pool",
+  "pool",
+  "pool",
 ];
+/** Software versions of the replicas, in turn. */
+export const SOFTWARE_VERSIONS: readonly string[] = ["v1", "v2"];
 /** Organisation that all keys belong to. */
 export const ORGANISATION: string = "acme";
+/** Models that each new replica with models has; restarted ones have none. */
+const INITIAL_MODELS = ["m1", "m2"];
 const GRACE_MS = 4000;
-/** Time between the two parts of a response. */
+/** Time between two parts of a response. */
 const RESPONSE_GAP_MS = 20;
 
 const BIN = fileURLToPath(
@@ -88,6 +99,8 @@
   readonly replicas: SoakReplica[] = [];
   /** Stand-in for the platform, with the store and its contents. */
   readonly platform: FleetStandin;
+  /** Whether replicas cut off new streams after their first event. */
+  cutsOffNewStreams = false;
   readonly #options: SoakFleetOptions;
   readonly #folder = mkdtempSync(join(tmpdir(), "banyanspool-soak-"));
   #ports: readonly number[] = [];
@@ -151,11 +164,31 @@
   async restartReplica(replica: SoakReplica): Promise<void> {
     this.#checkFencing(replica);
     replica.standin.close();
-    replica.standin = await this.#startReplica(replica.id, replica.service);
+    replica.standin = await this.#startReplica(replica);
     replica.proxy.retarget(`127.0.0.1:${replica.standin.port}`);
     this.#register(replica);
   }
 
+  /** Restarts a replica under its old id with another software version. */
+  async upgradeReplica(replica: SoakReplica): Promise<void> {
+    const current = SOFTWARE_VERSIONS.indexOf(replica.softwareVersion);
+    replica.softwareVersion =
+      SOFTWARE_VERSIONS[(current + 1) % SOFTWARE_VERSIONS.length]!;
+    await this.restartReplica(replica);
+  }
+
+  /** Software versions that two or more replicas with models run. */
+  get servedVersions(): ReadonlySet<string> {
+    const running = this.replicas
+      .filter(({ service }) => service === "pool")
+      .map(({ softwareVersion }) => softwareVersion);
+    return new Set(
+      SOFTWARE_VERSIONS.filter((version) =>
+        running.filter((other) => other === version).length >= 2
+      ),
+    );
+  }
+
   /** Publishes that a replica is draining. */
   announceDraining(replica: SoakReplica): void {
     const row = replica.standin.row("draining", replica.proxy.port);
@@ -199,9 +232,14 @@
   async #addReplica(service: string): Promise<void> {
     this.#replicaCount += 1;
     const id = `i-${this.#replicaCount}`;
-    const standin = await this.#startReplica(id, service);
+    const softwareVersion =
+      SOFTWARE_VERSIONS[this.#replicaCount % SOFTWARE_VERSIONS.length]!;
+    const standin = await this.#startReplica(
+      { id, service, softwareVersion },
+      service === "pool" ? INITIAL_MODELS : [],
+    );
     const proxy = await FaultProxy.create(`127.0.0.1:${standin.port}`);
-    const replica = { id, service, standin, proxy };
+    const replica = { id, service, softwareVersion, standin, proxy };
     this.replicas.push(replica);
     this.#register(replica);
   }
@@ -210,14 +248,25 @@
     this.platform.setReplicaRow(id, standin.row("ready", proxy.port));
   }
 
-  async #startReplica(id: string, service: string): Promise<ReplicaStandin> {
+  async #startReplica(
+    { id, service, softwareVersion }: Pick<
+      SoakReplica,
+      "id" | "service" | "softwareVersion"
+    >,
+    holds: readonly string[] = [],
+  ): Promise<ReplicaStandin> {
     return await ReplicaStandin.create({
       id,
       service,
-      holds: [],
+      softwareVersion,
+      holds,
       answer: async (req, res) => {
         const received = decodeReceivedCall(req);
         this.#options.checker.recordRun(received, id, this.#options.now());
+        if (service === "pool") {
+          await this.#stream(res, { received, version: softwareVersion });
+          return;
+        }
         if (received.lastEventId !== "1") {
           res.write(`id: 1\ndata: ${received.id} begins\n\n`);
           await sleep(RESPONSE_GAP_MS);
@@ -227,6 +276,23 @@
     });
   }
 
+  async #stream(
+    res: ServerResponse,
+    { received, version }: { received: ReceivedCall; version: string },
+  ): Promise<void> {
+    const { lastEventId = "0" } = received;
+    res.writeHead(200, { "content-type": "text/event-stream" });
+    for (let id = Number(lastEventId) + 1; id <= STREAM_EVENTS; id += 1) {
+      res.write(formatStreamEvent({ id, request: received.id, version }));
+      await sleep(RESPONSE_GAP_MS);
+      if (this.cutsOffNewStreams && lastEventId === "0") {
+        res.destroy();
+        return;
+      }
+    }
+    res.end();
+  }
+
   /** Checks that fencing tokens never decrease and each has one lease holder. */
   #checkFencing({ id, standin }: SoakReplica): void {
     const holders = new Map<number, string>();
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -19,9 +19,19 @@
   runTwice: "a non-idempotent request runs at most once",
   passKeyOn: "no key reaches a replica",
   oldConfiguration: "a withdrawn key stops working",
+  ignoreVersion: "a stream holds events of one software version",
+  guessVersion: "a stream holds events of one software version",
 } as const;
 
-for (const fault of ["runTwice", "passKeyOn", "oldConfiguration"] as const) {
+for (
+  const fault of [
+    "runTwice",
+    "passKeyOn",
+    "oldConfiguration",
+    "ignoreVersion",
+    "guessVersion",
+  ] as const
+) {
   test.serial(`the injected defect ${fault} is detected`, async (t) => {
     const { violations } = await runSeed(1, {
       ...SIZES,
