Gateway: a list that differs from a newer one is read within a second

Cause, read from the code and not shown by a run: a change comes only from the gateway that read it first, while the reports of all others postpone the own read for up to five seconds, even if their digest of the list differs. The digest is compared now: after 700 ms of difference to a gateway that read the list later, the list is read. Equal lists postpone the read as before. Test red before (the method did not exist); the wait for the next read looks at the schedule every 200 ms.

--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -504,6 +504,8 @@
       readSchedule.recordPeerRead(state.listAgeMs);
       if (state.listDigest === registry.digest) {
         readSchedule.recordEqualList(state.listAgeMs);
+      } else {
+        readSchedule.recordDifferentList(state.listAgeMs);
       }
     }
     if (hasChanged) onReplicaChange();
--- a/packages/gateway/src/list_read_schedule.ts
+++ b/packages/gateway/src/list_read_schedule.ts
@@ -27,6 +27,11 @@
  * list knows the same one.
  */
 const MAX_OWN_GAP_MS = 5000;
+/**
+ * Time for the changes that another gateway has read to arrive, in ms. After it,
+ * this gateway reads the list itself, as the changes may be lost.
+ */
+const MAX_DIFFERENCE_MS = 700;
 
 /**
  * Decides when this gateway reads the replica list next. A gateway that reads
@@ -39,6 +44,8 @@
   #lastOwnReadAt = -Infinity;
   #lastPeerReadAt = -Infinity;
   #verifiedAt = -Infinity;
+  /** Since when a gateway that read the list later has known a different one. */
+  #differentSince = Infinity;
   #gapMs: number = MIN_GAP_MS;
 
   private constructor(options: ListReadScheduleOptions) {
@@ -53,6 +60,7 @@
   /** Records that this gateway has read the list as of the given time. */
   recordOwnRead(at: number): void {
     this.#lastOwnReadAt = at;
+    this.#differentSince = Infinity;
     this.#gapMs = this.#drawGap();
   }
 
@@ -70,7 +78,19 @@
    */
   recordEqualList(ageMs: number): void {
     const at = this.#options.clock.now() - ageMs;
-    this.#verifiedAt = Math.max(this.#verifiedAt, at);
+    if (at <= this.#verifiedAt) return;
+    this.#verifiedAt = at;
+    this.#differentSince = Infinity;
+  }
+
+  /**
+   * Records that another gateway, which read the list some time ago, in ms,
+   * knows a different one.
+   */
+  recordDifferentList(ageMs: number): void {
+    const now = this.#options.clock.now();
+    if (now - ageMs <= Math.max(this.#lastOwnReadAt, this.#verifiedAt)) return;
+    this.#differentSince = Math.min(this.#differentSince, now);
   }
 
   /** Time since this gateway's last own read, in ms; undefined before it. */
@@ -85,6 +105,7 @@
     const dueAt = Math.min(
       lastAt + this.#gapMs,
       Math.max(this.#lastOwnReadAt, this.#verifiedAt) + MAX_OWN_GAP_MS,
+      this.#differentSince + MAX_DIFFERENCE_MS,
     );
     return Math.max(0, dueAt - this.#options.clock.now());
   }
--- a/packages/gateway/src/list_read_schedule_test.ts
+++ b/packages/gateway/src/list_read_schedule_test.ts
@@ -106,3 +106,30 @@
   }
   t.is(schedule.dueInMs, 0, "the lists have differed for five seconds");
 });
+
+// A gateway that had lost the datagrams with a change sent requests to a draining
+// replica for up to five seconds.
+test("a gateway whose list differs from that of one that has read it later reads it itself", (t) => {
+  let now = 0;
+  const schedule = ListReadSchedule.create({
+    clock: { now: () => now, wall: () => now },
+    random: () => 0.9,
+    liveCount: () => 18,
+  });
+  const report = (record: "recordDifferentList" | "recordEqualList") => {
+    now += 100;
+    schedule.recordPeerRead(50);
+    schedule[record](50);
+  };
+  schedule.recordOwnRead(0);
+  for (let i = 0; i < 6; i += 1) report("recordDifferentList");
+  t.true(schedule.dueInMs > 0, "the change may still arrive");
+  report("recordEqualList");
+  for (let i = 0; i < 6; i += 1) report("recordDifferentList");
+  t.true(schedule.dueInMs > 0, "another change");
+  for (let i = 0; i < 2; i += 1) report("recordDifferentList");
+  t.is(schedule.dueInMs, 0);
+  schedule.recordOwnRead(now);
+  schedule.recordDifferentList(500);
+  t.true(schedule.dueInMs > 700, "the other one read it earlier");
+});
--- a/packages/gateway/src/replica_watch.ts
+++ b/packages/gateway/src/replica_watch.ts
@@ -30,6 +30,9 @@
   readonly onRead: () => void;
 }
 
+/** Interval at which reports may make a read due earlier, in ms. */
+const RECHECK_MS = 200;
+
 /** Reads the replica list whenever a read is due, until the signal is aborted. */
 export async function watchReplicas(
   options: ReplicaWatchOptions,
@@ -69,7 +72,8 @@
     onRead();
     readSchedule.recordOwnRead(startedAt);
     while (!signal.aborted && readSchedule.dueInMs > 0) {
-      await sleep(readSchedule.dueInMs, signal).catch(() => {});
+      const waitMs = Math.min(readSchedule.dueInMs, RECHECK_MS);
+      await sleep(waitMs, signal).catch(() => {});
     }
   }
 }
