Tests: what a caller sees of responses that are cut off, by framing, place and ending

Plain responses and streams between events complete the table: a reset, a missing chunk and a missing byte of the length are seen; an ordinary close of a response that only its connection frames can't be told from its end, as PROMISES says.

--- a/packages/gateway/src/response_framing_test.ts
+++ b/packages/gateway/src/response_framing_test.ts
@@ -88,18 +88,20 @@
 async function callThroughGateway(
   t: ExecutionContext,
   answers: readonly ReplicaHandler[],
+  route: "chat" | "book" = "chat",
 ): Promise<CallerResponse[]> {
   const fleet = await startFleet(t);
-  const replica = await fleet.addReplica({
-    id: "i-1",
-    service: "pool",
-    holds: ["m1"],
-  });
+  const replica = await fleet.addReplica(
+    route === "chat"
+      ? { id: "i-1", service: "pool", holds: ["m1"] }
+      : { id: "i-1", service: "desk" },
+  );
   const { send } = await startGateway(t, fleet);
   const responses: CallerResponse[] = [];
   for (const answer of answers) {
     replica.answer = answer;
-    responses.push(await send("/chat/", CHAT));
+    const request = route === "chat" ? CHAT : { method: "POST", body: "{}" };
+    responses.push(await send(`/${route}/`, request));
   }
   return responses;
 }
@@ -208,3 +210,35 @@
     t.is(res.body, "{}");
   }
 });
+
+for (const framing of FRAMINGS) {
+  for (const ending of ["closed", "reset"] as const) {
+    // Only the end of the connection frames such a response, and nothing tells
+    // an ordinary close after a part of it from one at its end.
+    const isHidden = framing === "close" && ending === "closed";
+    const seen = isHidden
+      ? "can't be told from a whole one"
+      : "is not complete";
+    const cutOff = { framing, ending };
+
+    test(`a plain response (${framing}) whose connection is ${ending} in the middle ${seen}`, async (t) => {
+      const body = "0123456789é";
+      const answers = [1, 5, Buffer.byteLength(body) - 1].map((bytes) =>
+        answerWith({ ...cutOff, body, bytes })
+      );
+      for (const res of await callThroughGateway(t, answers, "book")) {
+        t.is(res.status, isHidden ? 200 : 502);
+        t.true(res.isComplete);
+      }
+    });
+
+    test(`a stream (${framing}) whose connection is ${ending} between events ${seen}`, async (t) => {
+      const bytes = event(1).length + event(2).length;
+      const [res] = await callThroughGateway(t, [
+        answerWith({ ...cutOff, body: STREAM, bytes }),
+      ]);
+      t.is(res!.isComplete, isHidden);
+      t.is(res!.body, event(1) + event(2));
+    });
+  }
+}
