--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -16,6 +16,7 @@
 import { CrashWatch, tryConnect } from "./crash_watch.ts";
 import { ExpectedModels } from "./expected_models.ts";
 import type { FleetState } from "./fleet_state.ts";
+import { rankByDataCentre, type RankedGateway } from "./gateway_ranking.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import { WaitingRequestCounts } from "./waiting_request_counts.ts";
 
@@ -33,12 +34,10 @@
   readonly fleet: FleetState;
   /** Number of gateways that reported lately, including this one. */
   readonly liveCount: () => number;
-  /** Whether this gateway tries a prompt part after its quarantine. */
-  readonly isTrialOwner: (part: string) => boolean;
+  /** Live gateways, including this one. */
+  readonly liveGateways: () => readonly RankedGateway[];
   /** Whether a replica is listed and not draining. */
   readonly isServing: (server: BackendServer) => boolean;
-  /** Gateways that keep a stream's record, the most preferred first. */
-  readonly keepersOf: StreamOriginsOptions["keepersOf"];
   /** Sends a message about streams to another gateway; it may be lost. */
   readonly sendStreamMessage: StreamOriginsOptions["send"];
   /** Called when a replica has crashed. */
@@ -132,7 +131,9 @@
       clock,
       sleep,
       windowMs: RESUMPTION_WINDOW_MS,
-      keepersOf: options.keepersOf,
+      keepersOf: (id) =>
+        rankByDataCentre(id, options.liveGateways())
+          .filter((instance) => instance !== cfg.instance),
       send: options.sendStreamMessage,
     }),
     versionHistory: VersionHistory.create({
@@ -157,11 +158,12 @@
 }
 
 function createQuarantine(
-  { clock, log, metrics, fleet, isTrialOwner }: ContextOptions,
+  { cfg, clock, log, metrics, fleet, liveGateways }: ContextOptions,
 ): PromptQuarantine {
   return PromptQuarantine.create({
     clock,
-    isTrialOwner,
+    isTrialOwner: (part) =>
+      rankByDataCentre(part, liveGateways())[0] === cfg.instance,
     onStart: (part, durationMs) => {
       metrics.quarantines.inc();
       log.write("prompt part quarantined", { part, duration_ms: durationMs });
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -1,5 +1,5 @@
 import type { Lease } from "@banyanspool/platform";
-import { type AvailableModels, rankByAffinity } from "@banyanspool/routing";
+import type { AvailableModels } from "@banyanspool/routing";
 import { type GatewaySettings, splitAddress } from "@banyanspool/settings";
 import { createSystemClock, sleep } from "@banyanspool/types";
 import type { StreamMessage } from "@banyanspool/streams";
@@ -8,6 +8,7 @@
 import { type GatewayReport, PeerExchange } from "./peer_exchange.ts";
 import type { EngineController } from "./engine_controller.ts";
 import { FleetDemandTable } from "./fleet_demand.ts";
+import type { RankedGateway } from "./gateway_ranking.ts";
 import { encodeQuarantineReport } from "./quarantine_codec.ts";
 import { PlacementHolder } from "./placement_holder.ts";
 import type { FleetDemand } from "./placement_models.ts";
@@ -116,39 +117,10 @@
     return new FleetExchange(options);
   }
 
-  /**
-   * Whether this gateway is the first of the live ones by rendezvous hashing of a
-   * key.
-   */
-  isFirstByAffinity(key: string): boolean {
-    const { instance } = this.#options.cfg;
-    const live = [{ instance }, ...this.#peers.livePeers];
-    const ranked = rankByAffinity(
-      key,
-      live.map((peer) => ({ id: peer.instance })),
-    );
-    return ranked[0]?.id === instance;
-  }
-
-  /**
-   * Names of the other live gateways by rendezvous hashing of a key, with one of
-   * another data centre than the first in second place if there is one. All
-   * gateways rank alike, so that each leaves itself out only afterwards.
-   */
-  rankByDataCentre(key: string): string[] {
+  /** Live gateways, including this one. */
+  get liveGateways(): readonly RankedGateway[] {
     const { instance, data_centre } = this.#options.cfg;
-    const live = this.#peers.livePeers.map((peer) => ({
-      id: peer.instance,
-      dataCentre: peer.dataCentre,
-    }));
-    live.push({ id: instance, dataCentre: data_centre });
-    const [first, ...others] = rankByAffinity(key, live);
-    const second = others.findIndex(({ dataCentre }) =>
-      dataCentre !== first!.dataCentre
-    );
-    if (second > 0) others.unshift(...others.splice(second, 1));
-    return [first!, ...others].map(({ id }) => id)
-      .filter((id) => id !== instance);
+    return [...this.#peers.livePeers, { instance, dataCentre: data_centre }];
   }
 
   /** Sends a message about streams to another gateway; it may be lost. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -108,8 +108,7 @@
       metrics,
       fleet,
       liveCount: () => this.#exchange.liveCount,
-      isTrialOwner: (part) => this.#exchange.isFirstByAffinity(part),
-      keepersOf: (id) => this.#exchange.rankByDataCentre(id),
+      liveGateways: () => this.#exchange.liveGateways,
       sendStreamMessage: (instance, message) =>
         this.#exchange.sendStreamMessage(instance, message),
       isServing: ({ id, startedAt }) =>
