Gateway: relaying the response of an attempt is a file of its own

serve_request.ts decides about attempts; relay_attempt.ts relays a response and records what it tells of the stream's version, the prompt's parts and the replica. Moved without a change.

--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -4,8 +4,6 @@
   SelectionRequest,
   TrackedRequest,
 } from "@banyanspool/routing";
-import { framingOf } from "@banyanspool/responses";
-import type { RetryBudget } from "@banyanspool/retry";
 import type { Route } from "@banyanspool/types";
 import { refuse } from "@banyanspool/types";
 import { acquireReplica, refuseQuarantined } from "./acquire_replica.ts";
@@ -23,13 +21,10 @@
 import { RequestProgress } from "./request_progress.ts";
 import { sharedPartIds } from "./prompt_parts.ts";
 import { jitterRetryAfter } from "./refusals.ts";
-import {
-  isEventStream,
-  type RelayOutcome,
-  relayPlainResponse,
-  relayStream,
-} from "./relay_response.ts";
-import { findStreamVersion, versionOfResponse } from "./stream_version.ts";
+import { isEventStream } from "./relay_response.ts";
+import type { RequestExecution } from "./request_execution.ts";
+import { relayResponse } from "./relay_attempt.ts";
+import { findStreamVersion } from "./stream_version.ts";
 import type { RequestOutcome, RequestScope } from "./request_scope.ts";
 import {
   type AttemptOutcome,
@@ -54,15 +49,6 @@
 /** Lowest HTTP status that counts as a failure of the replica. */
 const FIRST_FAILURE_STATUS = 500;
 
-/** A request with the state that its attempts share. */
-interface RequestExecution {
-  readonly ctx: GatewayContext;
-  readonly scope: RequestScope;
-  readonly progress: RequestProgress;
-  readonly request: SelectionRequest;
-  readonly budget: RetryBudget;
-}
-
 /**
  * Applies the organisation's rate limit and sends the request to replicas until
  * the caller has its final response. The rate-limit cost is refunded if the
@@ -256,12 +242,11 @@
     recordObservation(execution, selection, "failure");
     return endTruncated(scope, progress);
   }
-  const relayed = await relay(execution, {
+  const relayed = await relayResponse(execution, {
     response,
     selection,
     markStarted: trackedRequest.started,
   });
-  recordResponseEnd(execution, { response, selection, relayed });
   switch (relayed.kind) {
     case "whole":
       recordObservation(
@@ -371,78 +356,6 @@
   ctx.log.write("replica ejected", { replica: id, service });
 }
 
-async function relay(
-  { ctx, scope, progress }: RequestExecution,
-  { response, selection, markStarted }: {
-    response: StartedResponse;
-    selection: ReplicaSelection;
-    markStarted: () => void;
-  },
-): Promise<RelayOutcome> {
-  const onFirstByte = () => {
-    markStarted();
-    if (progress.firstByteMs !== undefined) return;
-    progress.firstByteMs = ctx.clock.now() - scope.arrivedAt;
-    ctx.metrics.firstByte.observe(
-      { route: scope.route.name },
-      progress.firstByteMs / 1000,
-    );
-  };
-  if (!scope.route.streaming || !isEventStream(response)) {
-    onFirstByte();
-    return await relayPlainResponse(scope, response);
-  }
-  const isResumable = scope.route.retrySafety === "resumable";
-  const outcome = await relayStream(scope, response, {
-    mayBegin: () => {
-      if (!isResumable) return true;
-      const version = versionOfResponse(ctx, selection.server);
-      const isNew = progress.lastEventId === undefined;
-      if (!isNew) return version === progress.streamVersion;
-      progress.streamVersion = version;
-      if (version !== undefined) {
-        ctx.streamOrigins.record({ id: scope.caller.id, version });
-      }
-      return true;
-    },
-    onEvents: () => {
-      onFirstByte();
-      progress.recordEvents(ctx.clock.now());
-    },
-  });
-  if (outcome.kind === "broken") {
-    progress.lastEventId = outcome.lastEventId ?? progress.lastEventId;
-  }
-  return outcome;
-}
-
-/** Records whether a response was complete or the replica cut it off. */
-function recordResponseEnd(
-  { ctx, scope, request }: RequestExecution,
-  { response, selection, relayed }: {
-    response: StartedResponse;
-    selection: ReplicaSelection;
-    relayed: RelayOutcome;
-  },
-): void {
-  const { kind } = relayed;
-  const parts = sharedPartIds(request.promptParts);
-  if (kind === "whole" && response.head.status === 200) {
-    ctx.quarantine.recordCompletion(parts);
-  }
-  if (kind !== "lost" && kind !== "broken") return;
-  ctx.crashWatch.recordCutOff(selection.server, parts);
-  ctx.log.write("response cut off", {
-    id: scope.caller.id,
-    replica: selection.server.id,
-    relayed: kind,
-    reason: relayed.reason,
-    framing: framingOf(response.head.headers),
-    incomplete_bytes: kind === "broken" ? relayed.incompleteBytes : undefined,
-    prompt_parts: parts,
-  });
-}
-
 function hasTimeForAttempt({ ctx, scope }: RequestExecution): boolean {
   return !scope.signal.aborted &&
     scope.deadlineAt - ctx.clock.now() > MIN_ATTEMPT_MS;
