Soak: a refusal from before a withdrawal is no sign of the withdrawal

The check counted any earlier 401; that request was sent at the moment of the withdrawal at the latest, when the gateway can have refused the key only because its grant had not arrived. Refusals of requests sent after the withdrawal count as before.

--- a/packages/soak/src/invariant_checker.ts
+++ b/packages/soak/src/invariant_checker.ts
@@ -255,6 +255,8 @@
       if (status !== 401 || !earlier || earlier.key !== request.key) continue;
       if (earlier.gateway !== request.gateway) continue;
       if (earlier.incarnation !== request.incarnation) continue;
+      // Before its grant has arrived, a key is refused as well.
+      if (earlier.atMs < withdrawnAt) continue;
       if (earlier.atMs < request.atMs) {
         this.#fail(
           "a gateway never returns to an older configuration",
--- a/packages/soak/src/invariant_checker_test.ts
+++ b/packages/soak/src/invariant_checker_test.ts
@@ -141,6 +141,17 @@
   ]);
 });
 
+test("a key that was refused before its grant had arrived, and withdrawn just after it, is no violation", (t) => {
+  const checker = createChecker();
+  const sent = { ...SENT, route: "look", key: "key" };
+  checker.recordRequest({ ...sent, id: "r1", atMs: 900 });
+  checker.recordResponse("r1", { status: 401, isComplete: true, text: "" });
+  checker.recordWithdrawal("key", 1000);
+  checker.recordRequest({ ...sent, id: "r2", atMs: 1000 });
+  checker.recordRun(createReceived("r2"), "i-1", 1001);
+  t.deepEqual(getInvariants(checker), []);
+});
+
 test("a request that reaches a draining replica after the bound is a violation", (t) => {
   const checker = createChecker();
   checker.recordDraining("i-1", 1000);
