--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -89,8 +89,8 @@
 
 /**
  * Takes up a stream that was cut off at any gateway, until it is complete, the
- * caller is refused or it has tried a few times. Returns the last status if the
- * stream was completed.
+ * caller is refused or it has tried a few times. Returns whether it was
+ * completed.
  */
 export async function resumeStream(
   { fleet, checker, now }: Omit<CallerOptions, "seed">,
