Gateway: a limit that a replica names is decoded and logged

Needed to tell the hypotheses of the incident on replicas beyond their limit apart: the logs didn't show that a replica had named one, nor how often reports are read. `replica limit` is written when a response changes what this gateway knows, and `banyanspool_engine_report_reads_total` counts the reads. A response to a request from before the last observation neither lifts nor raises a limit, as responses on different connections overtake each other.

No decision uses it yet.

--- a/packages/gateway/src/crash_watch.ts
+++ b/packages/gateway/src/crash_watch.ts
@@ -1,5 +1,9 @@
 import { connect } from "node:net";
-import type { BackendServer, Clock } from "@banyanspool/types";
+import {
+  type BackendServer,
+  type Clock,
+  incarnationOf,
+} from "@banyanspool/types";
 
 /** Result of connecting to a replica. */
 export type ConnectResult = "refused" | "accepted" | "unknown";
@@ -58,7 +62,7 @@
   /** Records that a replica cut off a request with these prompt parts. */
   recordCutOff(server: BackendServer, parts: readonly string[]): void {
     const { clock, isServing, onCrash } = this.#options;
-    const incarnation = `${server.id} ${server.startedAt}`;
+    const incarnation = incarnationOf(server);
     const known = this.#cutOffs.get(incarnation);
     if (known?.result === "refused") {
       onCrash({ server, incarnation, parts });
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -2,6 +2,7 @@
 import type { EventLog } from "@banyanspool/logger";
 import { DemandMeter } from "@banyanspool/placement";
 import { PromptQuarantine } from "@banyanspool/quarantine";
+import { LimitTable } from "@banyanspool/replica-limits";
 import { RetryBudget } from "@banyanspool/retry";
 import { ReplicaTracker } from "@banyanspool/routing";
 import type { GatewaySettings } from "@banyanspool/settings";
@@ -84,6 +85,14 @@
     random: Math.random,
     fleet,
     replicaTracker,
+    replicaLimits: LimitTable.create({
+      clock,
+      onChange: (replica, ratePerS) =>
+        log.write("replica limit", {
+          replica,
+          requests_per_s: ratePerS ?? null,
+        }),
+    }),
     limits: SlidingWindowLimiter.create({
       clock,
       windowMs: cfg.limit_window_ms,
--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -6,7 +6,7 @@
   readEngineReport,
   sendEngineOrder,
 } from "@banyanspool/platform-adapter";
-import type { BackendServer, Clock, Sleep } from "@banyanspool/types";
+import type { BackendServer, Clock, Result, Sleep } from "@banyanspool/types";
 import type { ConnectionPools } from "./connection_pools.ts";
 import {
   applyReport,
@@ -198,7 +198,7 @@
     state: EngineState,
     order: PlacementOrder,
   ): Promise<OrderOutcome | "lease lost"> {
-    const { clock, sleep, pools } = this.#options;
+    const { clock, sleep } = this.#options;
     const deadlineAt = clock.now() + ORDER_EFFECT_TIMEOUT_MS;
     let intervalMs = MIN_ORDER_INTERVAL_MS;
     while (true) {
@@ -208,10 +208,7 @@
       intervalMs = Math.min(MAX_ORDER_INTERVAL_MS, intervalMs * 2);
       if (intervalMs < MAX_ORDER_INTERVAL_MS) continue;
       // The conflict may be that the engine has accepted other orders.
-      const read = await readEngineReport(
-        state.server,
-        pools.forReplica(state.server).pool,
-      );
+      const read = await this.#readReport(state);
       const hasOther = read.ok && !read.value.busy &&
         read.value.acceptedOrderCount !== state.acceptedOrderCount &&
         read.value.acceptedOrderCount > 0;
@@ -269,10 +266,7 @@
       this.holdsLease && clock.now() < deadlineAt && this.#isCurrent(state)
     ) {
       await this.#options.sleep(REPORT_POLL_INTERVAL_MS);
-      const read = await readEngineReport(
-        state.server,
-        this.#options.pools.forReplica(state.server).pool,
-      );
+      const read = await this.#readReport(state);
       // The read failed, or the report is from before the last accepted order.
       if (!read.ok || read.value.acceptedOrderCount < acceptedOrders) continue;
       if (read.value.busy) continue;
@@ -302,16 +296,22 @@
     this.#options.onAvailableModelsChange();
   }
 
+  async #readReport(
+    { server }: EngineState,
+  ): Promise<Result<EngineReport, string>> {
+    const { pools, metrics } = this.#options;
+    const read = await readEngineReport(server, pools.forReplica(server).pool);
+    metrics.reportReads.inc({ outcome: read.ok ? "ok" : "failed" });
+    return read;
+  }
+
   async #sync(state: EngineState): Promise<void> {
-    const { pools, log, sleep, clock } = this.#options;
+    const { log, sleep, clock } = this.#options;
     let missing = 0;
     let outdated = 0;
     while (this.holdsLease && this.#isCurrent(state)) {
       state.reportRequestedAt = clock.now();
-      const read = await readEngineReport(
-        state.server,
-        pools.forReplica(state.server).pool,
-      );
+      const read = await this.#readReport(state);
       if (read.ok) {
         // After some time the report is right and the count here is wrong.
         if (
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import {
   createSuspendAwareClock,
   createSystemClock,
+  incarnationOf,
   sleep,
 } from "@banyanspool/types";
 import { Pool } from "undici";
@@ -332,8 +333,10 @@
   }
 
   #applyReplicaList(): void {
-    const { replicaTracker, versionHistory, pools, fleet } = this.#ctx;
+    const { replicaTracker, replicaLimits, versionHistory, pools, fleet } =
+      this.#ctx;
     const { replicas } = this.#registry;
+    replicaLimits.retain(new Set(replicas.map(incarnationOf)));
     replicaTracker.updateServers(replicas);
     versionHistory.update(replicas);
     pools.closeAllExcept(replicas);
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -30,6 +30,8 @@
   readonly storeCalls: Counter;
   /** Load and unload orders to engines by operation and outcome. */
   readonly orders: Counter;
+  /** Reads of engines' reports by outcome. */
+  readonly reportReads: Counter;
   /** Datagrams exchanged with other gateways, by direction. */
   readonly datagrams: Counter;
   /** Outlier ejections of replicas by service. */
@@ -74,6 +76,11 @@
       "operation",
       "outcome",
     ]);
+    this.reportReads = counter(
+      "engine_report_reads_total",
+      "Reads of engines' reports",
+      ["outcome"],
+    );
     this.datagrams = counter("gateway_datagrams_total", "Datagrams", [
       "direction",
     ]);
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -5,6 +5,7 @@
 } from "@banyanspool/platform-adapter";
 import type { ReplicaSelection, SelectionRequest } from "@banyanspool/routing";
 import { formatModelName } from "@banyanspool/routing";
+import { type BackendServer, incarnationOf } from "@banyanspool/types";
 import { isCallerPresent } from "./caller_presence.ts";
 import type { GatewayContext } from "./context.ts";
 import {
@@ -65,6 +66,7 @@
 ): Promise<AttemptOutcome> {
   const { selection, request } = options;
   if (!await isCallerPresent(scope)) return { kind: "given up", sent: false };
+  const sentAt = ctx.clock.now();
   const call = ReplicaCall.create({
     connections: ctx.pools.forReplica(selection.server),
     origin: `http://${selection.server.address}`,
@@ -83,7 +85,7 @@
     body: scope.body,
   });
   try {
-    return await awaitHead(ctx, scope, { ...options, call });
+    return await awaitHead(ctx, scope, { ...options, call, sentAt });
   } catch (error) {
     const callError = error as ReplicaCallError;
     if (callError.failure === "notSent" && !scope.signal.aborted) {
@@ -96,9 +98,9 @@
 async function awaitHead(
   ctx: GatewayContext,
   scope: RequestScope,
-  { call, selection, request, headTimeoutMs, tryReserveRetry }:
+  { call, sentAt, selection, request, headTimeoutMs, tryReserveRetry }:
     & AttemptOptions
-    & { call: ReplicaCall },
+    & { call: ReplicaCall; sentAt: number },
 ): Promise<AttemptOutcome> {
   const abort = () => call.abort();
   let isOverdue = false;
@@ -126,6 +128,7 @@
     call.abort();
     return { kind: "unknown", reason: "response to another request" };
   }
+  recordNamedLimit(ctx, selection.server, { facts, sentAt });
   if (!facts.notRun) return { kind: "started", call, head };
   await discardBody(call);
   const name = formatModelName(request);
@@ -136,6 +139,25 @@
   return { kind: "notRun", reason: `status ${head.status}`, sent: true };
 }
 
+/**
+ * Records the limit that a replica names. A rejection that names none doesn't
+ * tell that there is none, and a misdirected one is of another replica.
+ */
+function recordNamedLimit(
+  { replicaLimits }: GatewayContext,
+  server: BackendServer,
+  { facts, sentAt }: { facts: ReplicaResponseInfo; sentAt: number },
+): void {
+  const { limit, notRun, misdirected } = facts;
+  if (misdirected || limit.kind === "unreadable") return;
+  if (limit.kind === "none" && notRun) return;
+  replicaLimits.record({
+    replica: incarnationOf(server),
+    ratePerS: limit.kind === "limited" ? limit.requestsPerS : undefined,
+    sentAt,
+  });
+}
+
 /**
  * Whether the response has the request's id. A response without an id can't be
  * checked and is accepted.
--- a/packages/types/src/gateway.ts
+++ b/packages/types/src/gateway.ts
@@ -155,6 +155,11 @@
   readonly models: readonly ResidentModel[];
 }
 
+/** Identifies one run of a replica; a restart under the same id begins another. */
+export function incarnationOf({ id, startedAt }: BackendServer): string {
+  return `${id} ${startedAt}`;
+}
+
 /** A part of a prompt whose prefix cache requests may share. */
 export interface PromptPart {
   /** Id of the part. */
