Gateway: all gateways together keep the limit that a replica names

What was seen: two replicas that had named 1.2 and 1.1 requests a second got 15 and 12 in 4 s from gateways that they had told; 12 were allowed.

Cause: no gateway read the limit. Each chose replicas by predicted time, and a replica with a limit is as quick as before. Class of fault: a bound of the whole fleet, of which each gateway sees its own part only.

Ruled out: retries and resumed streams as the cause (the recorded replicas had none; they do exceed a limit that only new requests keep, so they count now), and the lease holder's orders and reads of reports (one order in the window; reports are read around model loads only).

Change: packages/replica-limits. Gateways report the limits that responses name. For each replica with one, the first gateway by rendezvous hashing issues a permit for each request, order and read of a report; the others ask it. Routing skips a replica until the time for which its permits are used up; what no replica can take is refused at once as replica_limit_reached.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -1,7 +1,7 @@
 import type { ReplicaSelection, SelectionRequest } from "@banyanspool/routing";
 import { formatModelName } from "@banyanspool/routing";
 import type { PromptPart, Refusal, Result, Route } from "@banyanspool/types";
-import { err, ok, refuse } from "@banyanspool/types";
+import { err, incarnationOf, ok, refuse } from "@banyanspool/types";
 import type { GatewayContext } from "./context.ts";
 import { sharedPartIds } from "./prompt_parts.ts";
 import { jitterRetryAfter } from "./refusals.ts";
@@ -81,8 +81,6 @@
   const { clock, replicaTracker, waitingRequests, fleet } = ctx;
   const { request } = pending;
   const waitUntil = callerLeavesAt(scope, pending) - RESPONSE_RESERVE_MS;
-  const check = (selection: ReplicaSelection) =>
-    checkPredictedTime(ctx, scope, { ...pending, selection });
   const name = formatModelName(request);
   if (!isServable(scope, request)) return err(refuseUnknownModel(request));
   if (
@@ -95,19 +93,15 @@
     while (!scope.signal.aborted) {
       const quarantined = refuseQuarantined(ctx, request.promptParts);
       if (quarantined) return err(quarantined);
-      const selection = replicaTracker.select(request);
-      if (selection) {
-        let checked = check(selection);
-        if (!checked.ok) {
-          checked = check(
-            replicaTracker.select(request, { compareAll: true })!,
-          );
-        }
-        if (checked.ok) {
-          ctx.quarantine.recordSent(sharedPartIds(request.promptParts));
-        }
+      const checked = selectReplica(ctx, scope, pending);
+      if (checked && !checked.ok) return checked;
+      if (checked) {
+        if (!await takePermit(ctx, request, checked.value)) continue;
+        ctx.quarantine.recordSent(sharedPartIds(request.promptParts));
         return checked;
       }
+      const limitReached = refuseBeyondLimits(ctx, scope, pending);
+      if (limitReached) return err(limitReached);
       const leftMs = waitUntil - clock.now();
       if (leftMs <= 0 || (name === undefined && request.excluded.size > 0)) {
         return err(refuseNoReplica(ctx, request));
@@ -134,6 +128,70 @@
   );
 }
 
+/**
+ * Selects the replica that is predicted to respond first, or refuses a request
+ * that none would answer in time. Undefined if none can take it now.
+ */
+function selectReplica(
+  ctx: GatewayContext,
+  scope: RequestScope,
+  pending: PendingRequest,
+): Result<ReplicaSelection, Refusal> | undefined {
+  const { replicaTracker } = ctx;
+  const { request } = pending;
+  const check = (selection: ReplicaSelection) =>
+    checkPredictedTime(ctx, scope, { ...pending, selection });
+  const selection = replicaTracker.select(request);
+  if (!selection) return undefined;
+  const checked = check(selection);
+  if (checked.ok) return checked;
+  const best = check(replicaTracker.select(request, { compareAll: true })!);
+  if (best.ok) return best;
+  const limited = replicaTracker.select(request, {
+    compareAll: true,
+    onlyLimited: true,
+  });
+  return limited ? check(limited) : best;
+}
+
+/**
+ * Takes the permit that a replica with a limit requires. Returns whether the
+ * request may be sent; the replica may have gone while the permit was awaited.
+ */
+async function takePermit(
+  { replicaPermits, replicaTracker }: GatewayContext,
+  request: SelectionRequest,
+  { server, permit }: ReplicaSelection,
+): Promise<boolean> {
+  if (permit === undefined) return true;
+  const result = await replicaPermits.acquire(incarnationOf(server), permit);
+  return result.granted && replicaTracker.usable(request).includes(server);
+}
+
+/**
+ * Refuses a request if the limits of replicas are all that keeps it from being
+ * sent now. A refusal would cut a stream that has begun, so that it waits.
+ */
+function refuseBeyondLimits(
+  { replicaTracker, replicaPermits, random }: GatewayContext,
+  { arrivedAt }: RequestScope,
+  { request, waitingSince }: PendingRequest,
+): Refusal | undefined {
+  if (waitingSince > arrivedAt) return undefined;
+  const exhausted = replicaTracker.exhausted(request);
+  if (exhausted.length === 0) return undefined;
+  const retryInMs = Math.min(
+    ...exhausted.map((server) =>
+      replicaPermits.retryInMs(incarnationOf(server), "any")
+    ),
+  );
+  return refuse(
+    "replica_limit_reached",
+    `The replicas of "${request.service}" take no more requests now`,
+    { retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, retryInMs) * (1 + random()) },
+  );
+}
+
 /** Refuses a request with a prompt part that crashes replicas. */
 export function refuseQuarantined(
   ctx: GatewayContext,
--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -1,7 +1,12 @@
 import test from "ava";
 import { PromptQuarantine } from "@banyanspool/quarantine";
+import { LimitTable, ReplicaPermits } from "@banyanspool/replica-limits";
 import { ReplicaTracker, type SelectionRequest } from "@banyanspool/routing";
-import type { BackendServer, Route } from "@banyanspool/types";
+import {
+  type BackendServer,
+  incarnationOf,
+  type Route,
+} from "@banyanspool/types";
 import { acquireReplica, callerFirstByteTimeoutMs } from "./acquire_replica.ts";
 import { ChangeSignal } from "./change_signal.ts";
 import type { GatewayContext } from "./context.ts";
@@ -74,12 +79,25 @@
 function createGateway(servers: BackendServer[], liveEntryCount = 1) {
   let now = 0;
   const clock = { now: () => now, wall: () => now };
+  const replicaLimits = LimitTable.create({ clock, onChange: () => {} });
+  const replicaPermits = ReplicaPermits.create({
+    clock,
+    sleep: () => Promise.resolve(),
+    random: () => 0,
+    instance: "gateway-1",
+    limitOf: (replica) => replicaLimits.get(replica),
+    issuersOf: () => ["gateway-1"],
+    isResponsive: () => true,
+    reachableShare: () => 1,
+    send: () => {},
+  });
   const replicaTracker = ReplicaTracker.create({
     clock,
     random: () => 0.7,
     dataCentre: "north",
     liveEntryCount: () => liveEntryCount,
     kvCapacityOf: () => undefined,
+    permitStateOf: (server) => replicaPermits.stateOf(incarnationOf(server)),
   });
   replicaTracker.updateServers(servers);
   const changed = ChangeSignal.create();
@@ -91,6 +109,8 @@
     clock,
     random: () => 0,
     replicaTracker,
+    replicaLimits,
+    replicaPermits,
     fleet: { changed },
     waitingRequests: WaitingRequestCounts.create({ clock }),
     expectedModels: ExpectedModels.create({ clock }),
@@ -108,7 +128,13 @@
     signal: new AbortController().signal,
     activeConfiguration: { configuration: { services: new Map() } },
   } as unknown as RequestScope;
-  return { ctx, scope, elapsedMs: () => now };
+  /** Acquires a replica for a request that arrives some time later, in ms. */
+  const acquireAfter = (ms: number) => {
+    now += ms;
+    const later = { ...scope, arrivedAt: now, deadlineAt: now + 15_000 };
+    return acquireReplica(ctx, later, { request: REQUEST, waitingSince: now });
+  };
+  return { ctx, scope, acquireAfter, elapsedMs: () => now };
 }
 
 test("a request for a model that takes longer to load than the caller waits is refused at once with the time of the load's end", async (t) => {
@@ -185,6 +211,57 @@
   t.is(acquired.ok && acquired.value.server.id, "r0");
 });
 
+/** Names a limit of 2 requests a second for a replica. */
+function limit({ replicaLimits }: GatewayContext, server: BackendServer): void {
+  const replica = incarnationOf(server);
+  replicaLimits.record({ replica, ratePerS: 2, sentAt: -1 });
+}
+
+test("a rush beyond the limit of one replica goes to another one", async (t) => {
+  const servers = ["r1", "r2"].map((id) => backendServer(id, ["m"]));
+  const { ctx, acquireAfter } = createGateway(servers);
+  limit(ctx, servers[1]!);
+  const sent = new Map([["r1", 0], ["r2", 0]]);
+  for (let i = 0; i < 100; i += 1) {
+    const acquired = await acquireAfter(40);
+    if (!acquired.ok) return t.fail(acquired.error.message);
+    const { id } = acquired.value.server;
+    sent.set(id, sent.get(id)! + 1);
+    const tracked = ctx.replicaTracker.dispatch(REQUEST, acquired.value);
+    tracked.started();
+    tracked.finished();
+  }
+  t.true(sent.get("r2")! > 0, "a limit is no ban");
+  t.true(sent.get("r2")! <= 8, `${sent.get("r2")} requests in 4 s`);
+});
+
+test("a rush on one replica with a limit is refused at once beyond it, with the time of the next permit", async (t) => {
+  const server = backendServer("r1", ["m"]);
+  const { ctx, acquireAfter } = createGateway([server]);
+  limit(ctx, server);
+  let served = 0;
+  for (let i = 0; i < 100; i += 1) {
+    const acquired = await acquireAfter(40);
+    if (acquired.ok) served += 1;
+    else {
+      t.is(acquired.error.code, "replica_limit_reached");
+      t.is(acquired.error.ran, "no");
+      t.true(acquired.error.retryAfterMs! <= 500);
+    }
+  }
+  t.true(served >= 6 && served <= 8, `${served} requests in 4 s`);
+});
+
+test("a stream that is cut off waits for a permit, as a refusal would end it", async (t) => {
+  const server = backendServer("r1", ["m"]);
+  const { ctx, scope, acquireAfter, elapsedMs } = createGateway([server]);
+  limit(ctx, server);
+  t.false((await acquireAfter(100)).ok);
+  const resumed = { request: REQUEST, waitingSince: elapsedMs() };
+  t.true((await acquireReplica(ctx, scope, resumed)).ok);
+  t.true(elapsedMs() >= 500, `${elapsedMs()} ms`);
+});
+
 test("a request that waits is refused when a part of its prompt is quarantined", async (t) => {
   const { ctx, scope, elapsedMs } = createGateway([]);
   const promptParts = ["bad", "own"].map((id) => ({ id, tokens: 10 }));
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -3,7 +3,7 @@
 import type { DemandMeter } from "@banyanspool/placement";
 import type { RetryBudget } from "@banyanspool/retry";
 import type { PromptQuarantine } from "@banyanspool/quarantine";
-import type { LimitTable } from "@banyanspool/replica-limits";
+import type { LimitTable, ReplicaPermits } from "@banyanspool/replica-limits";
 import type { ReplicaTracker } from "@banyanspool/routing";
 import type { StreamOrigins, VersionHistory } from "@banyanspool/streams";
 import type { Clock, Random, Sleep } from "@banyanspool/types";
@@ -28,6 +28,8 @@
   readonly replicaTracker: ReplicaTracker;
   /** Limits that replicas name in their responses. */
   readonly replicaLimits: LimitTable;
+  /** Permits for requests to replicas with a limit. */
+  readonly replicaPermits: ReplicaPermits;
   /** Rate limits of organisations, shared by all gateways. */
   readonly limits: SlidingWindowLimiter;
   /** Returns this gateway's share of a service's retry budget. */
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -2,7 +2,11 @@
 import type { EventLog } from "@banyanspool/logger";
 import { DemandMeter } from "@banyanspool/placement";
 import { PromptQuarantine } from "@banyanspool/quarantine";
-import { LimitTable } from "@banyanspool/replica-limits";
+import {
+  LimitTable,
+  ReplicaPermits,
+  type ReplicaPermitsOptions,
+} from "@banyanspool/replica-limits";
 import { RetryBudget } from "@banyanspool/retry";
 import { ReplicaTracker } from "@banyanspool/routing";
 import type { GatewaySettings } from "@banyanspool/settings";
@@ -11,7 +15,12 @@
   type StreamOriginsOptions,
   VersionHistory,
 } from "@banyanspool/streams";
-import { type BackendServer, type Clock, sleep } from "@banyanspool/types";
+import {
+  type BackendServer,
+  type Clock,
+  incarnationOf,
+  sleep,
+} from "@banyanspool/types";
 import { ConnectionPools } from "./connection_pools.ts";
 import type { GatewayContext } from "./context.ts";
 import { CrashWatch, tryConnect } from "./crash_watch.ts";
@@ -41,8 +50,14 @@
   readonly isServing: (server: BackendServer) => boolean;
   /** Sends a message about streams to another gateway; it may be lost. */
   readonly sendStreamMessage: StreamOriginsOptions["send"];
-  /** Called when a replica has crashed. */
-  readonly onCrash: () => void;
+  /** Whether another gateway has reported within the last few intervals. */
+  readonly isResponsive: (instance: string) => boolean;
+  /** Share of the gateways heard of in the last minute that are responsive. */
+  readonly reachableShare: () => number;
+  /** Sends a message about permits to another gateway; it may be lost. */
+  readonly sendPermitMessage: ReplicaPermitsOptions["send"];
+  /** Called when the other gateways should get a report soon. */
+  readonly onNews: () => void;
 }
 
 /** Short, so that a shift of demand is followed within seconds. */
@@ -72,12 +87,34 @@
   const budgets = new Map<string, RetryBudget>();
   const burst = () => cfg.retry_burst * RETRY_BUDGET_SHARE / liveCount();
   const quarantine = createQuarantine(options);
+  const replicaLimits = LimitTable.create({
+    clock,
+    onChange: (replica, ratePerS) => {
+      log.write("replica limit", { replica, requests_per_s: ratePerS ?? null });
+      options.onNews();
+    },
+  });
+  const replicaPermits = ReplicaPermits.create({
+    clock,
+    sleep,
+    random: Math.random,
+    instance: cfg.instance,
+    limitOf: (replica) => replicaLimits.get(replica),
+    issuersOf: (replica) => rankByDataCentre(replica, options.liveGateways()),
+    isResponsive: options.isResponsive,
+    reachableShare: options.reachableShare,
+    send: options.sendPermitMessage,
+  });
   const replicaTracker = ReplicaTracker.create({
     clock,
     random: Math.random,
     dataCentre: cfg.data_centre,
     liveEntryCount: liveCount,
     kvCapacityOf: (service) => findEngine(service)?.kvCapacityTokens,
+    permitStateOf: (server) =>
+      replicaLimits.hasLimits
+        ? replicaPermits.stateOf(incarnationOf(server))
+        : "unlimited",
   });
   return {
     clock,
@@ -85,14 +122,8 @@
     random: Math.random,
     fleet,
     replicaTracker,
-    replicaLimits: LimitTable.create({
-      clock,
-      onChange: (replica, ratePerS) =>
-        log.write("replica limit", {
-          replica,
-          requests_per_s: ratePerS ?? null,
-        }),
-    }),
+    replicaLimits,
+    replicaPermits,
     limits: SlidingWindowLimiter.create({
       clock,
       windowMs: cfg.limit_window_ms,
@@ -133,7 +164,7 @@
         quarantine.recordCrash(incarnation, parts);
         // The placement lease holder checks it, and loads its models elsewhere.
         replicaTracker.markCrashed(server.id);
-        options.onCrash();
+        options.onNews();
       },
     }),
     streamOrigins: StreamOrigins.create({
--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -28,6 +28,8 @@
   readonly sleep: Sleep;
   /** Connections to replicas. */
   readonly pools: ConnectionPools;
+  /** Waits until a call may be sent to a replica that limits its requests. */
+  readonly awaitPermit: (server: BackendServer) => Promise<void>;
   /** Called when the names available at any replica may have changed. */
   readonly onAvailableModelsChange: () => void;
   /** Structured log. */
@@ -220,7 +222,8 @@
     state: EngineState,
     order: PlacementOrder,
   ): Promise<OrderOutcome | "lease lost"> {
-    const { lease, holder, pools, log, metrics } = this.#options;
+    const { lease, holder, pools, log, metrics, awaitPermit } = this.#options;
+    await awaitPermit(state.server);
     if (!lease.held || !this.#isCurrent(state)) return "lease lost";
     const { fencingToken } = lease;
     const expectedOrders = state.acceptedOrderCount;
@@ -299,7 +302,8 @@
   async #readReport(
     { server }: EngineState,
   ): Promise<Result<EngineReport, string>> {
-    const { pools, metrics } = this.#options;
+    const { pools, metrics, awaitPermit } = this.#options;
+    await awaitPermit(server);
     const read = await readEngineReport(server, pools.forReplica(server).pool);
     metrics.reportReads.inc({ outcome: read.ok ? "ok" : "failed" });
     return read;
--- a/packages/gateway/src/engine_controller_test.ts
+++ b/packages/gateway/src/engine_controller_test.ts
@@ -19,6 +19,12 @@
     pools.closeAllExcept([]);
     replica.close();
   });
+  let permit = Promise.resolve();
+  const withholdPermit = () => {
+    let grant = () => {};
+    permit = new Promise((resolve) => grant = resolve);
+    return grant;
+  };
   const lease = { held: true, fencingToken: 1, term: 1 };
   let onAvailable = () => {};
   const isAvailable = new Promise<void>((resolve) => onAvailable = resolve);
@@ -28,6 +34,7 @@
     clock: createSystemClock(),
     sleep,
     pools,
+    awaitPermit: () => permit,
     onAvailableModelsChange: () => onAvailable(),
     log: LOG,
     metrics: GatewayMetrics.create(),
@@ -46,7 +53,7 @@
   const follow = () => controller.follow(new Map([["i-1", server]]));
   follow();
   await isAvailable;
-  return { replica, lease, controller, follow };
+  return { replica, lease, controller, follow, withholdPermit };
 }
 
 test("an unanswered order is repeated at once with the same order count, before a report is read", async (t) => {
@@ -105,3 +112,27 @@
   t.deepEqual([...controller.listUnsettledReplicas()], []);
   controller.clear();
 });
+
+// Orders and reads of reports came on top of the requests that a limit allows.
+test("an order and a read of a report wait for the permit of a replica with a limit", async (t) => {
+  const { replica, lease, controller, withholdPermit } = await startController(
+    t,
+  );
+  const state = controller.get("i-1")!;
+  replica.engineCalls.length = 0;
+  const load = { operation: "load", model: "m1", adapter: "a1" } as const;
+  let grant = withholdPermit();
+  const ordered = controller.order(state, load);
+  const resynced = controller.resync(state);
+  await sleep(600);
+  t.deepEqual(replica.engineCalls, []);
+  grant();
+  t.is(await ordered, "accepted");
+  await resynced;
+  t.true(replica.engineCalls.includes("report"));
+  grant = withholdPermit();
+  const late = controller.order(state, load);
+  lease.held = false;
+  grant();
+  t.is(await late, "lease lost", "the lease is checked after the wait");
+});
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -2,6 +2,7 @@
 import type { AvailableModels } from "@banyanspool/routing";
 import { type GatewaySettings, splitAddress } from "@banyanspool/settings";
 import { createSystemClock, sleep } from "@banyanspool/types";
+import type { PermitMessage } from "@banyanspool/replica-limits";
 import type { StreamMessage } from "@banyanspool/streams";
 import type { GatewayState } from "@banyanspool/wire";
 import type { GatewayContext } from "./context.ts";
@@ -10,6 +11,11 @@
 import { FleetDemandTable } from "./fleet_demand.ts";
 import type { RankedGateway } from "./gateway_ranking.ts";
 import { encodeQuarantineReport } from "./quarantine_codec.ts";
+import {
+  decodePermitMessage,
+  encodePermitMessage,
+  encodeReplicaLimits,
+} from "./replica_limit_codec.ts";
 import { PlacementHolder } from "./placement_holder.ts";
 import type { FleetDemand } from "./placement_models.ts";
 import {
@@ -105,8 +111,12 @@
       buildReport: () => this.#buildReport(),
       buildPeerReport: (peer) => this.#buildPeerReport(peer),
       onState: (state) => this.#applyPeerState(state),
-      onStreamMessage: (instance, message) =>
-        ctx.streamOrigins.receive(instance, message),
+      onMessage: (instance, { streamMessage, permitMessage }) => {
+        if (streamMessage) ctx.streamOrigins.receive(instance, streamMessage);
+        if (!permitMessage) return;
+        const message = decodePermitMessage(permitMessage);
+        ctx.replicaPermits.receive(instance, message);
+      },
       onDatagram: (direction) => ctx.metrics.datagrams.inc({ direction }),
     });
     ctx.waitingRequests.onFirstWaiting = () => this.#notifyLeaseHolder();
@@ -125,7 +135,33 @@
 
   /** Sends a message about streams to another gateway; it may be lost. */
   sendStreamMessage(instance: string, message: StreamMessage): void {
-    this.#peers.sendStreamMessage(instance, message);
+    this.#peers.sendMessage(instance, {
+      streamMessage: {
+        $typeName: "banyanspool.v1.StreamMessage",
+        origins: message.origins.map((origin) => ({
+          $typeName: "banyanspool.v1.StreamOrigin",
+          ...origin,
+        })),
+        queries: [...message.queries],
+      },
+    });
+  }
+
+  /** Sends a message about permits to another gateway; it may be lost. */
+  sendPermitMessage(instance: string, message: PermitMessage): void {
+    this.#peers.sendMessage(instance, {
+      permitMessage: encodePermitMessage(message),
+    });
+  }
+
+  /** Whether another gateway has reported within the last few intervals. */
+  isResponsive(instance: string): boolean {
+    return this.#peers.isResponsive(instance);
+  }
+
+  /** Share of the gateways heard of in the last minute that are responsive. */
+  get reachableShare(): number {
+    return this.#peers.reachableShare;
   }
 
   /** Number of live gateways, including this one. */
@@ -223,18 +259,26 @@
     );
   }
 
-  /**
-   * Sends the available models to all gateways soon. Several calls before that
-   * cause one report.
-   */
+  /** Sends the available models to all gateways soon. */
   publishAvailableModels(): void {
     this.#applyOwnAvailableModels();
-    this.#announceSoon();
+    this.announceSoon();
   }
 
-  /** Sends all gateways soon what this gateway knows of a replica's crash. */
-  publishCrash(): void {
-    this.#announceSoon();
+  /**
+   * Sends a report to all gateways soon, as it has news. Several calls before
+   * that cause one report.
+   */
+  announceSoon(): void {
+    if (this.#isAnnouncePending) return;
+    this.#isAnnouncePending = true;
+    const gapMs = MIN_ANNOUNCE_GAP_MS +
+      ANNOUNCE_GAP_PER_PEER_MS * this.#peers.peers.length;
+    const dueInMs = this.#announcedAt + gapMs - this.#options.ctx.clock.now();
+    setTimeout(() => {
+      this.#isAnnouncePending = false;
+      if (!this.#isClosed) this.announce();
+    }, Math.max(0, dueInMs));
   }
 
   /** Sends all gateways a replica change that this gateway was first to read. */
@@ -248,19 +292,7 @@
       CHANGE_REPEATS * this.#peers.intervalMs,
     );
     this.#recentChanges.push({ change, until: now + repeatMs });
-    this.#announceSoon();
-  }
-
-  #announceSoon(): void {
-    if (this.#isAnnouncePending) return;
-    this.#isAnnouncePending = true;
-    const gapMs = MIN_ANNOUNCE_GAP_MS +
-      ANNOUNCE_GAP_PER_PEER_MS * this.#peers.peers.length;
-    const dueInMs = this.#announcedAt + gapMs - this.#options.ctx.clock.now();
-    setTimeout(() => {
-      this.#isAnnouncePending = false;
-      if (!this.#isClosed) this.announce();
-    }, Math.max(0, dueInMs));
+    this.announceSoon();
   }
 
   #applyOwnAvailableModels(): void {
@@ -402,6 +434,7 @@
         windowTokens: BigInt(Math.round(inWindow)),
       })),
       ...encodeQuarantineReport(ctx.quarantine.report()),
+      ...encodeReplicaLimits(ctx.replicaLimits.report()),
       demand: [],
       streamNeeds: [],
       knownFencingToken: this.#knownModels.fencingToken,
@@ -431,9 +464,10 @@
         ]),
       ),
     });
+    ctx.replicaLimits.applyReport(state.replicaLimits);
     if (ctx.quarantine.applyReport(state)) {
       // This gateway may be able to clear parts that were in flight.
-      this.#announceSoon();
+      this.announceSoon();
     }
     for (const id of state.suspected) {
       this.#options.engineController.checkSuspected(id);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -117,7 +117,11 @@
           listed.id === id && listed.startedAt === startedAt &&
           !listed.draining
         ),
-      onCrash: () => this.#exchange.publishCrash(),
+      isResponsive: (instance) => this.#exchange.isResponsive(instance),
+      reachableShare: () => this.#exchange.reachableShare,
+      sendPermitMessage: (instance, message) =>
+        this.#exchange.sendPermitMessage(instance, message),
+      onNews: () => this.#exchange.announceSoon(),
     });
     const engineController = EngineController.create({
       lease: this.#lease,
@@ -125,6 +129,8 @@
       clock,
       sleep,
       pools: this.#ctx.pools,
+      awaitPermit: (server) =>
+        this.#ctx.replicaPermits.wait(incarnationOf(server)),
       onAvailableModelsChange: () => this.#exchange.publishAvailableModels(),
       log,
       metrics,
@@ -333,10 +339,11 @@
   }
 
   #applyReplicaList(): void {
-    const { replicaTracker, replicaLimits, versionHistory, pools, fleet } =
-      this.#ctx;
+    const { replicaTracker, versionHistory, pools, fleet } = this.#ctx;
     const { replicas } = this.#registry;
-    replicaLimits.retain(new Set(replicas.map(incarnationOf)));
+    const incarnations = new Set(replicas.map(incarnationOf));
+    this.#ctx.replicaLimits.retain(incarnations);
+    this.#ctx.replicaPermits.retain(incarnations);
     replicaTracker.updateServers(replicas);
     versionHistory.update(replicas);
     pools.closeAllExcept(replicas);
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -1,7 +1,6 @@
 import { createSocket, type Socket } from "node:dgram";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { EventLog } from "@banyanspool/logger";
-import type { StreamMessage } from "@banyanspool/streams";
 import type { Clock } from "@banyanspool/types";
 import { type GatewayState, GatewayStateSchema } from "@banyanspool/wire";
 
@@ -25,7 +24,13 @@
   | "instance"
   | "incarnation"
   | "sequence"
-  | "streamMessage"
+  | keyof GatewayMessage
+>;
+
+/** A message to one gateway, which isn't repeated like a report. */
+export type GatewayMessage = Pick<
+  GatewayState,
+  "streamMessage" | "permitMessage"
 >;
 
 /** Options of {@link PeerExchange.create}. */
@@ -50,8 +55,8 @@
   ) => Partial<GatewayReport> | undefined;
   /** Called with each report of a peer that is newer than its previous one. */
   readonly onState: (state: GatewayState) => void;
-  /** Called with each message of a peer about streams. */
-  readonly onStreamMessage: (instance: string, message: StreamMessage) => void;
+  /** Called with each message of a peer. */
+  readonly onMessage: (instance: string, message: GatewayMessage) => void;
   /** Called for each datagram; `unreadable` if one can't be decoded. */
   readonly onDatagram: (direction: "sent" | "received" | "unreadable") => void;
 }
@@ -74,6 +79,9 @@
 const INTERVAL_PER_PEER_MS = 10;
 /** A peer counts as lost after this time without a report, in ms. */
 const LOST_AFTER_MS = 3000;
+/** A peer is unresponsive after this number of intervals without a report. */
+const SILENT_INTERVALS = 4;
+const MIN_SILENT_MS = 500;
 /**
  * A peer is removed after this time without a report, in ms; it is added again
  * while the member table has a row for it.
@@ -186,20 +194,46 @@
     this.#send(this.#withPeerReport(bytes, instance), peer.host);
   }
 
-  /** Sends a message about streams to one peer; it may be lost. */
-  sendStreamMessage(instance: string, message: StreamMessage): void {
+  /** Sends a message to one peer; it may be lost. */
+  sendMessage(instance: string, message: GatewayMessage): void {
     const peer = this.#peers.get(instance);
     if (!peer) return;
     const state = create(GatewayStateSchema, {
+      ...message,
       instance: this.#options.instance,
-      streamMessage: {
-        origins: message.origins.map(({ id, version }) => ({ id, version })),
-        queries: [...message.queries],
-      },
     });
     this.#send(toBinary(GatewayStateSchema, state), peer.host);
   }
 
+  /** Whether a peer has reported within the last few intervals. */
+  isResponsive(instance: string): boolean {
+    const peer = this.#peers.get(instance);
+    return peer !== undefined && this.#isResponsive(peer);
+  }
+
+  /**
+   * Share of the gateways that were heard of since they last expired, including
+   * this one, that are responsive.
+   */
+  get reachableShare(): number {
+    let heard = 1;
+    let responsive = 1;
+    for (const peer of this.#peers.values()) {
+      if (peer.lastReceivedAt === -Infinity) continue;
+      heard += 1;
+      if (this.#isResponsive(peer)) responsive += 1;
+    }
+    return responsive / heard;
+  }
+
+  #isResponsive({ lastReceivedAt }: PeerState): boolean {
+    const silentMs = this.#options.clock.now() - lastReceivedAt;
+    return silentMs < Math.min(
+      LOST_AFTER_MS,
+      Math.max(MIN_SILENT_MS, SILENT_INTERVALS * this.intervalMs),
+    );
+  }
+
   /** Interval between two periodic reports to all peers, in ms. */
   get intervalMs(): number {
     return BASE_INTERVAL_MS + INTERVAL_PER_PEER_MS * this.#peers.size;
@@ -258,8 +292,8 @@
     }
     onDatagram("received");
     if (state.instance === this.#options.instance) return;
-    if (state.streamMessage) {
-      this.#options.onStreamMessage(state.instance, state.streamMessage);
+    if (state.streamMessage || state.permitMessage) {
+      this.#options.onMessage(state.instance, state);
       return;
     }
     const known = this.#peers.get(state.instance);
--- a/packages/gateway/src/peer_exchange_test.ts
+++ b/packages/gateway/src/peer_exchange_test.ts
@@ -18,7 +18,7 @@
       },
       buildPeerReport: () => undefined,
       onState: () => {},
-      onStreamMessage: () => {},
+      onMessage: () => {},
       onDatagram: () => {},
     })
   );
--- /dev/null
+++ b/packages/gateway/src/replica_limit_codec.ts
@@ -0,0 +1,63 @@
+import type {
+  LimitObservation,
+  PermitMessage,
+} from "@banyanspool/replica-limits";
+import type {
+  GatewayState,
+  PermitMessage as WirePermitMessage,
+} from "@banyanspool/wire";
+
+/** Encodes the limits that replicas named as fields of a datagram. */
+export function encodeReplicaLimits(
+  observations: readonly LimitObservation[],
+): Pick<GatewayState, "replicaLimits"> {
+  return {
+    replicaLimits: observations.map(({ replica, ratePerS, ageMs }) => ({
+      $typeName: "banyanspool.v1.ReplicaLimit",
+      replica,
+      ratePerS,
+      ageMs: Math.round(ageMs),
+    })),
+  };
+}
+
+/** Encodes a message about permits as a field of a datagram. */
+export function encodePermitMessage(
+  { queries, answers }: PermitMessage,
+): WirePermitMessage {
+  return {
+    $typeName: "banyanspool.v1.PermitMessage",
+    queries: queries.map(({ id, replica, ratePerS, permitClass }) => ({
+      $typeName: "banyanspool.v1.PermitQuery",
+      id,
+      replica,
+      ratePerS,
+      spare: permitClass === "spare",
+    })),
+    answers: answers.map(({ id, result }) => ({
+      $typeName: "banyanspool.v1.PermitAnswer",
+      id,
+      retryInMs: result.granted ? undefined : Math.ceil(result.retryInMs),
+    })),
+  };
+}
+
+/** Decodes a message about permits. */
+export function decodePermitMessage(
+  { queries, answers }: WirePermitMessage,
+): PermitMessage {
+  return {
+    queries: queries.map(({ id, replica, ratePerS, spare }) => ({
+      id,
+      replica,
+      ratePerS,
+      permitClass: spare ? "spare" : "any",
+    })),
+    answers: answers.map(({ id, retryInMs }) => ({
+      id,
+      result: retryInMs === undefined
+        ? { granted: true }
+        : { granted: false, retryInMs },
+    })),
+  };
+}
--- a/packages/replica-limits/src/limit_table.ts
+++ b/packages/replica-limits/src/limit_table.ts
@@ -5,7 +5,7 @@
   /** Incarnation of the replica. */
   readonly replica: string;
   /** Requests a second; undefined once the replica no longer names a limit. */
-  readonly ratePerS: number | undefined;
+  readonly ratePerS?: number;
   /** Time since the observation, in ms. */
   readonly ageMs: number;
 }
@@ -62,6 +62,14 @@
     return this.#entries.get(replica)?.ratePerS;
   }
 
+  /** Whether any replica has a limit. */
+  get hasLimits(): boolean {
+    for (const { ratePerS } of this.#entries.values()) {
+      if (ratePerS !== undefined) return true;
+    }
+    return false;
+  }
+
   /** Records what a response to this gateway tells. */
   record({ replica, ratePerS, sentAt }: LimitNotice): void {
     const known = this.#entries.get(replica);
--- a/packages/replica-limits/src/mod.ts
+++ b/packages/replica-limits/src/mod.ts
@@ -10,3 +10,12 @@
   LimitObservation,
   LimitTableOptions,
 } from "./limit_table.ts";
+export type { PermitClass, PermitResult } from "./permit_bucket.ts";
+export { ReplicaPermits } from "./replica_permits.ts";
+export type {
+  PermitAnswer,
+  PermitMessage,
+  PermitQuery,
+  PermitState,
+  ReplicaPermitsOptions,
+} from "./replica_permits.ts";
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -26,6 +26,7 @@
   ReplicaSelection,
   ReplicaTrackerOptions,
   SelectionRequest,
+  SelectOptions,
   TrackedRequest,
 } from "./replica_tracker.ts";
 export { RouteTable } from "./route_table.ts";
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -4,6 +4,7 @@
   PromptPart,
   Random,
 } from "@banyanspool/types";
+import type { PermitClass, PermitState } from "@banyanspool/replica-limits";
 import { OutlierDetector } from "./outlier_detector.ts";
 import { PrefixHistory } from "./prefix_history.ts";
 import { rankByAffinity } from "./affinity.ts";
@@ -53,6 +54,8 @@
   readonly uncachedTokens: number;
   /** Requests in flight at the replica, from all entries. */
   readonly inFlight: number;
+  /** Permit that the request needs; undefined if the replica has no limit. */
+  readonly permit?: PermitClass;
 }
 
 /** A request in flight at a replica, for its sender to mark its progress. */
@@ -75,6 +78,16 @@
   readonly liveEntryCount: () => number;
   /** Tokens that the KV cache of a service's replicas can hold, if known. */
   readonly kvCapacityOf: (service: string) => number | undefined;
+  /** What a replica that limits its requests takes now. */
+  readonly permitStateOf: (server: BackendServer) => PermitState;
+}
+
+/** Which of the candidates are compared. */
+export interface SelectOptions {
+  /** Whether all are, instead of a sample if there are many entries. */
+  readonly compareAll?: boolean;
+  /** Whether only those with a limit are, up to their last permit. */
+  readonly onlyLimited?: boolean;
 }
 
 interface InFlightRequest extends RequestLoad {
@@ -327,8 +340,34 @@
     return false;
   }
 
-  /** Replicas that can be sent a request now; ejected ones only if all are. */
+  /**
+   * Replicas that can be sent a request now; ejected ones only if all are. The
+   * last permits of replicas with a limit are reserved for requests that no other
+   * replica can serve.
+   */
   candidates(request: SelectionRequest): BackendServer[] {
+    const { permitStateOf } = this.#options;
+    const usable = this.usable(request)
+      .filter((server) => permitStateOf(server) !== "exhausted");
+    const notEjected = usable.filter(({ service, id }) =>
+      !this.outliers.isEjected(service, id)
+    );
+    const candidates = notEjected.length > 0 ? notEjected : usable;
+    const unreserved = candidates.filter((server) =>
+      permitStateOf(server) !== "reserved"
+    );
+    return unreserved.length > 0 ? unreserved : candidates;
+  }
+
+  /** Replicas that could serve a request if their limits allowed it now. */
+  exhausted(request: SelectionRequest): BackendServer[] {
+    return this.usable(request).filter((server) =>
+      this.#options.permitStateOf(server) === "exhausted"
+    );
+  }
+
+  /** Replicas that can serve a request, whether or not their limits allow it. */
+  usable(request: SelectionRequest): BackendServer[] {
     const name = formatModelName(request);
     const now = this.#options.clock.now();
     const usable: BackendServer[] = [];
@@ -339,21 +378,22 @@
       if (name !== undefined && !this.isAvailable(server, name)) continue;
       usable.push(server);
     }
-    const notEjected = usable.filter(({ service, id }) =>
-      !this.outliers.isEjected(service, id)
-    );
-    return notEjected.length > 0 ? notEjected : usable;
+    return usable;
   }
 
-  /**
-   * Selects the replica with the least cost; undefined if there is none. Many
-   * entries compare a sample only, unless `compareAll` is set.
-   */
+  /** Selects the replica with the least cost; undefined if there is none. */
   select(
     request: SelectionRequest,
-    { compareAll = false }: { compareAll?: boolean } = {},
+    { compareAll = false, onlyLimited = false }: SelectOptions = {},
   ): ReplicaSelection | undefined {
-    const candidates = this.candidates(request);
+    const { permitStateOf } = this.#options;
+    const isLimited = (server: BackendServer) =>
+      permitStateOf(server) !== "unlimited";
+    const candidates = onlyLimited
+      ? this.usable(request).filter((server) =>
+        isLimited(server) && permitStateOf(server) !== "exhausted"
+      )
+      : this.candidates(request);
     const preferred = this.#preferredFor(request, candidates);
     let best: ReplicaSelection | undefined;
     let bestCost = Infinity;
@@ -371,7 +411,9 @@
       best = selection;
       bestCost = Math.min(cost, bestCost);
     }
-    return best;
+    if (!best || !isLimited(best.server)) return best;
+    const hasOther = candidates.some((server) => !isLimited(server));
+    return { ...best, permit: hasOther ? "spare" : "any" };
   }
 
   /** Returns the replicas to compare: all of them if there are few entries. */
--- a/packages/routing/src/replica_tracker_test.ts
+++ b/packages/routing/src/replica_tracker_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import type { PermitState } from "@banyanspool/replica-limits";
 import type { BackendServer } from "@banyanspool/types";
 import { ReplicaTracker, type SelectionRequest } from "./replica_tracker.ts";
 
@@ -29,7 +30,10 @@
   };
 }
 
-function createTracker(servers: BackendServer[]) {
+function createTracker(
+  servers: BackendServer[],
+  permitStates: Record<string, PermitState> = {},
+) {
   let now = 0;
   const tracker = ReplicaTracker.create({
     clock: { now: () => now, wall: () => now },
@@ -37,6 +41,7 @@
     dataCentre: "north",
     liveEntryCount: () => 1,
     kvCapacityOf: () => 200_000,
+    permitStateOf: ({ id }) => permitStates[id] ?? "unlimited",
   });
   tracker.updateServers(servers);
   return { tracker, advance: (ms: number) => now += ms };
@@ -111,6 +116,7 @@
       dataCentre: "north",
       liveEntryCount: () => entries,
       kvCapacityOf: () => 200_000,
+      permitStateOf: () => "unlimited",
     });
     tracker.updateServers(servers);
     tracker.updatePeerLoad("other", reported);
@@ -220,3 +226,42 @@
   advance(60_000);
   t.deepEqual(tracker.suspected(), []);
 });
+
+test("a request that several replicas could serve takes no reserved permit of one with a limit", (t) => {
+  const permitStates: Record<string, PermitState> = { r1: "available" };
+  const { tracker } = createTracker(
+    [server("r1"), server("r2")],
+    permitStates,
+  );
+  const busy = { excluded: new Set(["r2"]) };
+  const selected = new Set(
+    Array.from({ length: 9 }, () => {
+      const selection = tracker.select(request())!;
+      tracker.dispatch(request(), selection);
+      return `${selection.server.id} ${selection.permit}`;
+    }),
+  );
+  t.deepEqual(selected, new Set(["r2 undefined", "r1 spare"]));
+  permitStates.r1 = "reserved";
+  t.is(tracker.select(request())?.server.id, "r2");
+  t.is(tracker.select(request(busy))?.permit, "any");
+  t.is(tracker.select(request(), { onlyLimited: true })?.permit, "any");
+  permitStates.r1 = "exhausted";
+  t.is(tracker.select(request(busy)), undefined);
+  t.is(tracker.select(request(), { onlyLimited: true }), undefined);
+  t.deepEqual(tracker.exhausted(request()).map(({ id }) => id), ["r1"]);
+});
+
+test("an ejected replica serves what the limits of the others don't allow", (t) => {
+  const permitStates: Record<string, PermitState> = { r1: "exhausted" };
+  const { tracker } = createTracker(
+    [server("r1"), server("r2")],
+    permitStates,
+  );
+  for (let i = 0; i < 3; i += 1) {
+    tracker.outliers.record("pool", { replica: "r2", observation: "failure" });
+  }
+  t.is(tracker.select(request())?.server.id, "r2");
+  permitStates.r1 = "available";
+  t.is(tracker.select(request())?.server.id, "r1");
+});
--- a/packages/types/src/refusal.ts
+++ b/packages/types/src/refusal.ts
@@ -26,6 +26,7 @@
   | "prompt_quarantined"
   | "prompt_too_long"
   | "rate_exceeded"
+  | "replica_limit_reached"
   | "retry_budget_spent"
   | "route_not_found"
   | "store_unavailable"
@@ -88,6 +89,7 @@
   prompt_quarantined: 503,
   prompt_too_long: 400,
   rate_exceeded: 429,
+  replica_limit_reached: 503,
   retry_budget_spent: 503,
   route_not_found: 404,
   store_unavailable: 503,
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -78,6 +78,7 @@
   HeldModels,
   ModelDemandReport,
   ModelInFlight,
+  PermitMessage,
   ReplicaHoldings,
   ReplicaLoad,
   ServerNews,
