Placement: a model whose replicas limit their requests gets a copy elsewhere

What callers saw: requests for a model that only a replica with a named limit has were refused beyond it, although another replica had room for the model: 5 of 120 were served at 40 a second.

Cause: a copy at a replica with a limit counted like any other, and refused requests didn't reach the planner, as nobody waited for the model.

Change: refused callers count as waiting until they are due back. While some do, or another replica has a copy already, copies at replicas with a limit don't count towards those that a model needs. Nothing is loaded at such a replica unless all replicas of the service are limited, as orders count against the limit; adapters go to one only if no other replica has the model.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -101,7 +101,13 @@
         return checked;
       }
       const limitReached = refuseBeyondLimits(ctx, scope, pending);
-      if (limitReached) return err(limitReached);
+      if (limitReached) {
+        // Another replica may load the model for the caller that returns.
+        if (name !== undefined) {
+          waitingRequests.expectReturn(name, limitReached.retryAfterMs!);
+        }
+        return err(limitReached);
+      }
       const leftMs = waitUntil - clock.now();
       if (leftMs <= 0 || (name === undefined && request.excluded.size > 0)) {
         return err(refuseNoReplica(ctx, request));
--- a/packages/gateway/src/adapter_scheduler.ts
+++ b/packages/gateway/src/adapter_scheduler.ts
@@ -32,6 +32,8 @@
   readonly streamNeeds: () => readonly StreamNeed[];
   /** Whether a model is being loaded to or unloaded from a replica. */
   readonly hasMoveInProgress: (replica: string) => boolean;
+  /** Whether a replica limits its requests, of which orders are some. */
+  readonly isLimited: (server: BackendServer) => boolean;
   /** Structured log. */
   readonly log: EventLog;
 }
@@ -86,17 +88,22 @@
       demand: ReadonlyMap<string, FleetDemand>;
     },
   ): void {
-    const { engineController, clock, hasMoveInProgress } = this.#options;
+    const { engineController, clock, hasMoveInProgress, isLimited } =
+      this.#options;
     if (!name.includes("/") || this.#pendingLoads.has(name)) return;
     const [model = ""] = name.split("/");
     if (!engine.models.has(model)) return;
-    const hosts = servers.flatMap((server) => {
+    const possibleHosts = servers.flatMap((server) => {
       const state = engineController.get(server.id);
       if (!state?.isSynced || server.draining) return [];
       if (!state.models.has(model) || state.unloading.has(model)) return [];
       if (state.isBusy || hasMoveInProgress(server.id)) return [];
       return [{ state, host: this.#describeHost(state, { engine, demand }) }];
     });
+    const unlimited = possibleHosts.filter(({ state }) =>
+      !isLimited(state.server)
+    );
+    const hosts = unlimited.length > 0 ? unlimited : possibleHosts;
     this.#lastUsed.set(name, clock.now());
     if (hosts.some(({ state }) => state.adapters.has(name))) return;
     const loadPlan = planAdapterLoad(hosts.map(({ host }) => host));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -144,6 +144,8 @@
       demand: () => this.#exchange.fleetDemand(),
       hasFleetDemand: () => this.#exchange.hasFleetDemand(),
       streamNeeds: () => this.#exchange.streamNeeds(),
+      isLimited: (server) =>
+        this.#ctx.replicaLimits.get(incarnationOf(server)) !== undefined,
       log,
     });
     this.#registry = ReplicaRegistry.create({
--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -37,6 +37,8 @@
   readonly demand: () => ReadonlyMap<string, FleetDemand>;
   /** What cut-off streams wait for at all gateways. */
   readonly streamNeeds: () => readonly StreamNeed[];
+  /** Whether a replica limits its requests, of which orders are some. */
+  readonly isLimited: (server: BackendServer) => boolean;
   /** Structured log. */
   readonly log: EventLog;
 }
@@ -116,21 +118,23 @@
       .filter(({ replica }) =>
         ids.has(replica) && this.hasMoveInProgress(replica)
       );
-    const isIdle = ({ replica }: ReplicaReport) =>
+    const limitedReplicas = this.#listLimitedReplicas(servers);
+    const mayLoad = ({ replica }: ReplicaReport) =>
       !this.hasMoveInProgress(replica) &&
-      !engineController.get(replica)!.isBusy;
-    const idle = reports.filter(isIdle);
+      !engineController.get(replica)!.isBusy &&
+      (!limitedReplicas.has(replica) ||
+        limitedReplicas.size === servers.length);
     const plan = assemblePlacementPlan({
       models: buildPlacementModels(engine, {
         demand: this.#options.demand(),
         reports,
         adaptersInUse: this.#listAdaptersInUse(reports),
+        limitedReplicas,
       }),
-      replicas: [
-        ...idle,
-        ...reports.filter((report) => !isIdle(report))
-          .map((report) => ({ ...report, memoryMib: 0 })),
-      ],
+      // Nothing fits into a replica without memory.
+      replicas: reports.map((report) =>
+        mayLoad(report) ? report : { ...report, memoryMib: 0 }
+      ),
       pendingMoves,
       keepResident: this.#listRecentlyLoaded(reports),
       inUse: this.#countRequestsInFlight(reports),
@@ -162,6 +166,11 @@
     return [...needs.values()];
   }
 
+  #listLimitedReplicas(servers: readonly BackendServer[]): Set<string> {
+    const { isLimited } = this.#options;
+    return new Set(servers.filter(isLimited).map(({ id }) => id));
+  }
+
   /** Whether the first report of a replica listed recently is still missing. */
   #isReportMissing(servers: readonly BackendServer[]): boolean {
     const { engineController, clock } = this.#options;
--- a/packages/gateway/src/placement_controller.ts
+++ b/packages/gateway/src/placement_controller.ts
@@ -24,6 +24,8 @@
   readonly demand: () => ReadonlyMap<string, FleetDemand>;
   /** What cut-off streams wait for at all gateways. */
   readonly streamNeeds: () => readonly StreamNeed[];
+  /** Whether a replica limits its requests, of which orders are some. */
+  readonly isLimited: (server: BackendServer) => boolean;
   /** Whether the demand of all gateways is known. */
   readonly hasFleetDemand: () => boolean;
   /** Structured log. */
--- a/packages/gateway/src/placement_models.ts
+++ b/packages/gateway/src/placement_models.ts
@@ -28,12 +28,14 @@
   readonly reports: readonly ReplicaReport[];
   /** Adapters that requests in flight use, as `model/adapter`. */
   readonly adaptersInUse: ReadonlySet<string>;
+  /** Ids of the replicas that limit their requests. */
+  readonly limitedReplicas: ReadonlySet<string>;
 }
 
 /** Builds the planner's models of one engine, with the demand for each. */
 export function buildPlacementModels(
   engine: EngineSpec,
-  { demand, reports, adaptersInUse }: ModelListInput,
+  { demand, reports, adaptersInUse, limitedReplicas }: ModelListInput,
 ): PlacementModel[] {
   const requiredAdapters = new Set(adaptersInUse);
   const waiting = new Map<string, number>();
@@ -58,6 +60,11 @@
         adapters: adapterCounts.get(name) ?? 0,
         adapterSlots: engine.adapterSlots,
         replicas: remaining.length,
+        limitedCopies: countLimitedCopies(name, {
+          reports: remaining,
+          limitedReplicas,
+          hasWaiting: (waiting.get(name) ?? 0) > 0,
+        }),
       }),
     })),
     remaining.length * countModelSlots(engine),
@@ -79,12 +86,33 @@
   });
 }
 
+/**
+ * Counts the copies at replicas that limit their requests, if requests for the
+ * model are refused or wait for that, or if another replica has a copy already.
+ */
+function countLimitedCopies(
+  model: string,
+  { reports, limitedReplicas, hasWaiting }: {
+    reports: readonly ReplicaReport[];
+    limitedReplicas: ReadonlySet<string>;
+    hasWaiting: boolean;
+  },
+): number {
+  const holders = reports.filter(({ readyModels }) =>
+    readyModels.includes(model)
+  );
+  const limited = holders.filter(({ replica }) => limitedReplicas.has(replica));
+  return hasWaiting || limited.length < holders.length ? limited.length : 0;
+}
+
+/** Replicas that a model needs, those that limit their requests on top. */
 function countNeededReplicas(
-  { demand, adapters, adapterSlots, replicas }: {
+  { demand, adapters, adapterSlots, replicas, limitedCopies }: {
     demand: number;
     adapters: number;
     adapterSlots: number;
     replicas: number;
+    limitedCopies: number;
   },
 ): number {
   const needed = Math.max(
@@ -92,7 +120,7 @@
     Math.ceil(demand / TARGET_BUSY_SHARE),
     Math.ceil(adapters / adapterSlots),
   );
-  return Math.min(needed, Math.max(1, replicas));
+  return Math.min(needed + limitedCopies, Math.max(1, replicas));
 }
 
 function countByModel(adapters: ReadonlySet<string>): Map<string, number> {
--- a/packages/gateway/src/replica_limit_test.ts
+++ b/packages/gateway/src/replica_limit_test.ts
@@ -34,9 +34,10 @@
 
 async function addReplica(
   fleet: FleetStandin,
-  { id, service, limitPerS, answer }: {
+  { id, service, holds = ["m1"], limitPerS, answer }: {
     id: string;
     service: "desk" | "pool";
+    holds?: readonly string[];
     limitPerS?: number;
     answer: ReplicaHandler;
   },
@@ -45,7 +46,7 @@
   const standin = await fleet.addReplica({
     id,
     service,
-    holds: service === "pool" ? ["m1"] : undefined,
+    holds: service === "pool" ? holds : undefined,
     answer: (req, res) => {
       arrivals.push(performance.now());
       if (replica.limitPerS !== undefined) {
@@ -214,3 +215,28 @@
   const responses = await sendLoad(gateways, send, 1000);
   t.is(countStatus(responses, 200), responses.length);
 });
+
+// Callers were refused although another replica had room for their model.
+test("a model that only a replica with a limit has is loaded at another one", async (t) => {
+  const fleet = await startFleet(t);
+  const limited = await addReplica(fleet, {
+    id: "i-1",
+    service: "pool",
+    limitPerS: LIMIT_PER_S,
+    answer: answerAsStream,
+  });
+  const other = await addReplica(fleet, {
+    id: "i-2",
+    service: "pool",
+    holds: ["m2"],
+    answer: answerAsStream,
+  });
+  const gateways = await startGateways(t, fleet);
+  const send = ({ send }: RunningGateway) => send("/chat/", chat("m1"));
+  await sendLoad(gateways, send, 3000);
+  const responses = await sendLoad(gateways, send, 3000);
+  t.is(countStatus(responses, 200), responses.length);
+  t.deepEqual(limited.standin.orders, []);
+  t.true(other.standin.residentModels.has("m1"));
+  isWithinLimit(t, limited);
+});
