Placement: engines without adapter slots keep their models

Found by a test of the planner's models: adapters divided by slots is not a number where both are zero, so that no model of such an engine had a minimum of replicas and all could be unloaded. The new test failed before.

--- a/packages/gateway/src/placement_models.ts
+++ b/packages/gateway/src/placement_models.ts
@@ -118,7 +118,7 @@
   const needed = Math.max(
     1,
     Math.ceil(demand / TARGET_BUSY_SHARE),
-    Math.ceil(adapters / adapterSlots),
+    Math.ceil(adapters / Math.max(1, adapterSlots)),
   );
   return Math.min(needed + limitedCopies, Math.max(1, replicas));
 }
--- a/packages/gateway/src/placement_models_test.ts
+++ b/packages/gateway/src/placement_models_test.ts
@@ -82,3 +82,14 @@
   });
   t.is(m1!.minReplicas, 2);
 });
+
+// No model kept a replica where the engines have no adapter slots.
+test("models of engines without adapter slots keep a replica each", (t) => {
+  const models = buildPlacementModels({ ...ENGINE, adapterSlots: 0 }, {
+    demand: new Map(),
+    reports: [report("r1", ["m1", "m2"]), report("r2", ["m3"])],
+    adaptersInUse: new Set(),
+    limitedReplicas: new Set(),
+  });
+  t.deepEqual(models.map(({ minReplicas }) => minReplicas), [1, 1, 1]);
+});
