Gateway: a restore of the store is logged

The logs didn't show that the store came back from a copy, so that the hypotheses of the incident on a drain after a restore couldn't be told apart. The client of the store reads the number of restores from its answers, and 'store restored' is written when it rises. No decision uses it yet.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -90,6 +90,7 @@
       address: cfg.store_address,
       dispatcher: this.#storePool,
       onCall: (call, outcome) => metrics.storeCalls.inc({ call, outcome }),
+      onRestored: (epoch) => log.write("store restored", { epoch }),
     });
     const fleet = FleetState.create();
     const host = splitAddress(cfg.peer_listen).host;
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -14,6 +14,8 @@
   RowPut,
   TableStore,
 } from "./platform.ts";
+export { comparePositions } from "./position.ts";
+export type { StorePosition } from "./position.ts";
 export type { StoreError } from "./errors.ts";
 export { describeStoreError } from "./errors.ts";
 export { createHttpPlatform } from "./http_platform.ts";
