Gateway: rows of the replica list are ordered across a restore of the store

Cause: lists, rows and changes were ordered by the store's version alone. After a restore versions are given out again, so that what replicas wrote was ignored as older until the versions had caught up. Class of fault: knowledge that outlives the history it came from.

Ruled out: late reads (every half second one gateway read the list), and a notice that was lost (it was in the list).

Change: positions of the store have an epoch, the number of restores that its answers name, and a version. A row of the copy that its replica wrote before the known one, by start and sequence, doesn't override it: a replica that was draining or has left stays so until it writes its row again, or until the store would have removed a silent one. After a restore missing rows get the same time to be written again as after an outage. Changes that gateways exchange carry the epoch and the sequence.

--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -60,6 +60,7 @@
     draining: false,
     softwareVersion: "v1",
     startedAt: 1,
+    sequence: 1,
     models: models.map((name) => ({ name, adapters: [] })),
   };
 }
--- a/packages/gateway/src/configuration_watch.ts
+++ b/packages/gateway/src/configuration_watch.ts
@@ -82,7 +82,7 @@
       continue;
     }
     for (const row of res.value.rows) acceptRow(row, options);
-    after = res.value.version;
+    after = res.value.position.version;
   }
 }
 
--- a/packages/gateway/src/crash_watch_test.ts
+++ b/packages/gateway/src/crash_watch_test.ts
@@ -11,6 +11,7 @@
   draining: false,
   softwareVersion: "v1",
   startedAt: 7,
+  sequence: 1,
   models: [],
 };
 
--- a/packages/gateway/src/engine_controller_test.ts
+++ b/packages/gateway/src/engine_controller_test.ts
@@ -48,6 +48,7 @@
     draining: false,
     softwareVersion: "v1",
     startedAt: 1,
+    sequence: 1,
     models: [],
   };
   const follow = () => controller.follow(new Map([["i-1", server]]));
--- a/packages/gateway/src/replica_call_test.ts
+++ b/packages/gateway/src/replica_call_test.ts
@@ -30,6 +30,7 @@
     draining: false,
     softwareVersion: "v1",
     startedAt: 1,
+    sequence: 1,
     models: [],
   };
 }
--- a/packages/gateway/src/replica_change_codec.ts
+++ b/packages/gateway/src/replica_change_codec.ts
@@ -3,34 +3,39 @@
 
 /** Converts a replica change to the message that gateways exchange. */
 export function encodeReplicaChange(change: ReplicaChange): ServerNews {
+  const { server, position } = change;
+  const { id, startedAt, sequence } = server;
+  const common = {
+    $typeName: "banyanspool.v1.ServerNews",
+    id,
+    startedAt: BigInt(startedAt),
+    sequence: BigInt(sequence),
+    version: BigInt(position.version),
+    epoch: position.epoch,
+  } as const;
   if (change.kind === "gone") {
     return {
-      $typeName: "banyanspool.v1.ServerNews",
-      id: change.id,
-      version: BigInt(change.version),
+      ...common,
       gone: true,
       service: "",
       address: "",
       dataCentre: "",
       slots: 0,
       leaving: true,
-      startedAt: 0n,
       softwareVersion: "",
     };
   }
-  const { server, version } = change.listed;
+  const { service, address, dataCentre, slots, draining, softwareVersion } =
+    change.server;
   return {
-    $typeName: "banyanspool.v1.ServerNews",
-    id: server.id,
-    version: BigInt(version),
+    ...common,
     gone: false,
-    service: server.service,
-    address: server.address,
-    dataCentre: server.dataCentre,
-    slots: server.slots,
-    leaving: server.draining,
-    startedAt: BigInt(server.startedAt),
-    softwareVersion: server.softwareVersion,
+    service,
+    address,
+    dataCentre,
+    slots,
+    leaving: draining,
+    softwareVersion,
   };
 }
 
@@ -39,11 +44,15 @@
  * the placement lease holder reports them.
  */
 export function decodeReplicaChange(message: ServerNews): ReplicaChange {
-  const version = Number(message.version);
-  if (message.gone) return { kind: "gone", id: message.id, version };
-  const { id, service, address, dataCentre, slots, leaving, softwareVersion } =
-    message;
+  const { id, epoch } = message;
+  const position = { epoch, version: Number(message.version) };
   const startedAt = Number(message.startedAt);
+  const sequence = Number(message.sequence);
+  if (message.gone) {
+    return { kind: "gone", server: { id, startedAt, sequence }, position };
+  }
+  const { service, address, dataCentre, slots, leaving, softwareVersion } =
+    message;
   const server = {
     id,
     service,
@@ -53,7 +62,8 @@
     draining: leaving,
     softwareVersion,
     startedAt,
+    sequence,
     models: [],
   };
-  return { kind: "listed", listed: { server, version } };
+  return { kind: "listed", server, position };
 }
--- a/packages/gateway/src/replica_registry_test.ts
+++ b/packages/gateway/src/replica_registry_test.ts
@@ -1,12 +1,18 @@
 import test from "ava";
+import type { StorePosition } from "@banyanspool/platform";
 import type { BackendServer } from "@banyanspool/types";
 import { type ReplicaChange, ReplicaRegistry } from "./replica_registry.ts";
 
 const SILENT_LOG = { write: () => {}, dropped: () => 0, flush: () => {} };
 
+/** Position of a version of the store, by default before any restore. */
+function at(version: number, epoch = 1): StorePosition {
+  return { epoch, version };
+}
+
 function listed(
   id: string,
-  version = 1,
+  position: number | StorePosition = 1,
   options: Partial<BackendServer> = {},
 ) {
   const server: BackendServer = {
@@ -18,10 +24,14 @@
     draining: false,
     softwareVersion: "v1",
     startedAt: 1,
+    sequence: 1,
     models: [],
     ...options,
   };
-  return { server, version };
+  return {
+    server,
+    position: typeof position === "number" ? at(position) : position,
+  };
 }
 
 function createRegistry() {
@@ -36,47 +46,174 @@
 
 test("a replica that is missing from the list is removed at once", (t) => {
   const { registry, changes, ids } = createRegistry();
-  registry.applyList([listed("a"), listed("b")], { version: 5, now: 0 });
-  registry.applyList([listed("a")], { version: 6, now: 1000 });
+  registry.applyList([listed("a"), listed("b")], { position: at(5), now: 0 });
+  registry.applyList([listed("a")], { position: at(6), now: 1000 });
   t.deepEqual(ids(), ["a"]);
-  t.deepEqual(changes.at(-1), { kind: "gone", id: "b", version: 6 });
+  const server = { id: "b", startedAt: 1, sequence: 1 };
+  t.deepEqual(changes.at(-1), { kind: "gone", server, position: at(6) });
 });
 
 test("a replica missing after a store outage is kept until its row can be written again", (t) => {
   const { registry, ids } = createRegistry();
-  registry.applyList([listed("a"), listed("b")], { version: 5, now: 0 });
+  registry.applyList([listed("a"), listed("b")], { position: at(5), now: 0 });
   registry.recordReadFailure();
-  registry.applyList([listed("a")], { version: 6, now: 5000 });
+  registry.applyList([listed("a")], { position: at(6), now: 5000 });
   t.deepEqual(ids(), ["a", "b"]);
-  registry.applyList([listed("a")], { version: 7, now: 7400 });
+  registry.applyList([listed("a")], { position: at(7), now: 7400 });
   t.deepEqual(ids(), ["a", "b"]);
-  registry.applyList([listed("a")], { version: 8, now: 7600 });
+  registry.applyList([listed("a")], { position: at(8), now: 7600 });
   t.deepEqual(ids(), ["a"]);
 });
 
 test("another gateway's change is applied at once, and an older change is ignored", (t) => {
   const { registry, ids } = createRegistry();
-  registry.applyList([listed("a", 3)], { version: 5, now: 0 });
+  registry.applyList([listed("a", 3)], { position: at(5), now: 0 });
   const draining = listed("a", 7, { draining: true });
-  t.true(registry.applyPeerChange({ kind: "listed", listed: draining }));
+  t.true(registry.applyPeerChange({ kind: "listed", ...draining }));
   t.true(registry.replicas[0]!.draining);
-  registry.applyList([listed("a", 3)], { version: 6, now: 100 });
+  registry.applyList([listed("a", 3)], { position: at(6), now: 100 });
   t.true(registry.replicas[0]!.draining, "the list was read before the change");
-  t.true(registry.applyPeerChange({ kind: "gone", id: "a", version: 9 }));
-  t.false(registry.applyPeerChange({ kind: "listed", listed: draining }));
+  const { server } = draining;
+  t.true(registry.applyPeerChange({ kind: "gone", server, position: at(9) }));
+  t.false(registry.applyPeerChange({ kind: "listed", ...draining }));
   t.deepEqual(ids(), []);
 });
 
 test("a list older than the last one changes nothing", (t) => {
   const { registry, ids } = createRegistry();
-  registry.applyList([listed("a"), listed("b", 8)], { version: 9, now: 0 });
-  registry.applyList([listed("a")], { version: 4, now: 1000 });
+  registry.applyList([listed("a"), listed("b", 8)], {
+    position: at(9),
+    now: 0,
+  });
+  registry.applyList([listed("a")], { position: at(4), now: 1000 });
   t.deepEqual(ids(), ["a", "b"]);
 });
 
 test("a heartbeat isn't reported as a change", (t) => {
   const { registry, changes } = createRegistry();
-  registry.applyList([listed("a", 1)], { version: 1, now: 0 });
-  registry.applyList([listed("a", 2)], { version: 2, now: 1000 });
+  registry.applyList([listed("a", 1)], { position: at(1), now: 0 });
+  registry.applyList([listed("a", 2)], { position: at(2), now: 1000 });
   t.is(changes.length, 1);
 });
+
+// A drain after a restore was ignored until versions had caught up.
+test("rows that are written after the store was restored count, whatever their versions", (t) => {
+  const { registry, ids } = createRegistry();
+  registry.applyList([listed("a", 90), listed("b", 80)], {
+    position: at(96),
+    now: 0,
+  });
+  const draining = listed("a", at(76, 2), { draining: true, sequence: 2 });
+  registry.applyList([draining, listed("b", 70)], {
+    position: at(77, 2),
+    now: 1000,
+  });
+  t.deepEqual(registry.replicas.map(({ draining }) => draining), [true, false]);
+  registry.applyList([listed("b", at(70, 2))], {
+    position: at(80, 2),
+    now: 4000,
+  });
+  t.deepEqual(ids(), ["b"]);
+  registry.applyList([listed("a", 97), listed("b", 80)], {
+    position: at(99),
+    now: 4100,
+  });
+  t.deepEqual(ids(), ["b"], "a late answer from before the restore");
+});
+
+// The copy names replicas as they were seconds before.
+test("what a replica wrote before the copy was taken doesn't undo what it wrote later", (t) => {
+  const { registry, ids } = createRegistry();
+  registry.applyList(
+    [
+      listed("a", 90, { draining: true, sequence: 7 }),
+      listed("b", 91, { startedAt: 500, sequence: 1 }),
+    ],
+    { position: at(96), now: 0 },
+  );
+  registry.applyList(
+    [
+      listed("a", at(60, 2), { sequence: 3 }),
+      listed("b", at(61, 2), { startedAt: 100, sequence: 40 }),
+    ],
+    { position: at(77, 2), now: 1000 },
+  );
+  t.true(registry.replicas[0]!.draining);
+  t.is(registry.replicas[1]!.startedAt, 500);
+  registry.applyList([listed("a", at(78, 2), { sequence: 1 })], {
+    position: at(78, 2),
+    now: 1500,
+  });
+  t.false(registry.replicas[0]!.draining, "written again after the restore");
+  t.deepEqual(ids(), ["a", "b"], "the row may be written again");
+});
+
+// A replica that had left came back with the copy and got requests.
+test("a replica that left isn't used again because the copy still names it", (t) => {
+  const { registry, ids } = createRegistry();
+  registry.applyList([listed("a", 50), listed("b", 60)], {
+    position: at(70),
+    now: 0,
+  });
+  registry.applyList([listed("b", 60)], { position: at(90), now: 1000 });
+  const both = [listed("a", at(50, 2)), listed("b", at(60, 2))];
+  registry.applyList(both, { position: at(75, 2), now: 3000 });
+  t.deepEqual(ids(), ["b"]);
+  registry.applyList(both, { position: at(79, 2), now: 7000 });
+  t.deepEqual(ids(), ["b"]);
+  registry.applyList(both, { position: at(85, 2), now: 9000 });
+  t.deepEqual(ids(), ["b", "a"], "the store would have expired a silent one");
+});
+
+test("a replica that left is back at once when it writes its row after the restore", (t) => {
+  const { registry, ids } = createRegistry();
+  registry.applyList([listed("a", 50, { sequence: 9 })], {
+    position: at(70),
+    now: 0,
+  });
+  registry.applyList([], { position: at(90), now: 1000 });
+  registry.applyList([listed("a", at(50, 2), { sequence: 9 })], {
+    position: at(75, 2),
+    now: 3000,
+  });
+  t.deepEqual(ids(), []);
+  registry.applyList([listed("a", at(76, 2), { sequence: 12 })], {
+    position: at(76, 2),
+    now: 3500,
+  });
+  t.deepEqual(ids(), ["a"]);
+});
+
+test("another gateway's news of a replica that left holds against the copy", (t) => {
+  const { registry, ids } = createRegistry();
+  const before = listed("a", at(50, 2));
+  registry.applyList([before], { position: at(75, 2), now: 0 });
+  const { server } = before;
+  t.true(registry.applyPeerChange({ kind: "gone", server, position: at(90) }));
+  t.deepEqual(ids(), []);
+  const later = listed("b", at(60, 2), { sequence: 8 });
+  registry.applyList([later], { position: at(76, 2), now: 100 });
+  const gone = listed("b", 55).server;
+  t.false(
+    registry.applyPeerChange({ kind: "gone", server: gone, position: at(91) }),
+    "it has written its row since",
+  );
+});
+
+test("a replica that the copy doesn't have yet is kept until its row can be written again", (t) => {
+  const { registry, ids } = createRegistry();
+  registry.applyList([listed("a", 50), listed("b", 90)], {
+    position: at(95),
+    now: 0,
+  });
+  registry.applyList([listed("a", at(50, 2))], {
+    position: at(75, 2),
+    now: 3000,
+  });
+  t.deepEqual(ids(), ["a", "b"]);
+  registry.applyList([listed("a", at(50, 2))], {
+    position: at(80, 2),
+    now: 5600,
+  });
+  t.deepEqual(ids(), ["a"]);
+});
--- a/packages/gateway/src/replica_watch.ts
+++ b/packages/gateway/src/replica_watch.ts
@@ -61,14 +61,14 @@
     }
     health.recordSuccess();
     backoff.reset();
-    const listed = res.value.rows.flatMap((row) => {
+    const { rows, position } = res.value;
+    const { epoch } = position;
+    const listed = rows.flatMap((row) => {
       const server = decodeBackendServer(row);
-      return server ? [{ server, version: row.version }] : [];
-    });
-    registry.applyList(listed, {
-      version: res.value.version,
-      now: clock.now(),
+      const { version } = row;
+      return server ? [{ server, position: { epoch, version } }] : [];
     });
+    registry.applyList(listed, { position, now: clock.now() });
     onRead();
     readSchedule.recordOwnRead(startedAt);
     while (!signal.aborted && readSchedule.dueInMs > 0) {
--- /dev/null
+++ b/packages/gateway/src/restored_store_test.ts
@@ -0,0 +1,40 @@
+import { setTimeout as delay } from "node:timers/promises";
+import type { FleetStandin } from "@banyanspool/platform-adapter/testing";
+import test from "ava";
+import { startFleet, startGateway } from "./testing/running_gateway.ts";
+
+/** Time within which gateways act on what the store acknowledged, in ms. */
+const APPLY_MS = 2000;
+
+/** Writes rows of no meaning, so that the store's version rises. */
+function raiseVersion({ store }: FleetStandin, writes: number): void {
+  for (let i = 0; i < writes; i += 1) store.put("other", "row", i);
+}
+
+// Gateways ignored the row of a draining replica whose version was lower.
+test("a replica that drains after the store was restored gets no new requests", async (t) => {
+  const fleet = await startFleet(t);
+  const copy = fleet.store.version;
+  const replicas = await Promise.all(
+    ["i-1", "i-2"].map((id) => fleet.addReplica({ id, service: "desk" })),
+  );
+  raiseVersion(fleet, 500);
+  for (const [i, replica] of replicas.entries()) {
+    fleet.setReplicaRow(`i-${i + 1}`, replica.row());
+  }
+  const { send } = await startGateway(t, fleet);
+  fleet.store.restore(copy);
+  for (const [i, replica] of replicas.entries()) {
+    fleet.setReplicaRow(`i-${i + 1}`, replica.row());
+  }
+  await delay(500);
+  const [draining] = replicas;
+  fleet.setReplicaRow("i-1", {
+    ...draining!.row("draining") as object,
+    seq: 2,
+  });
+  await delay(APPLY_MS);
+  const before = draining!.executedRequests.length;
+  for (let i = 0; i < 20; i += 1) t.is((await send("/look/")).status, 200);
+  t.is(draining!.executedRequests.length, before);
+});
--- a/packages/routing/src/replica_tracker_test.ts
+++ b/packages/routing/src/replica_tracker_test.ts
@@ -13,6 +13,7 @@
     draining: false,
     softwareVersion: "v1",
     startedAt: 1,
+    sequence: 1,
     models: [{ name: "m", adapters: ["a1"] }],
     ...options,
   };
--- a/packages/types/src/gateway.ts
+++ b/packages/types/src/gateway.ts
@@ -151,6 +151,8 @@
   readonly softwareVersion: string;
   /** Unix time of its start, in ms; a new value means that it restarted. */
   readonly startedAt: number;
+  /** Rises with each time that it writes its row, within one run. */
+  readonly sequence: number;
   /** Models that were resident when it wrote its row. */
   readonly models: readonly ResidentModel[];
 }
@@ -160,6 +162,17 @@
   return `${id} ${startedAt}`;
 }
 
+/** Whether a row of a replica was written before another row of the same one. */
+export function isEarlierRow(
+  row: Pick<BackendServer, "startedAt" | "sequence">,
+  other: Pick<BackendServer, "startedAt" | "sequence">,
+): boolean {
+  if (row.startedAt !== other.startedAt) {
+    return row.startedAt < other.startedAt;
+  }
+  return row.sequence < other.sequence;
+}
+
 /** A part of a prompt whose prefix cache requests may share. */
 export interface PromptPart {
   /** Id of the part. */
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -43,6 +43,6 @@
   ServiceSpec,
   TrafficShare,
 } from "./gateway.ts";
-export { incarnationOf } from "./gateway.ts";
+export { incarnationOf, isEarlierRow } from "./gateway.ts";
 export { err, ok } from "./result.ts";
 export type { Err, Ok, Result } from "./result.ts";
