Gateway: a change of the configuration right after a restore is not missed

What callers would see: a route that was added, or a key that was withdrawn, right after the store came back from a copy is not active until the next change.

Cause: the call that waits for changes names the version after which they count. If it goes on across the restore, or the versions have caught up before the next call, the store has no reason to answer that the history is gone, and the change's version is not after the one named.

Change: the call names a position, and an answer of another epoch counts as lost history, so that the table is read whole.

--- a/packages/gateway/src/configuration_watch.ts
+++ b/packages/gateway/src/configuration_watch.ts
@@ -7,7 +7,7 @@
   type StoredRow,
 } from "@banyanspool/platform-adapter";
 import type { EventLog } from "@banyanspool/logger";
-import type { StoreError } from "@banyanspool/platform";
+import type { StoreError, StorePosition } from "@banyanspool/platform";
 import type {
   FleetConfiguration,
   Random,
@@ -55,7 +55,7 @@
   signal: AbortSignal,
 ): Promise<void> {
   const { store, sleep, log, random } = options;
-  let after: number | undefined;
+  let after: StorePosition | undefined;
   const health = StoreHealth.create(log, CONFIGURATION_TABLE);
   const backoff = StoreBackoff.create({ random });
   while (!signal.aborted) {
@@ -77,12 +77,16 @@
     health.recordSuccess();
     backoff.reset();
     if ("kind" in res.value && res.value.kind === "historyLost") {
-      log.write("store history lost", { table: CONFIGURATION_TABLE, after });
+      log.write("store history lost", {
+        table: CONFIGURATION_TABLE,
+        after: after?.version,
+        epoch: after?.epoch,
+      });
       after = undefined;
       continue;
     }
     for (const row of res.value.rows) acceptRow(row, options);
-    after = res.value.position.version;
+    after = res.value.position;
   }
 }
 
@@ -94,7 +98,7 @@
 
 async function waitForChange(
   options: ConfigurationWatchOptions,
-  after: number,
+  after: StorePosition,
 ): Promise<Result<Changes, StoreError> | "kicked"> {
   const waitMs = Math.min(
     MAX_WAIT_MS,
--- a/packages/gateway/src/restored_store_test.ts
+++ b/packages/gateway/src/restored_store_test.ts
@@ -38,3 +38,18 @@
   for (let i = 0; i < 20; i += 1) t.is((await send("/look/")).status, 200);
   t.is(draining!.executedRequests.length, before);
 });
+
+// The change was not among those after the version that the gateways knew.
+test("a configuration that is accepted right after a restore is active everywhere in time", async (t) => {
+  const fleet = await startFleet(t);
+  await fleet.addReplica({ id: "i-1", service: "desk" });
+  const copy = fleet.store.version;
+  const { send } = await startGateway(t, fleet);
+  raiseVersion(fleet, 50);
+  await delay(300);
+  // The calls that wait for a change go on, and its version is lower than theirs.
+  fleet.store.restore(copy, { keepWaits: true });
+  fleet.configure({ version: 2, keys: ["another"] });
+  await delay(APPLY_MS);
+  t.is((await send("/look/")).status, 401);
+});
