Lease: fencing tokens only rise, and one process holds it, across restores of the store

Cause: the token was the count in the lease's row, and the row alone told who holds the lease. A copy from before the change names the former holder, with its token: it finds its own name and goes on at once, beside the later one, or counts the same tokens up again. A copy from before the first holder has no row at all. And versions are given out again, so that a write on the condition of a version can meet the row of another process.

Change: the row names the epoch in which it was written, and tokens of a new epoch begin above all earlier ones. Until the row has been written in the new epoch, only a process that holds the lease by its own clock goes on; all others wait for the take-over time, whomever the copy names, also after a release. A write that is answered in another epoch doesn't count as a renewal. A missing row stands for a lost one, except at the first start of the whole system.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -102,6 +102,7 @@
       takeoverMs: cfg.lease_ms * TAKEOVER_SHARE,
       clock: createSuspendAwareClock(),
       rivalClock: clock,
+      isFirstStart: cfg.first_start,
     });
     this.#ctx = createContext({
       cfg,
--- a/packages/limits/src/testing/limiter_cluster.ts
+++ b/packages/limits/src/testing/limiter_cluster.ts
@@ -180,6 +180,7 @@
     const read = <T>(call: () => Promise<T>) =>
       this.tableDelivery === "lost" ? Promise.resolve(lost) : call();
     return {
+      epoch: () => table.epoch(),
       get: (key) => read(() => table.get(key)),
       scan: (prefix) => read(() => table.scan(prefix)),
       commit: async (request) => {
--- a/packages/platform/src/http_platform.ts
+++ b/packages/platform/src/http_platform.ts
@@ -19,6 +19,7 @@
   const call = createCaller(options);
   return {
     table: {
+      epoch: () => 0,
       get: async (key) => {
         const res = await call<{ row: Row | null }>("/table/get", { key });
         return res.ok ? ok(res.value.row ?? undefined) : res;
--- a/packages/platform/src/lease.ts
+++ b/packages/platform/src/lease.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@banyanspool/types";
-import type { TableStore } from "./platform.ts";
+import type { Row, TableStore } from "./platform.ts";
+import { comparePositions, type StorePosition } from "./position.ts";
 
 /** Options of {@link Lease.create}. */
 export interface LeaseOptions {
@@ -23,15 +24,30 @@
    * the lease; it must not run fast. `clock` by default.
    */
   readonly rivalClock?: Clock;
+  /**
+   * Whether no process can have held the lease before this one was started, so
+   * that a missing row has not been lost in a restore; true by default.
+   */
+  readonly isFirstStart?: boolean;
 }
 
 /** Value of a row's `holder` after its lease was released. */
 const RELEASED = "";
+/** Fencing tokens of each epoch begin above those of the ones before. */
+const TOKENS_PER_EPOCH = 1_000_000;
 
 interface LeaseRow {
   readonly holder: string;
   readonly fencingToken: number;
   readonly renewal: number;
+  /** Epoch in which the holder wrote the row; 0 if absent. */
+  readonly epoch?: number;
+}
+
+interface LeaseRead {
+  readonly epoch: number;
+  readonly row: Row | undefined;
+  readonly current: LeaseRow | undefined;
 }
 
 /**
@@ -39,6 +55,11 @@
  * are never compared: the holder counts the duration from before it sent the
  * renewal, and another process takes over only after it has itself seen the row
  * unchanged for the take-over time.
+ *
+ * When the table was restored from a copy, the row of the last holder may be lost.
+ * Until the row has been written in the new epoch, only a process that holds the
+ * lease by its own clock goes on; all others wait for the take-over time, even if
+ * the copy names them. Tokens of a new epoch are higher than all before.
  */
 export class Lease {
   readonly #options: LeaseOptions;
@@ -52,8 +73,8 @@
    * flight, after a failed one, and where the service returned no version.
    */
   #written: { row: LeaseRow; version: number } | undefined;
-  #observedVersion = -1;
-  #observedAt = 0;
+  #firstEpoch: number | undefined;
+  #observed: { position: StorePosition; since: number } | undefined;
 
   private constructor(options: LeaseOptions) {
     this.#options = options;
@@ -73,7 +94,7 @@
 
   /**
    * Fencing token of the last time that this process held the lease; 0 before
-   * the first. It rises with each change of holder.
+   * the first. It rises with each change of holder and each restore.
    */
   get fencingToken(): number {
     return this.#fencingToken;
@@ -90,38 +111,69 @@
   /** Renews or acquires the lease. Returns whether it is held. */
   async renew(): Promise<boolean> {
     if (this.held && this.#written) return await this.#renewWritten();
-    const { table, key, holder, clock, durationMs } = this.#options;
+    const { holder, clock, durationMs } = this.#options;
     const takeoverMs = this.#options.takeoverMs ?? durationMs * 2;
     const requestedAt = clock.now();
     const releases = this.#releases;
-    const read = await table.get(key);
-    if (!read.ok) return this.held;
-    const row = read.value;
-    const current = row && JSON.parse(row.value) as LeaseRow;
-    if (row && current?.holder !== holder) {
+    const read = await this.#read();
+    if (!read) return this.held;
+    const { epoch, row, current } = read;
+    const position = { epoch, version: row?.version ?? 0 };
+    const mayHideHolder = this.#mayHideHolder(read);
+    if (mayHideHolder) {
+      const isDue = this.held || this.#isTakeoverDue(position, takeoverMs);
+      if (!isDue) return false;
+    } else if (current && current.holder !== holder) {
       this.#heldSince = undefined;
       // After a release the former holder no longer uses the lease, so the
       // wait is shorter by the lease's duration.
-      const waitMs = current?.holder === RELEASED
+      const waitMs = current.holder === RELEASED
         ? takeoverMs - durationMs
         : takeoverMs;
-      if (!this.#isTakeoverDue(row.version, waitMs)) return false;
+      if (!this.#isTakeoverDue(position, waitMs)) return false;
     }
-    const fencingToken = current?.holder === holder
-      ? current.fencingToken
-      : (current?.fencingToken ?? 0) + 1;
+    const isOwnRow = !mayHideHolder && current?.holder === holder;
+    const highestToken = Math.max(
+      current?.fencingToken ?? 0,
+      epoch * TOKENS_PER_EPOCH,
+    );
     const next: LeaseRow = {
       holder,
-      fencingToken,
+      fencingToken: isOwnRow ? current.fencingToken : highestToken + 1,
       renewal: (current?.renewal ?? 0) + 1,
+      epoch,
     };
     return await this.#write(next, {
-      version: row?.version ?? 0,
+      version: position.version,
       requestedAt,
       releases,
     });
   }
 
+  /** Reads the row; undefined if the table failed or was restored meanwhile. */
+  async #read(): Promise<LeaseRead | undefined> {
+    const { table, key } = this.#options;
+    // The epoch is known only after the first answer.
+    for (let attempt = 0; attempt < 2; attempt += 1) {
+      const before = table.epoch();
+      const read = await table.get(key);
+      if (!read.ok) return undefined;
+      const epoch = table.epoch();
+      if (epoch !== before) continue;
+      this.#firstEpoch ??= epoch;
+      const row = read.value;
+      return { epoch, row, current: row && JSON.parse(row.value) as LeaseRow };
+    }
+    return undefined;
+  }
+
+  /** Whether the row of another holder may have been lost in a restore. */
+  #mayHideHolder({ epoch, current }: LeaseRead): boolean {
+    if (current) return (current.epoch ?? 0) < epoch;
+    const { isFirstStart = true } = this.#options;
+    return epoch > 0 && (!isFirstStart || epoch !== this.#firstEpoch);
+  }
+
   /**
    * Renews without reading the row first; fails if another process wrote it.
    */
@@ -147,9 +199,11 @@
       checks: [{ key, version }],
       puts: [{ key, value: JSON.stringify(next) }],
     });
-    // The write may have taken effect although its response was lost:
-    // `#written` stays undefined, so the next renewal reads the row first.
-    if (!result.ok || releases !== this.#releases) return this.held;
+    // The write may have taken effect although its response was lost, or may
+    // have met a row of another epoch with the same version: `#written` stays
+    // undefined, so the next renewal reads the row first.
+    const isKnown = result.ok && table.epoch() === (next.epoch ?? 0);
+    if (!isKnown || releases !== this.#releases) return this.held;
     if (result.value.kind === "conflict") {
       this.#heldSince = undefined;
       return false;
@@ -166,8 +220,9 @@
   /**
    * Releases the lease if the row names this process, also after the lease has
    * lapsed, so that others need not wait for the take-over time. The fencing
-   * token stays in the row. Returns false if the row could not be read or
-   * written, or has changed meanwhile, so that the release has to be repeated.
+   * token stays in the row, as does its epoch: a copy that names this process may
+   * hide a later holder. Returns false if the row could not be read or written, or
+   * has changed meanwhile, so that the release has to be repeated.
    */
   async release(): Promise<boolean> {
     if (this.#fencingToken === 0) return true;
@@ -187,13 +242,15 @@
     return result.ok && result.value.kind !== "conflict";
   }
 
-  #isTakeoverDue(version: number, afterMs: number): boolean {
+  #isTakeoverDue(position: StorePosition, afterMs: number): boolean {
     const now = (this.#options.rivalClock ?? this.#options.clock).now();
-    if (version !== this.#observedVersion) {
-      this.#observedVersion = version;
-      this.#observedAt = now;
+    if (
+      !this.#observed ||
+      comparePositions(position, this.#observed.position) !== 0
+    ) {
+      this.#observed = { position, since: now };
       return false;
     }
-    return now - this.#observedAt >= afterMs;
+    return now - this.#observed.since >= afterMs;
   }
 }
--- a/packages/platform/src/lease_test.ts
+++ b/packages/platform/src/lease_test.ts
@@ -148,6 +148,7 @@
   let deliver = () => {};
   let isDelayed = false;
   const table: TableStore = {
+    epoch: () => platform.table.epoch(),
     get: (key) => platform.table.get(key),
     scan: (prefix) => platform.table.scan(prefix),
     commit: async (transaction) => {
@@ -175,3 +176,111 @@
   t.false(await renewal);
   t.false(lease.held, "another process may take the released lease");
 });
+
+type RestoreStep =
+  | { readonly kind: "renew"; readonly index: number }
+  | { readonly kind: "advance"; readonly ms: number }
+  | { readonly kind: "copy" }
+  | { readonly kind: "restore"; readonly during: "now" | "next write" };
+
+/**
+ * Plays steps with two processes that order something whenever they hold the
+ * lease. Returns what a replica that saw all orders would object to.
+ */
+async function playRestores(
+  steps: readonly RestoreStep[],
+): Promise<string | undefined> {
+  const state = { now: 0 };
+  const platform = MemoryPlatform.create();
+  let copy = platform.copyTable();
+  let isRestoreDue = false;
+  const restoreIfDue = () => {
+    if (isRestoreDue) platform.restoreTable(copy);
+    isRestoreDue = false;
+  };
+  const table: TableStore = {
+    ...platform.table,
+    commit: (request) => {
+      restoreIfDue();
+      return platform.table.commit(request);
+    },
+  };
+  const clock = { now: () => state.now, wall: () => state.now };
+  const leases = ["a", "b"].map((holder) =>
+    Lease.create({
+      table,
+      key: "duty",
+      holder,
+      durationMs: 600,
+      takeoverMs: 850,
+      clock,
+      isFirstStart: false,
+    })
+  );
+  let last = { holder: -1, token: -1 };
+  for (const step of steps) {
+    if (step.kind === "renew") await leases[step.index]!.renew();
+    if (step.kind === "advance") state.now += step.ms;
+    if (step.kind === "copy") copy = platform.copyTable();
+    if (step.kind === "restore") {
+      isRestoreDue = true;
+      if (step.during === "now") restoreIfDue();
+    }
+    const holders = [0, 1].filter((index) => leases[index]!.held);
+    if (holders.length > 1) return "two processes hold the lease";
+    for (const holder of holders) {
+      const token = leases[holder]!.fencingToken;
+      if (token < last.token) return `token ${token} after ${last.token}`;
+      if (token === last.token && holder !== last.holder) {
+        return `two holders with token ${token}`;
+      }
+      last = { holder, token };
+    }
+  }
+  return undefined;
+}
+
+// Fencing tokens went back with the row that the lease was kept in.
+test("a restore of the table around a change of the holder leaves tokens that only rise", async (t) => {
+  const renewAll = [0, 1].map((index) => ({ kind: "renew" as const, index }));
+  const steps: RestoreStep[] = [
+    { kind: "renew", index: 0 },
+    { kind: "copy" },
+    { kind: "renew", index: 1 },
+    { kind: "advance", ms: 900 },
+    { kind: "renew", index: 1 },
+    { kind: "advance", ms: 300 },
+    { kind: "restore", during: "now" },
+    ...renewAll,
+    { kind: "advance", ms: 900 },
+    ...renewAll,
+    { kind: "advance", ms: 900 },
+    ...renewAll,
+  ];
+  t.is(await playRestores(steps), undefined);
+});
+
+test("no interleaving of renewals and restores gives two holders or a token that goes back", async (t) => {
+  const step = fc.oneof(
+    fc.integer({ min: 0, max: 1 }).map((index) => ({
+      kind: "renew" as const,
+      index,
+    })),
+    fc.constantFrom(100, 300, 700, 900).map((ms) => ({
+      kind: "advance" as const,
+      ms,
+    })),
+    fc.constant({ kind: "copy" as const }),
+    fc.constantFrom("now" as const, "next write" as const).map((during) => ({
+      kind: "restore" as const,
+      during,
+    })),
+  );
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(step, { maxLength: 40 }),
+      async (steps) => t.is(await playRestores(steps), undefined),
+    ),
+    { seed: SEED, numRuns: RUNS },
+  );
+});
--- a/packages/platform/src/memory_platform.ts
+++ b/packages/platform/src/memory_platform.ts
@@ -16,6 +16,9 @@
  */
 export type PlatformFault = "none" | "down" | "loseAnswers";
 
+/** A copy of the table's rows, to restore it from. */
+export type TableCopy = ReadonlyMap<string, Row>;
+
 /** In-memory platform services, for tests and stand-ins. */
 export class MemoryPlatform implements Platform {
   /** Table service. */
@@ -31,10 +34,12 @@
   /** Number of calls so far. */
   readonly calls: { reads: number; writes: number } = { reads: 0, writes: 0 };
   readonly #rows: Map<string, Row> = new Map();
+  #epoch = 0;
   readonly #objects: Map<string, string> = new Map();
 
   private constructor() {
     this.table = {
+      epoch: () => this.#epoch,
       get: (key) => this.#read(() => this.#rows.get(key)),
       scan: (prefix) => this.#read(() => this.#scan(prefix)),
       commit: (request) => this.#write(() => this.#commit(request)),
@@ -58,6 +63,18 @@
     return new MemoryPlatform();
   }
 
+  /** Copies the table. */
+  copyTable(): TableCopy {
+    return new Map(this.#rows);
+  }
+
+  /** Restores the table from a copy; what was written since is lost. */
+  restoreTable(copy: TableCopy): void {
+    this.#epoch += 1;
+    this.#rows.clear();
+    for (const [key, row] of copy) this.#rows.set(key, row);
+  }
+
   #read<T>(read: () => T): Promise<Result<T, StoreError>> {
     this.calls.reads += 1;
     if (this.fault === "down") return Promise.resolve(STORE_DOWN);
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -21,6 +21,6 @@
 export { createHttpPlatform } from "./http_platform.ts";
 export type { HttpPlatformOptions } from "./http_platform.ts";
 export { MemoryPlatform } from "./memory_platform.ts";
-export type { PlatformFault } from "./memory_platform.ts";
+export type { PlatformFault, TableCopy } from "./memory_platform.ts";
 export { Lease } from "./lease.ts";
 export type { LeaseOptions } from "./lease.ts";
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -46,6 +46,12 @@
 
 /** The platform's transactional table service. */
 export interface TableStore {
+  /**
+   * Number of times that the service was restored from a copy, as of its last
+   * answer; 0 if it doesn't count them. What was written since the copy is lost,
+   * and versions are given out again.
+   */
+  epoch(): number;
   /** Reads one row; undefined if it does not exist. */
   get(key: string): Promise<Result<Row | undefined, StoreError>>;
   /** Reads all rows whose key starts with the prefix, in key order. */
