Gateway: its row in the member table is written again after a restore

What callers would see: a gateway that starts after the store came back from a copy doesn't find the gateways whose rows the copy lacks for up to half a minute, in which each takes its share of the organisations' limits for the whole.

Cause: a gateway wrote its row once. A restore that lost it was not noticed.

Change: each read of the table compares the own row, and a restore of the store causes a read. A stopping gateway, which removes its row, doesn't write it again.

Result: the new test failed before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -72,6 +72,7 @@
   readonly #registry: ReplicaRegistry;
   readonly #readSchedule: ListReadSchedule;
   readonly #newerVersionSignal: ChangeSignal = ChangeSignal.create();
+  readonly #restoredSignal: ChangeSignal = ChangeSignal.create();
   readonly #servers: Server[] = [];
   #isClosed = false;
 
@@ -90,7 +91,10 @@
       address: cfg.store_address,
       dispatcher: this.#storePool,
       onCall: (call, outcome) => metrics.storeCalls.inc({ call, outcome }),
-      onRestored: (epoch) => log.write("store restored", { epoch }),
+      onRestored: (epoch) => {
+        log.write("store restored", { epoch });
+        this.#restoredSignal.notify();
+      },
     });
     const fleet = FleetState.create();
     const host = splitAddress(cfg.peer_listen).host;
@@ -303,7 +307,8 @@
           store,
           instance: cfg.instance,
           host: splitAddress(cfg.peer_listen).host,
-          sleep,
+          isStopping: () => fleet.isStopping,
+          restoredSignal: this.#restoredSignal,
           log,
           onMember: (instance, host) => this.#exchange.addPeer(instance, host),
         }, signal),
--- a/packages/gateway/src/member_table.ts
+++ b/packages/gateway/src/member_table.ts
@@ -1,7 +1,7 @@
 import type { StoreClient } from "@banyanspool/platform-adapter";
 import type { EventLog } from "@banyanspool/logger";
-import type { Sleep } from "@banyanspool/types";
 import * as z from "zod";
+import type { ChangeSignal } from "./change_signal.ts";
 
 /** Options of {@link maintainMembership}. */
 export interface MembershipOptions {
@@ -11,8 +11,10 @@
   readonly instance: string;
   /** IP address of this gateway. */
   readonly host: string;
-  /** Sleep function; rejects when its signal is aborted. */
-  readonly sleep: Sleep;
+  /** Whether a graceful stop has begun, in which the row is removed. */
+  readonly isStopping: () => boolean;
+  /** Notified when the store was restored, which may have lost the rows. */
+  readonly restoredSignal: ChangeSignal;
   /** Structured log. */
   readonly log: EventLog;
   /** Called with each other gateway that has a row, at every read. */
@@ -39,19 +41,14 @@
   options: MembershipOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { sleep } = options;
-  let isWritten = false;
-  let readsAfterWrite = 0;
+  const { instance, host, isStopping, restoredSignal } = options;
   while (!signal.aborted) {
-    const rows = await readMembers(options);
-    if (rows && isWritten) readsAfterWrite += 1;
-    if (rows && !isWritten) isWritten = await writeOwnRow(options, rows);
-    const waitMs = !isWritten
-      ? RETRY_MS
-      : readsAfterWrite > 0
-      ? READ_INTERVAL_MS
-      : SECOND_READ_MS;
-    await sleep(waitMs, signal).catch(() => {});
+    const hosts = await readMembers(options);
+    let waitMs = RETRY_MS;
+    if (isStopping() || hosts?.get(instance) === host) {
+      waitMs = READ_INTERVAL_MS;
+    } else if (hosts && await writeOwnRow(options)) waitMs = SECOND_READ_MS;
+    await restoredSignal.wait(waitMs, signal);
   }
 }
 
@@ -67,31 +64,26 @@
   });
 }
 
-interface MemberRows {
-  readonly ownHost?: string;
-}
-
+/** Reads the hosts by instance; undefined if the store failed. */
 async function readMembers(
   { store, instance, onMember }: MembershipOptions,
-): Promise<MemberRows | undefined> {
+): Promise<ReadonlyMap<string, string> | undefined> {
   const read = await store.readTable(MEMBER_TABLE);
   // The store client has counted the failure; the next round retries.
   if (!read.ok) return undefined;
-  let ownHost: string | undefined;
+  const hosts = new Map<string, string>();
   for (const row of read.value.rows) {
     const host = decodeHost(row.text);
     if (host === undefined) continue;
-    if (row.key === instance) ownHost = host;
-    else onMember(row.key, host);
+    hosts.set(row.key, host);
+    if (row.key !== instance) onMember(row.key, host);
   }
-  return { ownHost };
+  return hosts;
 }
 
 async function writeOwnRow(
   { store, instance, host, log }: MembershipOptions,
-  { ownHost }: MemberRows,
 ): Promise<boolean> {
-  if (ownHost === host) return true;
   const res = await store.commit({
     table: MEMBER_TABLE,
     expected: [],
--- a/packages/gateway/src/restored_store_test.ts
+++ b/packages/gateway/src/restored_store_test.ts
@@ -1,7 +1,11 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { FleetStandin } from "@banyanspool/platform-adapter/testing";
 import test from "ava";
-import { startFleet, startGateway } from "./testing/running_gateway.ts";
+import {
+  startFleet,
+  startGateway,
+  waitFor,
+} from "./testing/running_gateway.ts";
 
 /** Time within which gateways act on what the store acknowledged, in ms. */
 const APPLY_MS = 2000;
@@ -53,3 +57,16 @@
   await delay(APPLY_MS);
   t.is((await send("/look/")).status, 401);
 });
+
+// A gateway that started later didn't find the others for half a minute.
+test("the row by which gateways find each other is written again after a restore", async (t) => {
+  const fleet = await startFleet(t);
+  await fleet.addReplica({ id: "i-1", service: "desk" });
+  const copy = fleet.store.version;
+  await startGateway(t, fleet);
+  const members = () => fleet.store.keys("banyanspool_members");
+  await waitFor(() => members().length === 1);
+  fleet.store.restore(copy);
+  t.deepEqual(members(), []);
+  await waitFor(() => members().length === 1);
+});
