Tests: a stream that a loss of all gateways cut off is not joined from two versions

Reported from a similar system: after a kill of all gateways, streams that were taken up again were joined from an old software version and the next one. It doesn't happen here: a record of a stream's version is lost with all gateways, and a stream without one is refused; a gateway that isn't the first of the whole system knows no single version for half a minute. Shown by tests with two versions serving and with the old one gone, which fail if the restarted gateways claim to be the first.

--- a/packages/gateway/src/stream_version_test.ts
+++ b/packages/gateway/src/stream_version_test.ts
@@ -136,6 +136,42 @@
   }
 });
 
+// Streams were joined from two versions after all gateways had been killed.
+for (const hasLeft of [true, false]) {
+  const versions = hasLeft ? "its version has left" : "two versions serve";
+  test(`a stream that was cut off by a restart of all gateways is refused when ${versions}`, async (t) => {
+    const fleet = await startFleet(t);
+    for (const id of ["i-1", "i-2"]) {
+      await addReplica(fleet, { id, version: "v1" });
+    }
+    const port = await findFreePort();
+    const hosts = ["127.0.0.1", "127.0.0.2"];
+    const killed = await Promise.all(
+      hosts.map((host) => startGateway(t, fleet, { host, port })),
+    );
+    const { headers, ...request } = chat("m1");
+    const began = await killed[0]!.send("/chat/", {
+      ...request,
+      headers: { ...headers, "request-id": "began-before" },
+    });
+    t.deepEqual(versionsIn(began.body), ["v1"]);
+    await addReplica(fleet, { id: "i-3", version: "v2", cutsOff: false });
+    for (const { gateway } of killed) await gateway.closeNow();
+    if (hasLeft) {
+      for (const id of ["i-1", "i-2"]) fleet.setReplicaRow(id, undefined);
+    }
+    for (const host of hosts) {
+      const options = { host, port, isFirstStart: false };
+      const { send } = await startGateway(t, fleet, options);
+      for (const attempt of ["began-before", undefined]) {
+        const refused = await send("/chat/", resume(attempt));
+        t.is(refused.status, 503);
+        t.is(JSON.parse(refused.body).error.code, "stream_origin_unknown");
+      }
+    }
+  });
+}
+
 // A stream whose replica had crashed found no other one of its version with its
 // model, although one of that version served.
 test("the model and adapter of a stream whose replica crashed are loaded at one of its version", async (t) => {
--- a/packages/gateway/src/testing/running_gateway.ts
+++ b/packages/gateway/src/testing/running_gateway.ts
@@ -81,9 +81,9 @@
 export async function startGateway(
   t: ExecutionContext,
   fleet: FleetStandin,
-  options: { host?: string; port?: number } = {},
+  options: { host?: string; port?: number; isFirstStart?: boolean } = {},
 ): Promise<RunningGateway> {
-  const { host = "127.0.0.1" } = options;
+  const { host = "127.0.0.1", isFirstStart = true } = options;
   const port = options.port ?? await findFreePort(host);
   const gateway = await Gateway.create({
     cfg: {
@@ -94,7 +94,7 @@
       peer_listen: `${host}:${port + 2}`,
       metrics_listen: `${host}:${port + 3}`,
       store_address: fleet.store.address,
-      first_start: true,
+      first_start: isFirstStart,
       grace_ms: 4000,
       lease_ms: 1000,
       retry_ratio: 0.2,
