Gateway: a stream without a record goes on where only one version can have begun it

What callers saw: after a loss of its record, a stream that was taken up again was refused although its service had run a single software version for as long as streams may be taken up. The new test failed before.

A single version counts as certain only while the list is confirmed, by an own read or by a gateway that has read it and knows the same one, and was so for the whole time: a gateway that was cut off may have missed a version. Until now a stream whose caller names no attempt could go on at a version that such a gateway remembered. A test in packages/streams failed before.

--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -499,22 +499,23 @@
   }
 
   #applyReplicaChanges(state: GatewayState): void {
-    const { registry, readSchedule, onReplicaChange } = this.#options;
+    const { registry, readSchedule, onReplicaChange, ctx } = this.#options;
     let hasChanged = false;
     for (const news of state.news) {
       if (registry.applyPeerChange(decodeReplicaChange(news))) {
         hasChanged = true;
       }
     }
+    if (hasChanged) onReplicaChange();
     if (state.listAgeMs !== undefined) {
       readSchedule.recordPeerRead(state.listAgeMs);
       if (state.listDigest === registry.digest) {
         readSchedule.recordEqualList(state.listAgeMs);
+        ctx.versionHistory.confirm({ ageMs: state.listAgeMs });
       } else {
         readSchedule.recordDifferentList(state.listAgeMs);
       }
     }
-    if (hasChanged) onReplicaChange();
   }
 
   #applyAvailableModels(state: GatewayState): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -296,6 +296,7 @@
             fleet.hasReplicaList = true;
             this.#ctx.replicaTracker.recordListRead();
             this.#applyReplicaList();
+            this.#ctx.versionHistory.confirm({ ageMs: 0 });
           },
         }, signal),
     });
--- a/packages/gateway/src/stream_version.ts
+++ b/packages/gateway/src/stream_version.ts
@@ -17,9 +17,10 @@
   if (route.retrySafety !== "resumable" || lastEventId === undefined) {
     return ok(undefined);
   }
-  const version = resumedAttempt === undefined
-    ? ctx.versionHistory.onlyVersion(service)
+  const recorded = resumedAttempt === undefined
+    ? undefined
     : await ctx.streamOrigins.find(resumedAttempt, signal);
+  const version = recorded ?? ctx.versionHistory.onlyVersion(service);
   ctx.metrics.resumptions.inc({
     outcome: version === undefined ? "unknown" : "found",
   });
--- a/packages/gateway/src/stream_version_test.ts
+++ b/packages/gateway/src/stream_version_test.ts
@@ -197,12 +197,15 @@
   }
 });
 
-test("a stream without a named attempt goes on where only one version has served", async (t) => {
+// A stream whose record was lost was refused although no other version had served.
+test("a stream without a record goes on where only one version has served", async (t) => {
   const fleet = await startFleet(t);
   await addReplica(fleet, { id: "i-1", version: "v1" });
   const { send } = await startGateway(t, fleet);
-  const res = await send("/chat/", resume(undefined));
-  t.is(res.status, 200);
+  for (const attempt of [undefined, "never-seen"]) {
+    const res = await send("/chat/", resume(attempt));
+    t.is(res.status, 200);
+  }
 });
 
 // A replica that had restarted with another version was taken for the one listed.
--- a/packages/streams/src/version_history.ts
+++ b/packages/streams/src/version_history.ts
@@ -10,15 +10,24 @@
   readonly windowMs: number;
 }
 
+/**
+ * Time between two confirmations of the list in which a version may have come and
+ * gone, in ms; a shorter stay is not expected.
+ */
+const MAX_UNCONFIRMED_MS = 2000;
+
 /** The software versions that the replicas of each service ran lately. */
 export class VersionHistory {
   readonly #options: VersionHistoryOptions;
   /** When each version was last listed, by service. */
   readonly #lastListedAt: Map<string, Map<string, number>> = new Map();
-  #observedSince: number | undefined;
+  /** Since when the list has been confirmed without a gap. */
+  #observedSince: number;
+  #confirmedAt = -Infinity;
 
   private constructor(options: VersionHistoryOptions) {
     this.#options = options;
+    this.#observedSince = options.isFirstStart ? -Infinity : Infinity;
   }
 
   /** Creates a history without observations. */
@@ -28,9 +37,8 @@
 
   /** Records the replicas that are listed now. */
   update(servers: Iterable<BackendServer>): void {
-    const { clock, isFirstStart, windowMs } = this.#options;
+    const { clock, windowMs } = this.#options;
     const now = clock.now();
-    this.#observedSince ??= isFirstStart ? -Infinity : now;
     for (const { service, softwareVersion } of servers) {
       const versions = this.#lastListedAt.get(service) ?? new Map();
       this.#lastListedAt.set(service, versions.set(softwareVersion, now));
@@ -43,14 +51,25 @@
     }
   }
 
+  /** Records that the replicas known here were all that were listed then. */
+  confirm({ ageMs }: { ageMs: number }): void {
+    const at = this.#options.clock.now() - ageMs;
+    if (at <= this.#confirmedAt) return;
+    const isFirst = this.#confirmedAt === -Infinity;
+    const hasGap = !isFirst && at - this.#confirmedAt > MAX_UNCONFIRMED_MS;
+    if (hasGap || this.#observedSince === Infinity) this.#observedSince = at;
+    this.#confirmedAt = at;
+  }
+
   /**
    * The only version that can have begun a stream that is taken up now;
    * undefined if there are several, or if this process may have missed one.
    */
   onlyVersion(service: string): string | undefined {
     const { clock, windowMs } = this.#options;
-    const observedSince = this.#observedSince ?? Infinity;
-    if (clock.now() - observedSince < windowMs) return undefined;
+    const now = clock.now();
+    if (now - this.#confirmedAt > MAX_UNCONFIRMED_MS) return undefined;
+    if (now - this.#observedSince < windowMs) return undefined;
     const versions = this.#lastListedAt.get(service);
     if (versions?.size !== 1) return undefined;
     return versions.keys().next().value;
--- a/packages/streams/src/version_history_test.ts
+++ b/packages/streams/src/version_history_test.ts
@@ -9,13 +9,23 @@
     isFirstStart,
     windowMs: 30_000,
   });
-  const list = (...versions: string[]) =>
+  const list = (...versions: string[]) => {
     history.update(
       versions.map((softwareVersion) =>
         ({ service: "pool", softwareVersion }) as BackendServer
       ),
     );
-  return { history, list, advance: (ms: number) => now += ms };
+    history.confirm({ ageMs: 0 });
+  };
+  /** Passes time in which the list is confirmed every second. */
+  const advance = (ms: number) => {
+    for (let passed = 0; passed < ms; passed += 1000) {
+      now += 1000;
+      history.confirm({ ageMs: 0 });
+    }
+  };
+  const advanceUnconfirmed = (ms: number) => now += ms;
+  return { history, list, advance, advanceUnconfirmed };
 }
 
 test("a single version is certain at once only at the first start", (t) => {
@@ -42,3 +52,17 @@
   t.is(history.onlyVersion("pool"), "v2");
   t.is(history.onlyVersion("other"), undefined);
 });
+
+// A gateway that was cut off would take a stream of a version that it never saw
+// for one of the version that it knows.
+test("a single version is not certain while the list isn't confirmed, nor soon after", (t) => {
+  const { history, list, advance, advanceUnconfirmed } = createHistory(true);
+  list("v1");
+  advanceUnconfirmed(2500);
+  t.is(history.onlyVersion("pool"), undefined);
+  advanceUnconfirmed(40_000);
+  list("v2");
+  t.is(history.onlyVersion("pool"), undefined);
+  advance(30_000);
+  t.is(history.onlyVersion("pool"), "v2");
+});
