Soak: only the first process of a gateway claims the first start of the system

The settings that a gateway was started with again said, as at its first start, that no process can have run before, so that what hangs on it was not tried after a restart: the single version of resumed streams, the burst of a new process, and a missing lease row.

--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -104,6 +104,8 @@
   readonly #options: SoakFleetOptions;
   readonly #folder = mkdtempSync(join(tmpdir(), "banyanspool-soak-"));
   #ports: readonly number[] = [];
+  /** Port through which each gateway reaches the store. */
+  readonly #storePorts: number[] = [];
   #version = 1;
   #keys: readonly string[] = [STANDIN_KEY];
   #plainService = "desk";
@@ -157,6 +159,8 @@
   /** Starts a gateway's process again after it has exited. */
   async restartGateway(gateway: SoakGateway): Promise<void> {
     gateway.incarnation += 1;
+    const index = this.gateways.indexOf(gateway);
+    this.#writeSettings(index, { isFirstStart: false });
     gateway.child = await this.#startProcess(this.gateways.indexOf(gateway));
   }
 
@@ -313,10 +317,20 @@
   async #addGateway(index: number): Promise<void> {
     const host = `127.0.0.${index + 1}`;
     const storeProxy = await FaultProxy.create(this.platform.store.address);
-    const settings = this.#getSettingsFile(index);
+    this.#storePorts.push(storeProxy.port);
+    this.#writeSettings(index, { isFirstStart: true });
+    const child = await this.#startProcess(index);
+    this.gateways.push({ host, storeProxy, child, incarnation: 0 });
+  }
+
+  #writeSettings(
+    index: number,
+    { isFirstStart }: { isFirstStart: boolean },
+  ): void {
+    const host = `127.0.0.${index + 1}`;
     const [caller, readiness, peer, metrics] = this.#ports;
     writeFileSync(
-      settings,
+      this.#getSettingsFile(index),
       stringify({
         instance: `gateway-${index}`,
         data_centre: "north",
@@ -324,8 +338,8 @@
         readiness_listen: `${host}:${readiness}`,
         peer_listen: `${host}:${peer}`,
         metrics_listen: `${host}:${metrics}`,
-        store_address: `127.0.0.1:${storeProxy.port}`,
-        first_start: true,
+        store_address: `127.0.0.1:${this.#storePorts[index]}`,
+        first_start: isFirstStart,
         grace_ms: GRACE_MS,
         lease_ms: 1500,
         retry_ratio: 0.2,
@@ -335,8 +349,6 @@
         limit_slack: 1000,
       }),
     );
-    const child = await this.#startProcess(index);
-    this.gateways.push({ host, storeProxy, child, incarnation: 0 });
   }
 
   #getSettingsFile(index: number): string {
