Soak: restores of the store, limits of replicas, cut datagrams, a kill of all gateways

New faults: the store comes back from a copy of up to three seconds ago, after a moment in which it is away or loses answers, with waiting calls kept or ended; all gateways are killed at one moment, right after all replicas have moved to one software version; a gateway's datagrams are dropped; a replica names a limit. New check: all gateways without faults together keep a replica's limit. Callers use more adapters than fit, so that orders go on; a drain lasts up to 4.5 s before the replica leaves, as its bound of 4 s could not be exceeded before.

New planted defects, each found: versions compared alone, fencing tokens by the lease's row alone, both, and each gateway keeping a limit on its own.

--- a/packages/gateway/src/restored_store_test.ts
+++ b/packages/gateway/src/restored_store_test.ts
@@ -33,10 +33,7 @@
   }
   await delay(500);
   const [draining] = replicas;
-  fleet.setReplicaRow("i-1", {
-    ...draining!.row("draining") as object,
-    seq: 2,
-  });
+  fleet.setReplicaRow("i-1", draining!.row("draining"));
   await delay(APPLY_MS);
   const before = draining!.executedRequests.length;
   for (let i = 0; i < 20; i += 1) t.is((await send("/look/")).status, 200);
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -30,7 +30,17 @@
 /** Attempts to take up one stream. */
 const MAX_RESUMPTIONS = 3;
 const ROUTES = ["book", "look", "open", "chat"] as const;
-const MODELS = ["m1", "m2", "m1/a1"];
+const ADAPTER_SHARE = 0.3;
+const PLAIN_MODELS = ["m1", "m2"];
+/** More adapters than all replicas together can hold. */
+const ADAPTERS = [
+  "m1/a1",
+  "m1/a2",
+  "m1/a3",
+  "m2/a1",
+  "m2/a2",
+  "m2/a3",
+];
 
 /**
  * Sends requests until the signal is aborted. Each caller keeps its connection
@@ -121,6 +131,11 @@
   return false;
 }
 
+function drawModel(random: Random): string {
+  const isAdapter = random() < ADAPTER_SHARE;
+  return pick(isAdapter ? ADAPTERS : PLAIN_MODELS, random);
+}
+
 /** Draws a request with any key granted so far, including withdrawn ones. */
 function drawCall(
   id: string,
@@ -134,7 +149,7 @@
     id,
     route,
     key: route === "open" ? undefined : key,
-    model: isModelCall ? pick(MODELS, random) : undefined,
+    model: isModelCall ? drawModel(random) : undefined,
     tokens: isModelCall ? [20, 10] : undefined,
     deadlineMs: DEADLINE_MS,
     body: route === "book" || isModelCall ? `body of ${id}` : undefined,
--- a/packages/soak/src/injected_fault.ts
+++ b/packages/soak/src/injected_fault.ts
@@ -6,7 +6,15 @@
   /** Streams go on at replicas of any software version. */
   | "ignoreVersion"
   /** A gateway takes its own guess for the version that began a stream. */
-  | "guessVersion";
+  | "guessVersion"
+  /** What is read from the store is ordered by versions alone. */
+  | "versionAlone"
+  /** Fencing tokens are counted by the lease's row alone. */
+  | "fenceFromStore"
+  /** Both: a restore of the store isn't noticed. */
+  | "ignoreEpoch"
+  /** Each gateway keeps the limit of a replica on its own. */
+  | "issueAlone";
 
 /** Environment variable that passes an injected defect to a gateway. */
 export const INJECTED_FAULT_VARIABLE = "BANYANSPOOL_SOAK_PLANTED";
--- a/packages/soak/src/invariant_checker.ts
+++ b/packages/soak/src/invariant_checker.ts
@@ -42,8 +42,24 @@
   readonly undisturbedMs: number;
   /** Time after a drain notice in which requests may still arrive, in ms. */
   readonly drainMs: number;
+  /** Time after which gateways must keep the limit of a replica, in ms. */
+  readonly limitMs: number;
 }
 
+/** A limit that a replica names. */
+export interface NamedLimit {
+  /** Requests a second, from all gateways together. */
+  readonly perS: number;
+  /** Since when it names the limit, in ms. */
+  readonly from: number;
+}
+
+/** Span in which the requests of a replica with a limit are counted. */
+const LIMIT_WINDOW_MS = 4000;
+/** Multiple of the limit, and further requests, that a span may have. */
+const LIMIT_FACTOR = 1.5;
+const LIMIT_SLACK = 5;
+
 interface Run {
   readonly received: ReceivedCall;
   readonly replica: string;
@@ -65,6 +81,9 @@
   /** Software versions that wrote the events of each stream, by first attempt. */
   readonly #streamVersions: Map<string, Set<string>> = new Map();
   readonly #drainNotices: Map<string, number> = new Map();
+  readonly #limits: Map<string, NamedLimit> = new Map();
+  /** Times of the requests of each replica while it names a limit. */
+  readonly #limitedRuns: Map<string, number[]> = new Map();
   readonly #disturbances: { gateway: number; from: number; to: number }[] = [];
   readonly #violations: Map<string, Violation> = new Map();
 
@@ -107,6 +126,17 @@
     this.#drainNotices.set(replica, atMs);
   }
 
+  /** Records that a replica begins to name a limit. */
+  beginLimit(replica: string, limit: NamedLimit): void {
+    this.#limits.set(replica, limit);
+    this.#limitedRuns.set(replica, []);
+  }
+
+  /** Records that a replica no longer names a limit. */
+  endLimit(replica: string): void {
+    this.#limits.delete(replica);
+  }
+
   /** Records a period of faults at a gateway, its connections or the store. */
   recordDisturbance(gateway: number, from: number, to: number): void {
     this.#disturbances.push({ gateway, from, to });
@@ -146,6 +176,7 @@
     this.#checkNotRun(received.id);
     this.#checkKey(request, atMs);
     this.#checkDrain(request, replica, atMs);
+    this.#checkLimit(request, replica, atMs);
   }
 
   /** Records and checks the response that a caller received. */
@@ -279,6 +310,25 @@
     this.#fail("a drained replica receives no requests", detail);
   }
 
+  /** Counts the requests of gateways that had no faults since a limit began. */
+  #checkLimit(request: SentRequest, replica: string, atMs: number): void {
+    const limit = this.#limits.get(replica);
+    const { limitMs, undisturbedMs } = this.#bounds;
+    if (!limit || atMs < limit.from + limitMs) return;
+    const span = { from: limit.from - undisturbedMs, to: atMs };
+    if (!this.#isUndisturbed(request.gateway, span)) return;
+    const runs = this.#limitedRuns.get(replica)!;
+    runs.push(atMs);
+    const count = runs.filter((at) => at > atMs - LIMIT_WINDOW_MS).length;
+    const allowed = LIMIT_FACTOR * limit.perS * LIMIT_WINDOW_MS / 1000 +
+      LIMIT_SLACK;
+    if (count <= allowed) return;
+    this.#fail(
+      "gateways together keep the limit of a replica",
+      `${replica} with ${limit.perS} a second got ${count} in 4 s`,
+    );
+  }
+
   #isUndisturbed(gateway: number, { from, to }: { from: number; to: number }) {
     return !this.#disturbances.some((span) =>
       span.gateway === gateway && span.from < to && span.to > from
--- a/packages/soak/src/invariant_checker_test.ts
+++ b/packages/soak/src/invariant_checker_test.ts
@@ -14,6 +14,7 @@
     applyMs: 2000,
     undisturbedMs: 1000,
     drainMs: 2000,
+    limitMs: 3000,
   });
   checker.recordKey("key", "acme");
   return checker;
--- /dev/null
+++ b/packages/soak/src/planted_schedule.ts
@@ -0,0 +1,54 @@
+import type { InjectedFault } from "./injected_fault.ts";
+import type { FaultStep } from "./schedule.ts";
+
+type Step = Pick<FaultStep, "atMs" | "durationMs" | "kind" | "target">;
+
+/** Time of a restore of the store, after what it loses. */
+const RESTORE_MS = 6000;
+
+/** A drain long after the restore, when gateways have had no faults for long. */
+const DRAIN_AFTER_RESTORE: Step = {
+  atMs: RESTORE_MS + 4000,
+  durationMs: 6000,
+  kind: "replicaDrain",
+  target: 0,
+};
+
+/** Both gateways are stopped in turn, so that the lease changes hands. */
+const HOLDER_CHANGES: readonly Step[] = [
+  { atMs: 0, durationMs: RESTORE_MS, kind: "storeRestored", target: 0 },
+  { atMs: 500, durationMs: 0, kind: "stop", target: 0 },
+  { atMs: 3000, durationMs: 0, kind: "stop", target: 1 },
+];
+
+const EARLY_WITHDRAWALS: readonly Step[] = [0, 600].map((atMs) => ({
+  atMs,
+  durationMs: 0,
+  kind: "withdrawKey",
+  target: 0,
+}));
+
+/** Returns the faults of a run that shows an injected defect. */
+export function createPlantedSchedule(defect: InjectedFault): FaultStep[] {
+  return stepsFor(defect).map((step) => ({ ...step, linkFault: "reset" }));
+}
+
+function stepsFor(defect: InjectedFault): readonly Step[] {
+  switch (defect) {
+    case "versionAlone":
+      return [
+        { atMs: 0, durationMs: RESTORE_MS, kind: "storeRestored", target: 0 },
+        DRAIN_AFTER_RESTORE,
+      ];
+    case "fenceFromStore":
+      return HOLDER_CHANGES;
+    case "ignoreEpoch":
+      return [...HOLDER_CHANGES, DRAIN_AFTER_RESTORE];
+    case "issueAlone":
+      return [
+        { atMs: 0, durationMs: 10_000, kind: "replicaLimit", target: 0 },
+      ];
+    default:
+      return EARLY_WITHDRAWALS;
+  }
+}
--- a/packages/soak/src/preload.ts
+++ b/packages/soak/src/preload.ts
@@ -1,20 +1,25 @@
 /**
  * Module that is loaded into a gateway's process before its program. It moves
- * the wall clock forward or back at SIGUSR2, and injects a defect if the
- * environment names one.
+ * the wall clock forward or back at SIGUSR2, begins or ends to drop datagrams at
+ * SIGWINCH, and injects a defect if the environment names one.
  */
+import { Socket } from "node:dgram";
 import {
   INJECTED_FAULT_VARIABLE,
   type InjectedFault,
 } from "./injected_fault.ts";
 import { FleetState, ReplicaCall } from "@banyanspool/gateway/fault_injection";
+import { StoreClient } from "@banyanspool/platform-adapter";
+import { ReplicaPermits } from "@banyanspool/replica-limits";
 import { ReplicaTracker } from "@banyanspool/routing";
 import { StreamOrigins } from "@banyanspool/streams";
+import { ok } from "@banyanspool/types";
 
 /** How far SIGUSR2 moves the wall clock forward; a second one moves it back. */
 const CLOCK_STEP_MS = 2000;
 
 moveClockOnSignal();
+dropDatagramsOnSignal();
 injectFault(process.env[INJECTED_FAULT_VARIABLE] as InjectedFault | undefined);
 
 function moveClockOnSignal(): void {
@@ -26,6 +31,21 @@
   Date.now = () => systemNow() + offsetMs;
 }
 
+function dropDatagramsOnSignal(): void {
+  let isDropping = false;
+  process.on("SIGWINCH", () => {
+    isDropping = !isDropping;
+  });
+  const { send, emit } = Socket.prototype;
+  Socket.prototype.send = function (this: Socket, ...args: unknown[]) {
+    if (!isDropping) Reflect.apply(send, this, args);
+  };
+  Socket.prototype.emit = function (this: Socket, ...args: unknown[]) {
+    if (isDropping && args[0] === "message") return true;
+    return Reflect.apply(emit, this, args);
+  };
+}
+
 function injectFault(fault: InjectedFault | undefined): void {
   switch (fault) {
     case undefined:
@@ -40,6 +60,15 @@
       return ignoreVersions();
     case "guessVersion":
       return guessVersions();
+    case "versionAlone":
+      return compareVersionsAlone();
+    case "fenceFromStore":
+      return takeFencesFromStore();
+    case "ignoreEpoch":
+      compareVersionsAlone();
+      return takeFencesFromStore();
+    case "issueAlone":
+      return issuePermitsAlone();
   }
 }
 
@@ -81,3 +110,30 @@
     return this.version === 0 && accept.call(this, configuration);
   };
 }
+
+/** Lets the gateway order what it reads from the store by versions alone. */
+function compareVersionsAlone(): void {
+  const { readTable, waitForChanges } = StoreClient.prototype;
+  StoreClient.prototype.readTable = async function (table) {
+    const res = await readTable.call(this, table);
+    if (!res.ok) return res;
+    const { rows, position } = res.value;
+    return ok({ rows, position: { ...position, epoch: 0 } });
+  };
+  StoreClient.prototype.waitForChanges = function (table, { after, waitMs }) {
+    const current = { epoch: this.epoch, version: after.version };
+    return waitForChanges.call(this, table, { after: current, waitMs });
+  };
+}
+
+/** Lets the placement lease count fencing tokens by its row alone. */
+function takeFencesFromStore(): void {
+  Object.defineProperty(StoreClient.prototype, "epoch", { get: () => 0 });
+}
+
+/** Lets each gateway issue the permits for its own requests. */
+function issuePermitsAlone(): void {
+  const { create } = ReplicaPermits;
+  ReplicaPermits.create = (options) =>
+    create({ ...options, issuersOf: () => [options.instance] });
+}
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -7,6 +7,7 @@
 import { resumeStream, runCallers } from "./callers.ts";
 import { parseStreamEvents } from "./stream_events.ts";
 import type { InjectedFault } from "./injected_fault.ts";
+import { createPlantedSchedule } from "./planted_schedule.ts";
 import { drawSchedule, type FaultStep } from "./schedule.ts";
 import { REPLICA_SERVICES, SoakFleet, type SoakGateway } from "./soak_fleet.ts";
 import { InvariantChecker, type Violation } from "./invariant_checker.ts";
@@ -42,8 +43,13 @@
 const APPLY_MS = 4000;
 const UNDISTURBED_MS = 3000;
 const DRAIN_MS = 4000;
+const LIMIT_MS = 3000;
 /** Time from a replica's drain notice until it is removed. */
 const DRAIN_NOTICE_MS = 1500;
+/** Time for which the store is away before it is restored. */
+const STORE_AWAY_MS = 150;
+/** Least time for which a replica limits its requests. */
+const MIN_LIMIT_MS = 5000;
 /** Time in which every route must be served again after the last fault. */
 const RECOVERY_TIMEOUT_MS = 30_000;
 const POLL_MS = 100;
@@ -61,6 +67,7 @@
     applyMs: APPLY_MS,
     undisturbedMs: UNDISTURBED_MS,
     drainMs: DRAIN_MS,
+    limitMs: LIMIT_MS,
   });
   const fleet = await SoakFleet.create({
     gateways,
@@ -70,7 +77,7 @@
   });
   const replicas = REPLICA_SERVICES.length;
   const steps = injectedFault
-    ? createKeyWithdrawals(durationMs)
+    ? createPlantedSchedule(injectedFault)
     : drawSchedule(seed, { durationMs, gateways, replicas });
   // Shows defects of streams that are taken up again.
   fleet.cutsOffNewStreams = injectedFault !== undefined;
@@ -113,10 +120,13 @@
 }
 
 /** Waits for a violation, as a busy machine may show a defect late. */
-async function waitForViolation({ checker, now }: Run): Promise<void> {
+async function waitForViolation(
+  { fleet, checker, now }: Run,
+): Promise<void> {
   const until = now() + DETECTION_TIMEOUT_MS;
   while (checker.violations.length === 0 && now() < until) {
     await sleep(POLL_MS);
+    fleet.checkOrders();
   }
 }
 
@@ -126,17 +136,6 @@
   readonly now: () => number;
 }
 
-/** Creates early key withdrawals, to detect an old configuration at a gateway. */
-function createKeyWithdrawals(durationMs: number): FaultStep[] {
-  return [0, 0.1].map((part) => ({
-    atMs: part * durationMs,
-    durationMs: 0,
-    kind: "withdrawKey",
-    target: 0,
-    linkFault: "reset",
-  }));
-}
-
 async function injectFault(step: FaultStep, run: Run): Promise<void> {
   const { fleet, checker, now } = run;
   const { kind, target, durationMs, linkFault } = step;
@@ -148,6 +147,7 @@
     case "pause":
     case "hangup":
     case "clockStep":
+    case "peerLink":
     case "storeLink":
       await injectGatewayFault(step, run);
       checker.recordDisturbance(target, from, now());
@@ -162,6 +162,22 @@
     case "storeForgets":
       store.discardHistory();
       return recordDisturbances(run, from);
+    case "storeRestored":
+      await restoreStore(step, run);
+      return recordDisturbances(run, from);
+    case "herdKill":
+      await fleet.moveToVersion(target);
+      await Promise.all(
+        fleet.gateways.map((_, index) =>
+          injectGatewayFault({ ...step, kind: "kill", target: index }, run)
+        ),
+      );
+      return recordDisturbances(run, from);
+    case "replicaLimit":
+      return await fleet.limitReplica(
+        fleet.replicas[target]!,
+        durationMs + MIN_LIMIT_MS,
+      );
     case "replicaLink":
       fleet.replicas[target]!.proxy.injectFault(linkFault);
       await sleep(durationMs);
@@ -181,7 +197,7 @@
       return;
     case "replicaDrain":
       fleet.announceDraining(fleet.replicas[target]!);
-      await sleep(DRAIN_NOTICE_MS);
+      await sleep(DRAIN_NOTICE_MS + durationMs);
       return await fleet.replaceReplica(fleet.replicas[target]!);
     case "lateOrders":
       fleet.replicas[target]!.standin.unansweredOrders += 2;
@@ -199,6 +215,28 @@
   storeLosesAnswers: "loseAnswers",
 } as const;
 
+/**
+ * Restores the store from the copy of the step's start. It is away for a moment
+ * before, in which it may carry out writes without answering them. What the
+ * operator and the replicas wrote since is written again right after.
+ */
+async function restoreStore(
+  { durationMs, linkFault }: FaultStep,
+  { fleet }: Run,
+): Promise<void> {
+  const { store } = fleet.platform;
+  const { version } = store;
+  fleet.raiseVersion();
+  await sleep(durationMs);
+  store.fault = linkFault === "oneWay" ? "loseAnswers" : "busy";
+  await sleep(STORE_AWAY_MS);
+  store.fault = "none";
+  store.restore(Math.min(version, store.version), {
+    keepWaits: linkFault === "delay",
+  });
+  fleet.rewritePlatform();
+}
+
 function recordDisturbances(
   { fleet, checker, now }: Run,
   from: number,
@@ -246,6 +284,11 @@
       await sleep(durationMs);
       gateway.child.signal("SIGUSR2");
       return;
+    case "peerLink":
+      gateway.child.signal("SIGWINCH");
+      await sleep(durationMs);
+      gateway.child.signal("SIGWINCH");
+      return;
     default:
       gateway.storeProxy.injectFault(linkFault);
       await sleep(durationMs);
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -21,6 +21,8 @@
   | "storeLosesAnswers"
   /** Discards the store's history, so that watches can't resume. */
   | "storeForgets"
+  /** Restores the store from the copy of the step's start, at its end. */
+  | "storeRestored"
   /** Injects a network fault between a gateway and the store. */
   | "storeLink"
   /** Injects a network fault between a replica and all gateways. */
@@ -31,6 +33,15 @@
   | "replicaUpgrade"
   /** Stops all gateways gracefully, one after the other, and starts them again. */
   | "rollingStop"
+  /**
+   * Moves all replicas with models to one software version, and kills all
+   * gateways right after.
+   */
+  | "herdKill"
+  /** Drops a gateway's datagrams to and from the others. */
+  | "peerLink"
+  /** Lets a replica limit its requests; the limit is kept for some seconds. */
+  | "replicaLimit"
   /** Drains a replica and replaces it by a new one. */
   | "replicaDrain"
   /** Lets a replica execute orders late and without a response. */
@@ -80,11 +91,15 @@
   "storeSilent",
   "storeLosesAnswers",
   "storeForgets",
+  "storeRestored",
   "storeLink",
   "replicaLink",
   "replicaCrash",
   "replicaUpgrade",
   "rollingStop",
+  "herdKill",
+  "peerLink",
+  "replicaLimit",
   "replicaDrain",
   "lateOrders",
   "withdrawKey",
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -46,6 +46,10 @@
   standin: ReplicaStandin;
   /** Proxy between all gateways and the replica. */
   readonly proxy: FaultProxy;
+  /** Whether it has announced that it is draining. */
+  isDraining: boolean;
+  /** Requests a second that it takes, while it limits them. */
+  limitPerS?: number;
 }
 
 /** Options of {@link SoakFleet.create}. */
@@ -79,7 +83,13 @@
 export const ORGANISATION: string = "acme";
 /** Models that each new replica with models has; restarted ones have none. */
 const INITIAL_MODELS = ["m1", "m2"];
+/** So few that adapters displace each other, which takes orders. */
+const ADAPTER_SLOTS = 1;
 const GRACE_MS = 4000;
+/** Writes to the store by others between a copy and a restore. */
+const OTHER_WRITES = 50;
+/** Requests a second that a replica with a limit takes. */
+const REPLICA_LIMIT_PER_S = 1.2;
 /** Time between two parts of a response. */
 const RESPONSE_GAP_MS = 20;
 
@@ -181,6 +191,46 @@
     await this.restartReplica(replica);
   }
 
+  /** Restarts the replicas with models that don't run one of the versions. */
+  async moveToVersion(index: number): Promise<void> {
+    const version = SOFTWARE_VERSIONS[index % SOFTWARE_VERSIONS.length]!;
+    const others = this.replicas.filter(({ service, softwareVersion }) =>
+      service === "pool" && softwareVersion !== version
+    );
+    await Promise.all(others.map((replica) => this.upgradeReplica(replica)));
+  }
+
+  /** Lets a replica limit its requests for some time, in ms. */
+  async limitReplica(replica: SoakReplica, forMs: number): Promise<void> {
+    if (replica.limitPerS !== undefined) return;
+    const { checker, now } = this.#options;
+    replica.limitPerS = REPLICA_LIMIT_PER_S;
+    const { id } = replica;
+    const limit = { perS: REPLICA_LIMIT_PER_S, from: now() };
+    checker.beginLimit(id, limit);
+    await sleep(forMs);
+    replica.limitPerS = undefined;
+    checker.endLimit(id);
+  }
+
+  /** Writes rows of no meaning, and the replicas' rows again after them. */
+  raiseVersion(): void {
+    for (let i = 0; i < OTHER_WRITES; i += 1) {
+      this.platform.store.put("other", "row", i);
+    }
+    for (const replica of this.replicas) this.#register(replica);
+  }
+
+  /** Writes again what a restore of the store may have lost. */
+  rewritePlatform(): void {
+    this.#writeConfiguration();
+    const ids = new Set(this.replicas.map(({ id }) => id));
+    for (const id of this.platform.store.keys("servers")) {
+      if (!ids.has(id)) this.platform.setReplicaRow(id, undefined);
+    }
+    for (const replica of this.replicas) this.#register(replica);
+  }
+
   /** Software versions that two or more replicas with models run. */
   get servedVersions(): ReadonlySet<string> {
     const running = this.replicas
@@ -195,8 +245,8 @@
 
   /** Publishes that a replica is draining. */
   announceDraining(replica: SoakReplica): void {
-    const row = replica.standin.row("draining", replica.proxy.port);
-    this.platform.setReplicaRow(replica.id, row);
+    replica.isDraining = true;
+    this.#register(replica);
     this.#options.checker.recordDraining(replica.id, this.#options.now());
   }
 
@@ -205,12 +255,18 @@
     this.platform.setReplicaRow(replica.id, undefined);
     this.#replicaCount += 1;
     replica.id = `i-${this.#replicaCount}`;
+    replica.isDraining = false;
     await this.restartReplica(replica);
   }
 
+  /** Checks the orders that the replicas have accepted so far. */
+  checkOrders(): void {
+    for (const replica of this.replicas) this.#checkFencing(replica);
+  }
+
   /** Stops all gateways and stand-ins; returns the gateways' exit codes. */
   async stop(): Promise<(number | null)[]> {
-    for (const replica of this.replicas) this.#checkFencing(replica);
+    this.checkOrders();
     const codes = await Promise.all(
       this.gateways.map(({ child }) => child.stop()),
     );
@@ -226,10 +282,15 @@
 
   #configure(): void {
     this.#version += 1;
+    this.#writeConfiguration();
+  }
+
+  #writeConfiguration(): void {
     this.platform.configure({
       version: this.#version,
       keys: this.#keys,
       plainService: this.#plainService,
+      adapterSlots: ADAPTER_SLOTS,
     });
   }
 
@@ -243,13 +304,21 @@
       service === "pool" ? INITIAL_MODELS : [],
     );
     const proxy = await FaultProxy.create(`127.0.0.1:${standin.port}`);
-    const replica = { id, service, softwareVersion, standin, proxy };
+    const replica = {
+      id,
+      service,
+      softwareVersion,
+      standin,
+      proxy,
+      isDraining: false,
+    };
     this.replicas.push(replica);
     this.#register(replica);
   }
 
-  #register({ id, standin, proxy }: SoakReplica): void {
-    this.platform.setReplicaRow(id, standin.row("ready", proxy.port));
+  #register({ id, standin, proxy, isDraining }: SoakReplica): void {
+    const state = isDraining ? "draining" : "ready";
+    this.platform.setReplicaRow(id, standin.row(state, proxy.port));
   }
 
   async #startReplica(
@@ -267,6 +336,10 @@
       answer: async (req, res) => {
         const received = decodeReceivedCall(req);
         this.#options.checker.recordRun(received, id, this.#options.now());
+        const limited = this.replicas.find((replica) => replica.id === id);
+        if (limited?.limitPerS !== undefined) {
+          res.setHeader("server-limit", String(limited.limitPerS));
+        }
         if (service === "pool") {
           await this.#stream(res, { received, version: softwareVersion });
           return;
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -21,6 +21,10 @@
   oldConfiguration: "a withdrawn key stops working",
   ignoreVersion: "a stream holds events of one software version",
   guessVersion: "a stream holds events of one software version",
+  versionAlone: "a drained replica receives no requests",
+  fenceFromStore: "one lease holder gives orders at a time",
+  ignoreEpoch: "one lease holder gives orders at a time",
+  issueAlone: "gateways together keep the limit of a replica",
 } as const;
 
 for (
@@ -30,11 +34,16 @@
     "oldConfiguration",
     "ignoreVersion",
     "guessVersion",
+    "versionAlone",
+    "fenceFromStore",
+    "ignoreEpoch",
+    "issueAlone",
   ] as const
 ) {
   test.serial(`the injected defect ${fault} is detected`, async (t) => {
     const { violations } = await runSeed(1, {
-      ...SIZES,
+      // Two gateways that keep a limit on their own hardly exceed it together.
+      gateways: fault === "issueAlone" ? 4 : SIZES.gateways,
       durationMs: 6000,
       injectedFault: fault,
     });
