Soak: the defect oldConfiguration is found whatever the timing of a gateway's start

Cause: the check needs a withdrawn key that a gateway's first configuration holds. The first key was granted when traffic began, which is when a gateway says that it is ready, but it reads its first configuration some ms later. Only where it read it after the grant could the defect be seen. The cause is the test's schedule, not the gateway.

Change: the first configuration holds a second key, which is the first to be withdrawn.

--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -81,6 +81,8 @@
 export const SOFTWARE_VERSIONS: readonly string[] = ["v1", "v2"];
 /** Organisation that all keys belong to. */
 export const ORGANISATION: string = "acme";
+/** Key of the first configuration that is withdrawn first. */
+const INITIAL_KEY = "key-1";
 /** Models that each new replica with models has; restarted ones have none. */
 const INITIAL_MODELS = ["m1", "m2"];
 /** So few that adapters displace each other, which takes orders. */
@@ -117,7 +119,7 @@
   /** Port through which each gateway reaches the store. */
   readonly #storePorts: number[] = [];
   #version = 1;
-  #keys: readonly string[] = [STANDIN_KEY];
+  #keys: readonly string[] = [STANDIN_KEY, INITIAL_KEY];
   #plainService = "desk";
   #replicaCount = 0;
 
@@ -130,7 +132,9 @@
   static async create(options: SoakFleetOptions): Promise<SoakFleet> {
     const platform = await FleetStandin.create();
     const fleet = new SoakFleet(options, platform);
-    options.checker.recordKey(STANDIN_KEY, ORGANISATION);
+    for (const key of fleet.#keys) {
+      options.checker.recordKey(key, ORGANISATION);
+    }
     fleet.#configure();
     for (const service of REPLICA_SERVICES) await fleet.#addReplica(service);
     fleet.#ports = await pickPorts(4);
