Gateway: one that starts doesn't serve by an older configuration than others have

What callers would see: a key that was withdrawn works again at a gateway that starts after the store came back from a copy and before the operator has written the newer configuration again.

Cause: a gateway serves by the first configuration that it reads, although the others' reports name a newer version.

Change: until it has had the version that the others report, a gateway that has started waits for it, answers 503 and isn't ready, for five seconds after its first configuration at most: a version that nobody writes again is lost.

--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -493,7 +493,9 @@
     }
     this.#applyAvailableModels(state);
     this.#applyReplicaChanges(state);
-    if (Number(state.configurationVersion) > ctx.fleet.version) {
+    const configurationVersion = Number(state.configurationVersion);
+    ctx.fleet.recordPeerVersion(configurationVersion);
+    if (configurationVersion > ctx.fleet.version) {
       this.#options.onNewerConfiguration();
     }
   }
--- a/packages/gateway/src/fleet_state.ts
+++ b/packages/gateway/src/fleet_state.ts
@@ -1,4 +1,4 @@
-import type { FleetConfiguration } from "@banyanspool/types";
+import type { Clock, FleetConfiguration } from "@banyanspool/types";
 import { RouteTable } from "@banyanspool/routing";
 import { ChangeSignal } from "./change_signal.ts";
 
@@ -9,6 +9,18 @@
   readonly routes: RouteTable;
 }
 
+/** Options of {@link FleetState.create}. */
+export interface FleetStateOptions {
+  /** Time source. */
+  readonly clock: Clock;
+}
+
+/**
+ * Time after its first configuration in which a gateway waits for one that is as
+ * new as the others', in ms. The store may have lost it for good.
+ */
+const CATCH_UP_MS = 5000;
+
 /**
  * State shared by the gateway's tasks: the active configuration, the signal of
  * changes, and whether the gateway is stopping.
@@ -20,18 +32,33 @@
   hasReplicaList = false;
   /** True once a graceful shutdown has begun. */
   isStopping = false;
+  readonly #clock: Clock;
   #activeConfiguration: ActiveConfiguration | undefined;
+  #firstAcceptedAt = Infinity;
+  #newestPeerVersion = 0;
+  #hasCaughtUp = false;
 
-  private constructor() {}
+  private constructor({ clock }: FleetStateOptions) {
+    this.#clock = clock;
+  }
 
   /** Creates the state of a new process, without a configuration. */
-  static create(): FleetState {
-    return new FleetState();
+  static create(options: FleetStateOptions): FleetState {
+    return new FleetState(options);
   }
 
-  /** The newest accepted configuration; undefined before the first one. */
+  /**
+   * The newest accepted configuration; undefined before the first one, and while
+   * a gateway that has just started only has an older one than others.
+   */
   get activeConfiguration(): ActiveConfiguration | undefined {
-    return this.#activeConfiguration;
+    return this.#isCatchingUp() ? undefined : this.#activeConfiguration;
+  }
+
+  /** Records the version of another gateway's configuration. */
+  recordPeerVersion(version: number): void {
+    this.#newestPeerVersion = Math.max(this.#newestPeerVersion, version);
+    this.#recordCaughtUp();
   }
 
   /** Version of the active configuration; 0 if there is none. */
@@ -46,7 +73,22 @@
       configuration,
       routes: RouteTable.create(configuration.routes),
     };
+    const now = this.#clock.now();
+    this.#firstAcceptedAt = Math.min(this.#firstAcceptedAt, now);
+    this.#recordCaughtUp();
     this.changed.notify();
     return true;
   }
+
+  #recordCaughtUp(): void {
+    if (this.#newestPeerVersion === 0) return;
+    this.#hasCaughtUp ||= this.version >= this.#newestPeerVersion;
+  }
+
+  #isCatchingUp(): boolean {
+    if (this.#hasCaughtUp || this.version >= this.#newestPeerVersion) {
+      return false;
+    }
+    return this.#clock.now() - this.#firstAcceptedAt < CATCH_UP_MS;
+  }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -96,7 +96,7 @@
         this.#restoredSignal.notify();
       },
     });
-    const fleet = FleetState.create();
+    const fleet = FleetState.create({ clock });
     const host = splitAddress(cfg.peer_listen).host;
     this.#lease = Lease.create({
       table: createTableStore(this.#store, LEASE_TABLE),
--- a/packages/gateway/src/restored_store_test.ts
+++ b/packages/gateway/src/restored_store_test.ts
@@ -2,6 +2,8 @@
 import type { FleetStandin } from "@banyanspool/platform-adapter/testing";
 import test from "ava";
 import {
+  findFreePort,
+  sendTo,
   startFleet,
   startGateway,
   waitFor,
@@ -55,6 +57,32 @@
   t.is((await send("/look/")).status, 401);
 });
 
+// A withdrawn key worked again at a gateway that read the copy first.
+test("a gateway that starts before the operator has written the configuration again doesn't serve by the copy", async (t) => {
+  const fleet = await startFleet(t);
+  await fleet.addReplica({ id: "i-1", service: "desk" });
+  const copy = fleet.store.version;
+  const port = await findFreePort();
+  const first = await startGateway(t, fleet, { port });
+  fleet.configure({ version: 5, keys: ["another"] });
+  await waitFor(async () => (await first.send("/look/")).status === 401);
+  // Time in which the restored store has the gateway's row again.
+  fleet.store.restore(copy);
+  await waitFor(() => fleet.store.keys("banyanspool_members").length === 1);
+  const starting = startGateway(t, fleet, {
+    host: "127.0.0.2",
+    port,
+    isFirstStart: false,
+  });
+  await delay(500);
+  const early = await sendTo("127.0.0.2", port, "/look/");
+  t.is(early.status, 503);
+  fleet.configure({ version: 5, keys: ["another"] });
+  const second = await starting;
+  t.is((await second.send("/look/")).status, 401);
+  t.is((await first.send("/look/")).status, 401);
+});
+
 // A gateway that started later didn't find the others for half a minute.
 test("the row by which gateways find each other is written again after a restore", async (t) => {
   const fleet = await startFleet(t);
