--- a/packages/gateway/src/configuration_watch.ts
+++ b/packages/gateway/src/configuration_watch.ts
@@ -85,8 +85,9 @@
       after = undefined;
       continue;
     }
-    for (const row of res.value.rows) acceptRow(row, options);
-    after = res.value.position;
+    const { rows, position } = res.value;
+    for (const row of rows) acceptRow(row, position.epoch, options);
+    after = position;
   }
 }
 
@@ -129,6 +130,7 @@
 
 function acceptRow(
   row: StoredRow,
+  epoch: number,
   { fleet, log, onAccepted }: ConfigurationWatchOptions,
 ): void {
   if (row.key !== CONFIGURATION_KEY || row.removed) return;
@@ -139,7 +141,7 @@
   }
   const before = fleet.version;
   const limitsBefore = fleet.activeConfiguration?.configuration.organisations;
-  if (!fleet.accept(configuration)) return;
+  if (!fleet.accept(configuration, { epoch, text: row.text })) return;
   log.write("configuration in force", {
     version: configuration.version,
     before,
--- a/packages/gateway/src/fleet_state.ts
+++ b/packages/gateway/src/fleet_state.ts
@@ -7,6 +7,16 @@
   readonly configuration: FleetConfiguration;
   /** Routes of the configuration. */
   readonly routes: RouteTable;
+  /** Where it was read. */
+  readonly source: ConfigurationSource;
+}
+
+/** Where a configuration was read. */
+export interface ConfigurationSource {
+  /** Epoch of the store. */
+  readonly epoch: number;
+  /** Text that was decoded. */
+  readonly text: string;
 }
 
 /** Options of {@link FleetState.create}. */
@@ -66,11 +76,22 @@
     return this.#activeConfiguration?.configuration.version ?? 0;
   }
 
-  /** Activates a configuration; returns false if its version is not newer. */
-  accept(configuration: FleetConfiguration): boolean {
-    if (configuration.version <= this.version) return false;
+  /**
+   * Activates a configuration; returns false if it isn't newer. A version that
+   * was lost in a restore may be given to another configuration afterwards.
+   */
+  accept(
+    configuration: FleetConfiguration,
+    source: ConfigurationSource,
+  ): boolean {
+    const before = this.#activeConfiguration;
+    const isReplaced = before !== undefined &&
+      configuration.version === this.version &&
+      source.epoch > before.source.epoch && source.text !== before.source.text;
+    if (configuration.version <= this.version && !isReplaced) return false;
     this.#activeConfiguration = {
       configuration,
+      source,
       routes: RouteTable.create(configuration.routes),
     };
     const now = this.#clock.now();
--- a/packages/gateway/src/fleet_state_test.ts
+++ b/packages/gateway/src/fleet_state_test.ts
@@ -7,8 +7,13 @@
   const fleet = FleetState.create({
     clock: { now: () => now, wall: () => now },
   });
-  const accept = (version: number) =>
-    fleet.accept({ version, routes: [] } as unknown as FleetConfiguration);
+  const accept = (version: number, { epoch = 1, text = "" } = {}) => {
+    const configuration = { version, routes: [] };
+    return fleet.accept(
+      configuration as unknown as FleetConfiguration,
+      { epoch, text },
+    );
+  };
   const active = () => fleet.activeConfiguration?.configuration.version;
   return { fleet, accept, active, advance: (ms: number) => now += ms };
 }
@@ -40,3 +45,13 @@
   fleet.recordPeerVersion(4);
   t.is(active(), 3);
 });
+
+// Gateways that had read either of two configurations of one version kept it.
+test("a version that is given out again after a restore names the later configuration", (t) => {
+  const { accept } = createState();
+  t.true(accept(3, { text: "lost" }));
+  t.false(accept(3, { text: "other" }), "versions are unique in one epoch");
+  t.false(accept(3, { epoch: 2, text: "lost" }), "it is written again");
+  t.true(accept(3, { epoch: 2, text: "other" }));
+  t.false(accept(2, { epoch: 3, text: "older" }));
+});
--- a/packages/soak/src/preload.ts
+++ b/packages/soak/src/preload.ts
@@ -106,8 +106,8 @@
 /** Lets the gateway keep the first configuration that it receives. */
 function keepFirstConfiguration(): void {
   const accept = FleetState.prototype.accept;
-  FleetState.prototype.accept = function (configuration) {
-    return this.version === 0 && accept.call(this, configuration);
+  FleetState.prototype.accept = function (configuration, source) {
+    return this.version === 0 && accept.call(this, configuration, source);
   };
 }
 
