--- a/packages/soak/src/planted_schedule.ts
+++ b/packages/soak/src/planted_schedule.ts
@@ -21,6 +21,14 @@
   { atMs: 3000, durationMs: 0, kind: "stop", target: 1 },
 ];
 
+/** Both replicas of a service, so that no other one takes their requests. */
+const LIMITS_OF_A_SERVICE: readonly Step[] = [0, 1].map((target) => ({
+  atMs: 0,
+  durationMs: 10_000,
+  kind: "replicaLimit",
+  target,
+}));
+
 const EARLY_WITHDRAWALS: readonly Step[] = [0, 600].map((atMs) => ({
   atMs,
   durationMs: 0,
@@ -45,9 +53,7 @@
     case "ignoreEpoch":
       return [...HOLDER_CHANGES, DRAIN_AFTER_RESTORE];
     case "issueAlone":
-      return [
-        { atMs: 0, durationMs: 10_000, kind: "replicaLimit", target: 0 },
-      ];
+      return LIMITS_OF_A_SERVICE;
     default:
       return EARLY_WITHDRAWALS;
   }
