Gateway: a late response is given up only for one that is better

Cause: an overdue attempt was aborted as soon as another replica was a candidate, before that one was acquired. It may fail, have no permit left, or be predicted to be later still; the response that was given up would have come. The same happened after a stall of the process, where timers run before a response is read that has arrived meanwhile.

Ruled out: a connection that was lost (the attempts say overdue), ports shared by tests.

Retry budget and the bound on attempts count as before.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -134,6 +134,24 @@
   );
 }
 
+/**
+ * Acquires another replica for a request whose response is overdue. Undefined if
+ * none can take it now.
+ */
+export async function acquireReplacement(
+  ctx: GatewayContext,
+  scope: RequestScope,
+  pending: PendingRequest,
+): Promise<ReplicaSelection | undefined> {
+  const { request } = pending;
+  if (refuseQuarantined(ctx, request.promptParts)) return undefined;
+  const checked = selectReplica(ctx, scope, pending);
+  if (!checked?.ok) return undefined;
+  if (!await takePermit(ctx, request, checked.value)) return undefined;
+  ctx.quarantine.recordSent(sharedPartIds(request.promptParts));
+  return checked.value;
+}
+
 /**
  * Selects the replica that is predicted to respond first, or refuses a request
  * that none would answer in time. Undefined if none can take it now.
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -30,8 +30,8 @@
   | { readonly kind: "notRun"; readonly reason: string; readonly sent: boolean }
   /** The replica may have run the request, and there is no response. */
   | { readonly kind: "unknown"; readonly reason: string }
-  /** No response within the time-out; the request may still be running. */
-  | { readonly kind: "overdue" }
+  /** Another attempt took its place; the request may still be running. */
+  | { readonly kind: "superseded" }
   /** The caller disconnected or the request's deadline has passed. */
   | { readonly kind: "given up"; readonly sent: boolean };
 
@@ -43,16 +43,8 @@
   readonly request: SelectionRequest;
   /** Id of the last event sent to the caller, for a resumed stream. */
   readonly lastEventId?: string;
-  /**
-   * Time-out for the head of the response, in ms. Undefined if the request may
-   * not be retried; the attempt then ends at the request's deadline.
-   */
-  readonly headTimeoutMs?: number;
-  /**
-   * Called each time the time-out has passed. Returns whether the request can
-   * be retried at another replica now; if not, the attempt goes on.
-   */
-  readonly tryReserveRetry: () => boolean;
+  /** Aborted when another attempt takes the place of this one. */
+  readonly signal: AbortSignal;
 }
 
 /** Engine priorities range from 0, the highest, to 9. */
@@ -64,8 +56,9 @@
   scope: RequestScope,
   options: AttemptOptions,
 ): Promise<AttemptOutcome> {
-  const { selection, request } = options;
+  const { selection, request, signal } = options;
   if (!await isCallerPresent(scope)) return { kind: "given up", sent: false };
+  if (signal.aborted) return { kind: "superseded" };
   const sentAt = ctx.clock.now();
   const call = ReplicaCall.create({
     connections: ctx.pools.forReplica(selection.server),
@@ -98,30 +91,22 @@
 async function awaitHead(
   ctx: GatewayContext,
   scope: RequestScope,
-  { call, sentAt, selection, request, headTimeoutMs, tryReserveRetry }:
+  { call, sentAt, selection, request, signal }:
     & AttemptOptions
     & { call: ReplicaCall; sentAt: number },
 ): Promise<AttemptOutcome> {
   const abort = () => call.abort();
-  let isOverdue = false;
-  // A late response is better than none: an overdue attempt is aborted only if
-  // the request can be retried at another replica.
-  const timer = headTimeoutMs === undefined ? undefined : setInterval(() => {
-    if (isOverdue || !tryReserveRetry()) return;
-    isOverdue = true;
-    call.abort();
-  }, headTimeoutMs);
-  scope.signal.addEventListener("abort", abort);
+  const signals = [scope.signal, signal];
+  for (const each of signals) each.addEventListener("abort", abort);
   if (scope.signal.aborted) call.abort();
   let head: ResponseHead;
   try {
     head = await call.head;
   } catch (error) {
-    if (isOverdue) return { kind: "overdue" };
+    if (signal.aborted) return { kind: "superseded" };
     throw error;
   } finally {
-    clearInterval(timer);
-    scope.signal.removeEventListener("abort", abort);
+    for (const each of signals) each.removeEventListener("abort", abort);
   }
   const facts = decodeReplicaResponse(head.status, head.headers);
   if (!hasRequestId(scope, facts)) {
--- a/packages/retry/src/budget.ts
+++ b/packages/retry/src/budget.ts
@@ -50,11 +50,15 @@
     this.#balance = Math.min(burst(), this.#balance + ratio);
   }
 
+  /** Whether no retry can be taken now. */
+  get isSpent(): boolean {
+    return Math.min(this.#balance, this.#options.burst()) < 1;
+  }
+
   /** Takes one retry from the budget. Returns false if the budget is spent. */
   take(): boolean {
-    this.#balance = Math.min(this.#balance, this.#options.burst());
-    if (this.#balance < 1) return false;
-    this.#balance -= 1;
+    if (this.isSpent) return false;
+    this.#balance = Math.min(this.#balance, this.#options.burst()) - 1;
     return true;
   }
 }
