Tests: no response of the gateway tests is overdue because the machine is busy

The stand-in of the configuration takes the target, and the gateway tests set 4 s where lateness is not what they are about.

--- a/packages/gateway/src/testing/running_gateway.ts
+++ b/packages/gateway/src/testing/running_gateway.ts
@@ -9,6 +9,8 @@
 } from "@banyanspool/platform-adapter/testing";
 import { Gateway } from "../gateway.ts";
 
+/** So long that no response is overdue because the test machine is busy. */
+const TARGET_LATENCY_MS = 4000;
 const SILENT = { write: () => {}, dropped: () => 0, flush: () => {} };
 /** Ports below the range from which the system assigns ports. */
 const FIRST_PORT = 20_000;
@@ -45,7 +47,10 @@
   t: ExecutionContext,
   configuration?: StandinConfiguration,
 ): Promise<FleetStandin> {
-  const fleet = await FleetStandin.create(configuration);
+  const fleet = await FleetStandin.create({
+    targetLatencyMs: TARGET_LATENCY_MS,
+    ...configuration,
+  });
   t.teardown(() => fleet.close());
   return fleet;
 }
