Gateway: the permits of limited replicas are divided fairly, and a Retry-After holds

Where all replicas of a service limit their requests, the organisation that sent most got nearly all permits, and callers that came back at their Retry-After were refused again: the time was that of the next permit, which whoever asked first got.

Change: the issuer keeps a schedule instead of a bucket. It promises a permit to the next attempt at a request that is refused, gives one that is ahead of its part only what would be lost, and weights parts by priority. A claim is one message there and back, bounded by organisation, so that a rush costs few. Rate and accumulated permits are as before.

--- a/packages/bench/src/replica_limit_simulation.ts
+++ b/packages/bench/src/replica_limit_simulation.ts
@@ -63,6 +63,7 @@
 /** Span of time in which requests are counted, in ms. */
 export const LIMIT_WINDOW_MS = 4000;
 const REPLICA = "replica 1";
+const REQUESTER = { organisation: "acme", priority: 1, request: "" };
 /** Latency of a message, and of a request from a gateway to the replica. */
 const MIN_LATENCY_MS = 0.5;
 const MAX_EXTRA_LATENCY_MS = 3;
@@ -150,7 +151,7 @@
     this.#requests += 1;
     const permits = this.#permits[gateway]!;
     if (permits.stateOf(REPLICA) === "exhausted") return;
-    const { granted } = await permits.acquire(REPLICA, "any");
+    const { granted } = await permits.acquire(REPLICA, "any", REQUESTER);
     // A frozen gateway sends its request when it goes on.
     const fault = this.#faultOf(gateway, ["restart", "freeze"]);
     if (!granted || fault?.kind === "restart") return;
--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -1,5 +1,7 @@
+import { createHash } from "node:crypto";
 import type { ReplicaSelection, SelectionRequest } from "@banyanspool/routing";
-import { formatModelName } from "@banyanspool/routing";
+import type { PermitRequester } from "@banyanspool/replica-limits";
+import { formatModelName, rankByAffinity } from "@banyanspool/routing";
 import type { PromptPart, Refusal, Result, Route } from "@banyanspool/types";
 import { err, incarnationOf, ok, refuse } from "@banyanspool/types";
 import type { GatewayContext } from "./context.ts";
@@ -45,6 +47,8 @@
 const MIN_RETRY_AFTER_MS = 200;
 const MAX_RETRY_AFTER_MS = 5000;
 const MIN_RETURN_SHARE = 0.1;
+/** Added to the time of a promised permit, which is kept for longer, in ms. */
+const MAX_PROMISE_JITTER_MS = 200;
 
 /** Estimated time that a caller waits for the first byte, in ms. */
 export function callerFirstByteTimeoutMs(route: Route): number {
@@ -96,17 +100,18 @@
       const checked = selectReplica(ctx, scope, pending);
       if (checked && !checked.ok) return checked;
       if (checked) {
-        if (!await takePermit(ctx, request, checked.value)) continue;
+        if (!await takePermit(ctx, scope, { request, ...checked.value })) {
+          continue;
+        }
         ctx.quarantine.recordSent(sharedPartIds(request.promptParts));
         return checked;
       }
-      const limitReached = refuseBeyondLimits(ctx, scope, pending);
-      if (limitReached) {
-        // Another replica may load the model for the caller that returns.
-        if (name !== undefined) {
-          waitingRequests.expectReturn(name, limitReached.retryAfterMs!);
+      const claimed = await claimPermit(ctx, scope, pending);
+      if (claimed) {
+        if (claimed.ok) {
+          ctx.quarantine.recordSent(sharedPartIds(request.promptParts));
         }
-        return err(limitReached);
+        return claimed;
       }
       const leftMs = waitUntil - clock.now();
       if (leftMs <= 0 || (name === undefined && request.excluded.size > 0)) {
@@ -147,7 +152,9 @@
   if (refuseQuarantined(ctx, request.promptParts)) return undefined;
   const checked = selectReplica(ctx, scope, pending);
   if (!checked?.ok) return undefined;
-  if (!await takePermit(ctx, request, checked.value)) return undefined;
+  if (!await takePermit(ctx, scope, { request, ...checked.value })) {
+    return undefined;
+  }
   ctx.quarantine.recordSent(sharedPartIds(request.promptParts));
   return checked.value;
 }
@@ -184,36 +191,70 @@
  */
 async function takePermit(
   { replicaPermits, replicaTracker }: GatewayContext,
-  request: SelectionRequest,
-  { server, permit }: ReplicaSelection,
+  scope: RequestScope,
+  { request, server, permit }: ReplicaSelection & { request: SelectionRequest },
 ): Promise<boolean> {
   if (permit === undefined) return true;
-  const result = await replicaPermits.acquire(incarnationOf(server), permit);
+  const replica = incarnationOf(server);
+  const requester = requesterOf(scope);
+  const result = await replicaPermits.acquire(replica, permit, requester);
   return result.granted && replicaTracker.usable(request).includes(server);
 }
 
 /**
- * Refuses a request if the limits of replicas are all that keeps it from being
- * sent now. A refusal would cut a stream that has begun, so that it waits.
+ * Handles a request that only the limits of replicas keep from being sent now: it
+ * claims a permit that was promised to its caller before, or is refused with the
+ * time of one that is promised. All gateways ask at the same replica. A refusal
+ * would cut a stream that has begun, which waits instead.
  */
-function refuseBeyondLimits(
-  { replicaTracker, replicaPermits, random }: GatewayContext,
-  { arrivedAt }: RequestScope,
-  { request, waitingSince }: PendingRequest,
-): Refusal | undefined {
-  if (waitingSince > arrivedAt) return undefined;
-  const exhausted = replicaTracker.exhausted(request);
-  if (exhausted.length === 0) return undefined;
-  const retryInMs = Math.min(
-    ...exhausted.map((server) =>
-      replicaPermits.retryInMs(incarnationOf(server), "any")
-    ),
+async function claimPermit(
+  ctx: GatewayContext,
+  scope: RequestScope,
+  pending: PendingRequest,
+): Promise<Result<ReplicaSelection, Refusal> | undefined> {
+  const { replicaTracker, replicaPermits, waitingRequests, random } = ctx;
+  const { request } = pending;
+  if (pending.waitingSince > scope.arrivedAt) return undefined;
+  const requester = requesterOf(scope);
+  const [server] = rankByAffinity(
+    requester.request,
+    replicaTracker.exhausted(request),
   );
-  return refuse(
+  if (!server) return undefined;
+  const replica = incarnationOf(server);
+  const leftMs = scope.deadlineAt - ctx.clock.now();
+  const claimed = await replicaPermits.claim(replica, requester, {
+    withinMs: leftMs * MAX_RETRY_AFTER_SHARE,
+  });
+  if (claimed.granted && replicaTracker.usable(request).includes(server)) {
+    const selection = replicaTracker.select(request, { only: server })!;
+    return checkPredictedTime(ctx, scope, { ...pending, selection });
+  }
+  const retryInMs = claimed.granted ? 0 : claimed.retryInMs;
+  const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, retryInMs) +
+    MAX_PROMISE_JITTER_MS * random();
+  const name = formatModelName(request);
+  // Another replica may load the model for the caller that returns.
+  if (name !== undefined) waitingRequests.expectReturn(name, retryAfterMs);
+  return err(refuse(
     "replica_limit_reached",
     `The replicas of "${request.service}" take no more requests now`,
-    { retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, retryInMs) * (1 + random()) },
-  );
+    { retryAfterMs },
+  ));
+}
+
+function requesterOf(
+  { organisation, route, caller, req, body }: RequestScope,
+): PermitRequester {
+  const { target, model, adapter, tokens, promptParts } = caller;
+  const fields = [req.method, target, model, adapter, tokens, promptParts];
+  const digest = createHash("md5").update(JSON.stringify(fields))
+    .update(body ?? "").digest("base64url");
+  return {
+    organisation: organisation?.name ?? "",
+    priority: Math.max(0, organisation?.priority ?? route.priority),
+    request: digest,
+  };
 }
 
 /** Refuses a request with a prompt part that crashes replicas. */
--- a/packages/gateway/src/replica_limit_codec.ts
+++ b/packages/gateway/src/replica_limit_codec.ts
@@ -27,12 +27,18 @@
 ): WirePermitMessage {
   return {
     $typeName: "banyanspool.v1.PermitMessage",
-    queries: queries.map(({ id, replica, ratePerS, permitClass }) => ({
+    queries: queries.map((query) => ({
       $typeName: "banyanspool.v1.PermitQuery",
-      id,
-      replica,
-      ratePerS,
-      spare: permitClass === "spare",
+      id: query.id,
+      replica: query.replica,
+      ratePerS: query.ratePerS,
+      spare: query.permitClass === "spare",
+      organisation: query.requester.organisation,
+      priority: query.requester.priority,
+      request: query.requester.request,
+      promiseWithinMs: query.promiseWithinMs === undefined
+        ? undefined
+        : Math.round(query.promiseWithinMs),
     })),
     answers: answers.map(({ id, result }) => ({
       $typeName: "banyanspool.v1.PermitAnswer",
@@ -47,11 +53,13 @@
   { queries, answers }: WirePermitMessage,
 ): PermitMessage {
   return {
-    queries: queries.map(({ id, replica, ratePerS, spare }) => ({
-      id,
-      replica,
-      ratePerS,
-      permitClass: spare ? "spare" : "any",
+    queries: queries.map(({ organisation, priority, request, ...query }) => ({
+      id: query.id,
+      replica: query.replica,
+      ratePerS: query.ratePerS,
+      permitClass: query.spare ? "spare" : "any",
+      requester: { organisation, priority, request },
+      promiseWithinMs: query.promiseWithinMs,
     })),
     answers: answers.map(({ id, retryInMs }) => ({
       id,
--- a/packages/replica-limits/src/mod.ts
+++ b/packages/replica-limits/src/mod.ts
@@ -10,7 +10,12 @@
   LimitObservation,
   LimitTableOptions,
 } from "./limit_table.ts";
-export type { PermitClass, PermitResult } from "./permit_bucket.ts";
+export { PermitSchedule } from "./permit_schedule.ts";
+export type {
+  PermitClass,
+  PermitRequester,
+  PermitResult,
+} from "./permit_schedule.ts";
 export { ReplicaPermits } from "./replica_permits.ts";
 export type {
   PermitAnswer,
--- a/packages/replica-limits/src/replica_permits.ts
+++ b/packages/replica-limits/src/replica_permits.ts
@@ -1,10 +1,12 @@
 import type { Clock, Random, Sleep } from "@banyanspool/types";
+import { ClaimBudget } from "./claim_budget.ts";
 import {
   GRANTED,
-  PermitBucket,
   type PermitClass,
+  type PermitRequester,
   type PermitResult,
-} from "./permit_bucket.ts";
+  PermitSchedule,
+} from "./permit_schedule.ts";
 
 /** A request for a permit, from one gateway to the issuer. */
 export interface PermitQuery {
@@ -16,6 +18,13 @@
   readonly ratePerS: number;
   /** Which permits the request may take. */
   readonly permitClass: PermitClass;
+  /** On whose behalf. */
+  readonly requester: PermitRequester;
+  /**
+   * Time within which a permit is to be promised instead of issued, in ms;
+   * undefined to take one now.
+   */
+  readonly promiseWithinMs?: number;
 }
 
 /** The issuer's answer to a query. */
@@ -75,6 +84,12 @@
   readonly wake: () => void;
 }
 
+/** Requester of orders and reads of reports. */
+const OWN_CALLS: PermitRequester = {
+  organisation: "",
+  priority: 0,
+  request: "",
+};
 /** Time after which a query counts as lost, in ms. */
 const QUERY_TIMEOUT_MS = 120;
 /** Time until the next query after a lost one, in ms. */
@@ -99,13 +114,15 @@
  */
 export class ReplicaPermits {
   readonly #options: ReplicaPermitsOptions;
-  readonly #buckets: Map<string, PermitBucket> = new Map();
+  readonly #schedules: Map<string, PermitSchedule> = new Map();
   readonly #deniedUntil: Map<string, Record<PermitClass, number>> = new Map();
   readonly #pending: Map<bigint, PendingQuery> = new Map();
+  readonly #claims: ClaimBudget;
   #nextId: bigint;
 
   private constructor(options: ReplicaPermitsOptions) {
     this.#options = options;
+    this.#claims = ClaimBudget.create({ clock: options.clock });
     // An answer to a query of an earlier process must not match.
     this.#nextId = BigInt(Math.floor(options.random() * 2 ** 48));
   }
@@ -130,29 +147,49 @@
 
   /**
    * Takes a permit for one request to a replica. It has to be sent soon
-   * afterwards or not at all. Granted at once if the replica has no limit.
+   * afterwards or not at all. Granted at once if the replica has no limit, and
+   * denied without asking the issuer until the time that it named.
    */
   async acquire(
     replica: string,
     permitClass: PermitClass,
+    requester: PermitRequester,
   ): Promise<PermitResult> {
-    const { instance, limitOf } = this.#options;
-    const ratePerS = limitOf(replica);
-    if (ratePerS === undefined) return GRANTED;
+    if (this.#options.limitOf(replica) === undefined) return GRANTED;
     const retryInMs = this.retryInMs(replica, permitClass);
     if (retryInMs > 0) return { granted: false, retryInMs };
-    const issuer = this.#issuerOf(replica);
-    const result = issuer === instance
-      ? this.#issue(replica, { ratePerS, permitClass })
-      : await this.#query(issuer, { replica, ratePerS, permitClass });
+    const result = await this.#ask({ replica, permitClass, requester });
     if (!result.granted) this.#recordDenial(replica, permitClass, result);
     return result;
   }
 
-  /** Waits for a permit; rejects when the signal is aborted. */
+  /**
+   * Takes a permit that was promised to an earlier attempt at the request, or has
+   * one promised to the next attempt if that is within a time. A denial names the
+   * time until it is expected, whether or not it was promised.
+   */
+  async claim(
+    replica: string,
+    requester: PermitRequester,
+    { withinMs }: { withinMs: number },
+  ): Promise<PermitResult> {
+    const ratePerS = this.#options.limitOf(replica) ?? 0;
+    const { organisation } = requester;
+    if (!this.#claims.take(replica, { organisation, ratePerS })) {
+      return { granted: false, retryInMs: this.retryInMs(replica, "any") };
+    }
+    return await this.#ask({
+      replica,
+      permitClass: "any",
+      requester,
+      promiseWithinMs: Math.max(0, withinMs),
+    });
+  }
+
+  /** Waits for a permit for a gateway's own call; rejects when aborted. */
   async wait(replica: string, signal?: AbortSignal): Promise<void> {
     while (true) {
-      const result = await this.acquire(replica, "any");
+      const result = await this.acquire(replica, "any", OWN_CALLS);
       if (result.granted) return;
       await this.#options.sleep(
         Math.max(MIN_RETRY_MS, this.retryInMs(replica, "any")),
@@ -181,7 +218,8 @@
 
   /** Removes all replicas but these. */
   retain(replicas: ReadonlySet<string>): void {
-    for (const state of [this.#buckets, this.#deniedUntil]) {
+    this.#claims.retain(replicas);
+    for (const state of [this.#schedules, this.#deniedUntil]) {
       for (const replica of state.keys()) {
         if (!replicas.has(replica)) state.delete(replica);
       }
@@ -197,28 +235,47 @@
     return issuer ?? instance;
   }
 
-  #answer({ replica, ratePerS, permitClass }: PermitQuery): PermitResult {
+  async #ask(
+    query: Omit<PermitQuery, "id" | "ratePerS">,
+  ): Promise<PermitResult> {
+    const { instance, limitOf } = this.#options;
+    const ratePerS = limitOf(query.replica);
+    if (ratePerS === undefined) return GRANTED;
+    const issuer = this.#issuerOf(query.replica);
+    return issuer === instance
+      ? this.#issue({ ...query, ratePerS })
+      : await this.#query(issuer, { ...query, ratePerS });
+  }
+
+  #answer(query: PermitQuery): PermitResult {
     const { instance, limitOf } = this.#options;
     // Both gateways must agree on the issuer, or two would issue permits.
-    if (this.#issuerOf(replica) !== instance) {
+    if (this.#issuerOf(query.replica) !== instance) {
       return { granted: false, retryInMs: OTHER_ISSUER_RETRY_MS };
     }
-    return this.#issue(replica, {
-      ratePerS: limitOf(replica) ?? ratePerS,
-      permitClass,
-    });
+    const ratePerS = limitOf(query.replica) ?? query.ratePerS;
+    return this.#issue({ ...query, ratePerS });
   }
 
   #issue(
-    replica: string,
-    { ratePerS, permitClass }: { ratePerS: number; permitClass: PermitClass },
+    { replica, ratePerS, permitClass, requester, promiseWithinMs }: Omit<
+      PermitQuery,
+      "id"
+    >,
   ): PermitResult {
     const { clock, reachableShare } = this.#options;
-    const bucket = this.#buckets.get(replica) ??
-      PermitBucket.create({ clock });
-    this.#buckets.set(replica, bucket);
+    const schedule = this.#schedules.get(replica) ??
+      PermitSchedule.create({ clock });
+    this.#schedules.set(replica, schedule);
     const issuedPerS = Math.max(MIN_RATE_PER_S, ratePerS * reachableShare());
-    return bucket.take(permitClass, issuedPerS);
+    const options = { requester, ratePerS: issuedPerS };
+    const result = schedule.take(permitClass, options);
+    if (result.granted || promiseWithinMs === undefined) return result;
+    const { inMs } = schedule.promise(requester, {
+      ratePerS: issuedPerS,
+      withinMs: promiseWithinMs,
+    });
+    return { granted: false, retryInMs: inMs };
   }
 
   async #query(
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -88,6 +88,8 @@
   readonly compareAll?: boolean;
   /** Whether only those with a limit are, up to their last permit. */
   readonly onlyLimited?: boolean;
+  /** The only one to consider, even if its permits are used up. */
+  readonly only?: BackendServer;
 }
 
 interface InFlightRequest extends RequestLoad {
@@ -384,12 +386,14 @@
   /** Selects the replica with the least cost; undefined if there is none. */
   select(
     request: SelectionRequest,
-    { compareAll = false, onlyLimited = false }: SelectOptions = {},
+    { compareAll = false, onlyLimited = false, only }: SelectOptions = {},
   ): ReplicaSelection | undefined {
     const { permitStateOf } = this.#options;
     const isLimited = (server: BackendServer) =>
       permitStateOf(server) !== "unlimited";
-    const candidates = onlyLimited
+    const candidates = only
+      ? [only]
+      : onlyLimited
       ? this.usable(request).filter((server) =>
         isLimited(server) && permitStateOf(server) !== "exhausted"
       )
