--- a/packages/replica-limits/src/replica_permits_test.ts
+++ b/packages/replica-limits/src/replica_permits_test.ts
@@ -16,7 +16,9 @@
       ReplicaPermits.create({
         clock: { now: () => now, wall: () => now },
         sleep: (_ms, signal) =>
-          new Promise((resolve) => signal?.addEventListener("abort", resolve)),
+          new Promise((resolve) =>
+            signal?.addEventListener("abort", () => resolve())
+          ),
         random: () => 0,
         instance,
         limitOf: () => RATE_PER_S,
