Soak: rates of organisations and memory are checked

An organisation sends several times its rate through all faults; no window may hold more of its tokens than rate, burst and tolerance, summed over all gateways, in touch or not. The most resident memory of each process is compared with 256 MiB.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -8,7 +8,7 @@
 import { type Random, sleep } from "@banyanspool/types";
 import { pick } from "./schedule.ts";
 import { parseStreamEvents, STREAM_EVENTS } from "./stream_events.ts";
-import type { SoakFleet } from "./soak_fleet.ts";
+import { LIMITED_KEY, type SoakFleet } from "./soak_fleet.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
 
 /** Options of {@link runCallers}. */
@@ -24,6 +24,8 @@
 }
 
 const CALLERS_PER_GATEWAY = 3;
+/** Further callers, of an organisation that sends beyond its rate. */
+const LIMITED_CALLERS_PER_GATEWAY = 2;
 const DEADLINE_MS = 3000;
 /** Longest pause between two requests of a caller. */
 const MAX_PAUSE_MS = 40;
@@ -52,7 +54,7 @@
 ): Promise<void> {
   const callers = options.fleet.gateways.flatMap((_, gateway) =>
     Array.from(
-      { length: CALLERS_PER_GATEWAY },
+      { length: CALLERS_PER_GATEWAY + LIMITED_CALLERS_PER_GATEWAY },
       (_, caller) => runCaller(options, { gateway, caller, signal }),
     )
   );
@@ -75,7 +77,10 @@
     for (const key of fleet.keys) keys.add(key);
     count += 1;
     const id = `r${gateway}-${caller}-${count}`;
-    const call = drawCall(id, [...keys], random);
+    const drawn = drawCall(id, [...keys], random);
+    const call = caller >= CALLERS_PER_GATEWAY && drawn.key !== undefined
+      ? { ...drawn, key: LIMITED_KEY }
+      : drawn;
     const { host, incarnation } = fleet.gateways[gateway]!;
     checker.recordRequest({ ...call, gateway, incarnation, atMs: now() });
     const port = fleet.callerPort;
--- a/packages/soak/src/commands/soak.ts
+++ b/packages/soak/src/commands/soak.ts
@@ -45,7 +45,8 @@
   /** Defect to inject into the gateways. */
   injectedFault?: InjectedFault = Option.String("--planted", {
     description: "defect to inject: runTwice, passKeyOn, oldConfiguration, " +
-      "ignoreVersion or guessVersion",
+      "ignoreVersion, guessVersion, versionAlone, fenceFromStore, " +
+      "ignoreEpoch, issueAlone or countAlone",
   });
 
   /** Runs all seeds; the exit code is 1 if any of them has violations. */
@@ -82,10 +83,10 @@
       gateways: Number(this.gateways),
       injectedFault: this.injectedFault,
     });
-    const { steps, sent, violations } = result;
+    const { steps, sent, peakMemoryMib, violations } = result;
     this.context.stdout.write(
       `seed ${seed}: ${steps.length} faults, ${sent} requests, ` +
-        `${violations.length} violations\n`,
+        `${Math.round(peakMemoryMib)} MiB, ${violations.length} violations\n`,
     );
     for (const { invariant, detail } of violations) {
       this.context.stdout.write(`  ${invariant}: ${detail}\n`);
--- a/packages/soak/src/injected_fault.ts
+++ b/packages/soak/src/injected_fault.ts
@@ -14,7 +14,9 @@
   /** Both: a restore of the store isn't noticed. */
   | "ignoreEpoch"
   /** Each gateway keeps the limit of a replica on its own. */
-  | "issueAlone";
+  | "issueAlone"
+  /** Each gateway keeps the rate of an organisation on its own. */
+  | "countAlone";
 
 /** Environment variable that passes an injected defect to a gateway. */
 export const INJECTED_FAULT_VARIABLE = "BANYANSPOOL_SOAK_PLANTED";
--- a/packages/soak/src/invariant_checker.ts
+++ b/packages/soak/src/invariant_checker.ts
@@ -4,6 +4,7 @@
 } from "@banyanspool/platform-adapter/testing";
 import { guaranteesNotRun } from "@banyanspool/platform-adapter/testing";
 import { parseStreamEvents, STREAM_EVENTS } from "./stream_events.ts";
+import { type LimitedRun, TokenWindow } from "./token_window.ts";
 
 /** A violated invariant. */
 export interface Violation {
@@ -54,6 +55,14 @@
   readonly from: number;
 }
 
+/** Most tokens of an organisation that may be run within a span. */
+export interface TokenLimit {
+  /** Length of the span, in ms. */
+  readonly windowMs: number;
+  /** Most tokens in any span. */
+  readonly tokens: number;
+}
+
 /** Span in which the requests of a replica with a limit are counted. */
 const LIMIT_WINDOW_MS = 4000;
 /** Multiple of the limit, and further requests, that a span may have. */
@@ -78,6 +87,8 @@
   readonly #runs: Map<string, Run[]> = new Map();
   readonly #organisations: Map<string, string> = new Map();
   readonly #withdrawals: Map<string, number> = new Map();
+  readonly #tokenLimits: Map<string, TokenLimit & { window: TokenWindow }> =
+    new Map();
   /** Software versions that wrote the events of each stream, by first attempt. */
   readonly #streamVersions: Map<string, Set<string>> = new Map();
   readonly #drainNotices: Map<string, number> = new Map();
@@ -116,6 +127,12 @@
     this.#organisations.set(key, organisation);
   }
 
+  /** Records the rate limit of an organisation. */
+  recordTokenLimit(organisation: string, limit: TokenLimit): void {
+    const window = TokenWindow.create(limit);
+    this.#tokenLimits.set(organisation, { ...limit, window });
+  }
+
   /** Records when the store accepted the withdrawal of a key. */
   recordWithdrawal(key: string, atMs: number): void {
     this.#withdrawals.set(key, atMs);
@@ -177,6 +194,14 @@
     this.#checkKey(request, atMs);
     this.#checkDrain(request, replica, atMs);
     this.#checkLimit(request, replica, atMs);
+    if (runs.length === 1) {
+      const { tokens } = received;
+      this.#checkTokens(organisation, {
+        sentAt: request.atMs,
+        ranAt: atMs,
+        tokens,
+      });
+    }
   }
 
   /** Records and checks the response that a caller received. */
@@ -329,6 +354,17 @@
     );
   }
 
+  #checkTokens(organisation: string | undefined, run: LimitedRun): void {
+    const limit = this.#tokenLimits.get(organisation ?? "");
+    if (!limit) return;
+    const sum = limit.window.add(run);
+    if (sum <= limit.tokens) return;
+    this.#fail(
+      "an organisation gets no more than its rate and burst",
+      `"${organisation}" got ${sum} tokens in ${limit.windowMs} ms`,
+    );
+  }
+
   #isUndisturbed(gateway: number, { from, to }: { from: number; to: number }) {
     return !this.#disturbances.some((span) =>
       span.gateway === gateway && span.from < to && span.to > from
--- a/packages/soak/src/invariant_checker_test.ts
+++ b/packages/soak/src/invariant_checker_test.ts
@@ -168,3 +168,23 @@
     "a drained replica receives no requests",
   ]);
 });
+
+test("tokens beyond an organisation's rate and burst are a violation, unless sent before the window", (t) => {
+  const checker = createChecker();
+  checker.recordTokenLimit("acme", { windowMs: 1000, tokens: 100 });
+  const run = (
+    id: string,
+    { atMs, ranAt }: { atMs: number; ranAt: number },
+  ) => {
+    const request = { ...SENT, id, route: "look", key: "key", atMs };
+    checker.recordRequest(request);
+    checker.recordRun(createReceived(id, { tokens: 60 }), "i-1", ranAt);
+  };
+  run("r1", { atMs: 0, ranAt: 1100 });
+  run("r2", { atMs: 950, ranAt: 1200 });
+  t.deepEqual(getInvariants(checker), []);
+  run("r3", { atMs: 990, ranAt: 1300 });
+  t.deepEqual(getInvariants(checker), [
+    "an organisation gets no more than its rate and burst",
+  ]);
+});
--- a/packages/soak/src/planted_schedule.ts
+++ b/packages/soak/src/planted_schedule.ts
@@ -54,6 +54,8 @@
       return [...HOLDER_CHANGES, DRAIN_AFTER_RESTORE];
     case "issueAlone":
       return LIMITS_OF_A_SERVICE;
+    case "countAlone":
+      return [];
     default:
       return EARLY_WITHDRAWALS;
   }
--- a/packages/soak/src/preload.ts
+++ b/packages/soak/src/preload.ts
@@ -10,6 +10,7 @@
 } from "./injected_fault.ts";
 import { FleetState, ReplicaCall } from "@banyanspool/gateway/fault_injection";
 import { StoreClient } from "@banyanspool/platform-adapter";
+import { SlidingWindowLimiter } from "@banyanspool/limits";
 import { ReplicaPermits } from "@banyanspool/replica-limits";
 import { ReplicaTracker } from "@banyanspool/routing";
 import { StreamOrigins } from "@banyanspool/streams";
@@ -69,6 +70,8 @@
       return takeFencesFromStore();
     case "issueAlone":
       return issuePermitsAlone();
+    case "countAlone":
+      return countAlone();
   }
 }
 
@@ -137,3 +140,11 @@
   ReplicaPermits.create = (options) =>
     create({ ...options, issuersOf: () => [options.instance] });
 }
+
+/** Lets each gateway count the use of an organisation's rate for itself. */
+function countAlone(): void {
+  const { create } = SlidingWindowLimiter;
+  SlidingWindowLimiter.create = (options) =>
+    create({ ...options, liveEntryCount: () => 1 });
+  SlidingWindowLimiter.prototype.recordReport = () => {};
+}
--- a/packages/soak/src/report.ts
+++ b/packages/soak/src/report.ts
@@ -20,9 +20,10 @@
 /** Formats a Markdown table of all seeds and a list of their violations. */
 export function describeResults(results: readonly SeedResult[]): string {
   const rows = results.map(
-    ({ seed, steps, sent, responses, resumptions, violations }) =>
+    ({ seed, steps, sent, responses, resumptions, ...result }) =>
       `| ${seed} | ${steps.length} | ${sent} | ${formatCounts(responses)} | ` +
-      `${formatCounts(resumptions)} | ${violations.length} |`,
+      `${formatCounts(resumptions)} | ${Math.round(result.peakMemoryMib)} | ` +
+      `${result.violations.length} |`,
   );
   const violationLines = results.flatMap(({ seed, violations }) =>
     violations.map(({ invariant, detail }) =>
@@ -30,8 +31,9 @@
     )
   );
   return [
-    "| seed | faults | requests | responses | resumed streams | violations |",
-    "| --- | --- | --- | --- | --- | --- |",
+    "| seed | faults | requests | responses | resumed streams | memory, MiB | " +
+    "violations |",
+    "| --- | --- | --- | --- | --- | --- | --- |",
     ...rows,
     "",
     ...violationLines,
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -34,6 +34,8 @@
   readonly responses: ReadonlyMap<string, number>;
   /** The same of requests that resumed a stream. */
   readonly resumptions: ReadonlyMap<string, number>;
+  /** The most memory that a gateway's process has had, in MiB. */
+  readonly peakMemoryMib: number;
   /** Violated invariants; empty if the run passed. */
   readonly violations: readonly Violation[];
 }
@@ -115,6 +117,7 @@
     sent: checker.sentCount,
     responses: checker.countResponses(),
     resumptions: checker.countResumptions(),
+    peakMemoryMib: fleet.peakMemoryMib,
     violations: checker.violations,
   };
 }
@@ -266,9 +269,11 @@
 ): Promise<void> {
   switch (kind) {
     case "kill":
+      fleet.checkMemory(gateway);
       await gateway.child.kill();
       return await fleet.restartGateway(gateway);
     case "stop":
+      fleet.checkMemory(gateway);
       await gateway.child.stop();
       return await fleet.restartGateway(gateway);
     case "pause":
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -21,6 +21,7 @@
   type InjectedFault,
 } from "./injected_fault.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
+import { readPeakMemoryMib } from "./peak_memory.ts";
 
 /** A gateway of the fleet. */
 export interface SoakGateway {
@@ -81,6 +82,18 @@
 export const SOFTWARE_VERSIONS: readonly string[] = ["v1", "v2"];
 /** Organisation that all keys belong to. */
 export const ORGANISATION: string = "acme";
+/** An organisation that sends several times its rate. */
+const LIMITED = {
+  name: "globex",
+  keys: ["key-of-globex"],
+  ratePerS: 200,
+  burst: 500,
+};
+/** Key of that organisation. */
+export const LIMITED_KEY: string = LIMITED.keys[0]!;
+const LIMIT_WINDOW_MS = 8000;
+const LIMIT_OVERAGE = 0.1;
+const LIMIT_SLACK = 1000;
 /** Key of the first configuration that is withdrawn first. */
 const INITIAL_KEY = "key-1";
 /** Models that each new replica with models has; restarted ones have none. */
@@ -88,6 +101,9 @@
 /** So few that adapters displace each other, which takes orders. */
 const ADAPTER_SLOTS = 1;
 const GRACE_MS = 4000;
+/** Memory that a gateway may take at most. */
+const MEMORY_MIB = 256;
+const MS_PER_S = 1000;
 /** Writes to the store by others between a copy and a restore. */
 const OTHER_WRITES = 50;
 /** Requests a second that a replica with a limit takes. */
@@ -122,6 +138,7 @@
   #keys: readonly string[] = [STANDIN_KEY, INITIAL_KEY];
   #plainService = "desk";
   #replicaCount = 0;
+  #peakMemoryMib = 0;
 
   private constructor(options: SoakFleetOptions, platform: FleetStandin) {
     this.#options = options;
@@ -135,6 +152,12 @@
     for (const key of fleet.#keys) {
       options.checker.recordKey(key, ORGANISATION);
     }
+    options.checker.recordKey(LIMITED_KEY, LIMITED.name);
+    options.checker.recordTokenLimit(LIMITED.name, {
+      windowMs: LIMIT_WINDOW_MS,
+      tokens: (LIMITED.ratePerS * LIMIT_WINDOW_MS / MS_PER_S + LIMITED.burst) *
+          (1 + LIMIT_OVERAGE) + LIMIT_SLACK,
+    });
     fleet.#configure();
     for (const service of REPLICA_SERVICES) await fleet.#addReplica(service);
     fleet.#ports = await pickPorts(4);
@@ -268,9 +291,26 @@
     for (const replica of this.replicas) this.#checkFencing(replica);
   }
 
+  /** Checks the most memory that a gateway's process has had so far. */
+  checkMemory({ child, host }: SoakGateway): void {
+    const mib = readPeakMemoryMib(child.pid) ?? 0;
+    this.#peakMemoryMib = Math.max(this.#peakMemoryMib, mib);
+    if (mib <= MEMORY_MIB) return;
+    this.#options.checker.recordViolation(
+      "a gateway stays within its memory",
+      `${host} had ${Math.round(mib)} MiB`,
+    );
+  }
+
+  /** The most memory that a gateway's process has had, in MiB. */
+  get peakMemoryMib(): number {
+    return this.#peakMemoryMib;
+  }
+
   /** Stops all gateways and stand-ins; returns the gateways' exit codes. */
   async stop(): Promise<(number | null)[]> {
     this.checkOrders();
+    for (const gateway of this.gateways) this.checkMemory(gateway);
     const codes = await Promise.all(
       this.gateways.map(({ child }) => child.stop()),
     );
@@ -295,6 +335,7 @@
       keys: this.#keys,
       plainService: this.#plainService,
       adapterSlots: ADAPTER_SLOTS,
+      otherOrganisations: [LIMITED],
     });
   }
 
@@ -421,9 +462,9 @@
         lease_ms: 1500,
         retry_ratio: 0.2,
         retry_burst: 50,
-        limit_window_ms: 8000,
-        limit_overage: 0.1,
-        limit_slack: 1000,
+        limit_window_ms: LIMIT_WINDOW_MS,
+        limit_overage: LIMIT_OVERAGE,
+        limit_slack: LIMIT_SLACK,
       }),
     );
   }
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -15,6 +15,11 @@
   });
 }
 
+/** Defects by which each gateway keeps on its own what all keep together. */
+const KEPT_TOGETHER: ReadonlySet<string> = new Set([
+  "issueAlone",
+  "countAlone",
+]);
 const EXPECTED_VIOLATIONS = {
   runTwice: "a non-idempotent request runs at most once",
   passKeyOn: "no key reaches a replica",
@@ -25,6 +30,7 @@
   fenceFromStore: "one lease holder gives orders at a time",
   ignoreEpoch: "one lease holder gives orders at a time",
   issueAlone: "gateways together keep the limit of a replica",
+  countAlone: "an organisation gets no more than its rate and burst",
 } as const;
 
 for (
@@ -38,12 +44,13 @@
     "fenceFromStore",
     "ignoreEpoch",
     "issueAlone",
+    "countAlone",
   ] as const
 ) {
   test.serial(`the injected defect ${fault} is detected`, async (t) => {
     const { violations } = await runSeed(1, {
       // Two gateways that keep a limit on their own hardly exceed it together.
-      gateways: fault === "issueAlone" ? 4 : SIZES.gateways,
+      gateways: KEPT_TOGETHER.has(fault) ? 4 : SIZES.gateways,
       durationMs: 6000,
       injectedFault: fault,
     });
