--- a/packages/soak/src/invariant_checker.ts
+++ b/packages/soak/src/invariant_checker.ts
@@ -2,7 +2,10 @@
   GatewayResponse,
   ReceivedCall,
 } from "@banyanspool/platform-adapter/testing";
-import { guaranteesNotRun } from "@banyanspool/platform-adapter/testing";
+import {
+  guaranteesNotRun,
+  PLAIN_TOKENS,
+} from "@banyanspool/platform-adapter/testing";
 import { parseStreamEvents, STREAM_EVENTS } from "./stream_events.ts";
 import { type LimitedRun, TokenWindow } from "./token_window.ts";
 
@@ -195,7 +198,7 @@
     this.#checkDrain(request, replica, atMs);
     this.#checkLimit(request, replica, atMs);
     if (runs.length === 1) {
-      const { tokens } = received;
+      const tokens = received.tokens || PLAIN_TOKENS;
       this.#checkTokens(organisation, {
         sentAt: request.atMs,
         ranAt: atMs,
