Gateway: permits of a request are a file of their own

What takes and claims permits moves to replica_permit.ts; a claim has a result type instead of a selection or a refusal. Behaviour is unchanged.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -1,12 +1,11 @@
-import { createHash } from "node:crypto";
 import type { ReplicaSelection, SelectionRequest } from "@banyanspool/routing";
-import type { PermitRequester } from "@banyanspool/replica-limits";
-import { formatModelName, rankByAffinity } from "@banyanspool/routing";
+import { formatModelName } from "@banyanspool/routing";
 import type { PromptPart, Refusal, Result, Route } from "@banyanspool/types";
-import { err, incarnationOf, ok, refuse } from "@banyanspool/types";
+import { err, ok, refuse } from "@banyanspool/types";
 import type { GatewayContext } from "./context.ts";
 import { sharedPartIds } from "./prompt_parts.ts";
 import { jitterRetryAfter } from "./refusals.ts";
+import { claimPermit, type PermitClaim, takePermit } from "./replica_permit.ts";
 import type { RequestScope } from "./request_scope.ts";
 
 /**
@@ -106,13 +105,14 @@
         ctx.quarantine.recordSent(sharedPartIds(request.promptParts));
         return checked;
       }
-      const claimed = await claimPermit(ctx, scope, pending);
-      if (claimed) {
-        if (claimed.ok) {
-          ctx.quarantine.recordSent(sharedPartIds(request.promptParts));
-        }
-        return claimed;
-      }
+      // A refusal would cut a stream that has begun, which waits instead.
+      const claim = pending.waitingSince > scope.arrivedAt
+        ? undefined
+        : await claimPermit(ctx, scope, {
+          request,
+          withinMs: (scope.deadlineAt - clock.now()) * MAX_RETRY_AFTER_SHARE,
+        });
+      if (claim) return endClaim(ctx, scope, { ...pending, claim });
       const leftMs = waitUntil - clock.now();
       if (leftMs <= 0 || (name === undefined && request.excluded.size > 0)) {
         return err(refuseNoReplica(ctx, request));
@@ -186,52 +186,24 @@
 }
 
 /**
- * Takes the permit that a replica with a limit requires. Returns whether the
- * request may be sent; the replica may have gone while the permit was awaited.
- */
-async function takePermit(
-  { replicaPermits, replicaTracker }: GatewayContext,
-  scope: RequestScope,
-  { request, server, permit }: ReplicaSelection & { request: SelectionRequest },
-): Promise<boolean> {
-  if (permit === undefined) return true;
-  const replica = incarnationOf(server);
-  const requester = requesterOf(scope);
-  const result = await replicaPermits.acquire(replica, permit, requester);
-  return result.granted && replicaTracker.usable(request).includes(server);
-}
-
-/**
- * Handles a request that only the limits of replicas keep from being sent now: it
- * claims a permit that was promised to its caller before, or is refused with the
- * time of one that is promised. All gateways ask at the same replica. A refusal
- * would cut a stream that has begun, which waits instead.
+ * Ends the wait of a request that only the limits of replicas keep from being
+ * sent: with the replica whose permit it claimed, or with a refusal.
  */
-async function claimPermit(
+function endClaim(
   ctx: GatewayContext,
   scope: RequestScope,
-  pending: PendingRequest,
-): Promise<Result<ReplicaSelection, Refusal> | undefined> {
-  const { replicaTracker, replicaPermits, waitingRequests, random } = ctx;
+  { claim, ...pending }: PendingRequest & { claim: PermitClaim },
+): Result<ReplicaSelection, Refusal> {
+  const { replicaTracker, quarantine, waitingRequests, random } = ctx;
   const { request } = pending;
-  if (pending.waitingSince > scope.arrivedAt) return undefined;
-  const requester = requesterOf(scope);
-  const [server] = rankByAffinity(
-    requester.request,
-    replicaTracker.exhausted(request),
-  );
-  if (!server) return undefined;
-  const replica = incarnationOf(server);
-  const leftMs = scope.deadlineAt - ctx.clock.now();
-  const claimed = await replicaPermits.claim(replica, requester, {
-    withinMs: leftMs * MAX_RETRY_AFTER_SHARE,
-  });
-  if (claimed.granted && replicaTracker.usable(request).includes(server)) {
+  if (claim.kind === "granted") {
+    const { server } = claim;
     const selection = replicaTracker.select(request, { only: server })!;
-    return checkPredictedTime(ctx, scope, { ...pending, selection });
+    const checked = checkPredictedTime(ctx, scope, { ...pending, selection });
+    if (checked.ok) quarantine.recordSent(sharedPartIds(request.promptParts));
+    return checked;
   }
-  const retryInMs = claimed.granted ? 0 : claimed.retryInMs;
-  const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, retryInMs) +
+  const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, claim.retryInMs) +
     MAX_PROMISE_JITTER_MS * random();
   const name = formatModelName(request);
   // Another replica may load the model for the caller that returns.
@@ -243,20 +215,6 @@
   ));
 }
 
-function requesterOf(
-  { organisation, route, caller, req, body }: RequestScope,
-): PermitRequester {
-  const { target, model, adapter, tokens, promptParts } = caller;
-  const fields = [req.method, target, model, adapter, tokens, promptParts];
-  const digest = createHash("md5").update(JSON.stringify(fields))
-    .update(body ?? "").digest("base64url");
-  return {
-    organisation: organisation?.name ?? "",
-    priority: Math.max(0, organisation?.priority ?? route.priority),
-    request: digest,
-  };
-}
-
 /** Refuses a request with a prompt part that crashes replicas. */
 export function refuseQuarantined(
   ctx: GatewayContext,
