Tests: ports are reserved between processes until they end

Ports were only tried, seconds before they are bound, and the ranges of two processes with near ids overlap when one needs more than 40.

The gateway tests reserve their ports too.

--- a/packages/gateway/src/testing/running_gateway.ts
+++ b/packages/gateway/src/testing/running_gateway.ts
@@ -7,6 +7,7 @@
   STANDIN_KEY,
   type StandinConfiguration,
 } from "@banyanspool/platform-adapter/testing";
+import { reservePort } from "@banyanspool/standins";
 import { Gateway } from "../gateway.ts";
 
 /** So long that no response is overdue because the test machine is busy. */
@@ -67,6 +68,7 @@
   while (true) {
     nextBlock += 1;
     const port = FIRST_PORT + PORTS_PER_GATEWAY * (nextBlock % PORT_BLOCKS);
+    if (!reservePort(port)) continue;
     const used = await Promise.all(
       Array.from({ length: USED_PORTS }, (_, i) => isUsed(host, port + i)),
     );
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -21,4 +21,4 @@
 export type { ServiceFaults, ServiceServer } from "./service_server.ts";
 export { startBlackholeProxy } from "./blackhole_proxy.ts";
 export type { BlackholeProxy } from "./blackhole_proxy.ts";
-export { pickPorts } from "./ports.ts";
+export { pickPorts, reservePort } from "./ports.ts";
