--- a/packages/gateway/src/caller_presence_test.ts
+++ b/packages/gateway/src/caller_presence_test.ts
@@ -54,6 +54,24 @@
   t.false(isPresent);
 });
 
+// Its request was sent, as the close behind it was read only in the next poll.
+test("a caller whose request and close are read together isn't present", async (t) => {
+  const server = createServer();
+  t.teardown(() => server.close());
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const caller = connect(port, "127.0.0.1");
+  await once(server, "connection");
+  const received = once(server, "request");
+  caller.end("GET / HTTP/1.1\r\nHost: a\r\n\r\n", () => caller.destroy());
+  setImmediate(stall);
+  const [req, res] = await received as [IncomingMessage, ServerResponse];
+  const controller = new AbortController();
+  res.once("close", () => controller.abort());
+  t.false(await isCallerPresent({ req, res, signal: controller.signal }));
+});
+
 test("a caller that waits is present", async (t) => {
   const { scope } = await receiveRequest(t);
   t.true(await isCallerPresent(scope));
