Gateway: the log tells repeats of a request that a replica cut off

Change: `replica crashed`, `response cut off` and `attempt` lines of lost responses carry a digest of organisation, method, host, target and body. No behaviour changes. One test fixture gives the prompt parts with the caller's request instead of the selection, where the gateway now reads them.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -1,11 +1,11 @@
 import type { ReplicaSelection, SelectionRequest } from "@banyanspool/routing";
 import { formatModelName } from "@banyanspool/routing";
-import type { PromptPart, Refusal, Result, Route } from "@banyanspool/types";
+import type { Refusal, Result, Route } from "@banyanspool/types";
 import { err, ok, refuse } from "@banyanspool/types";
 import type { GatewayContext } from "./context.ts";
-import { sharedPartIds } from "./prompt_parts.ts";
 import { jitterRetryAfter } from "./refusals.ts";
 import { claimPermit, type PermitClaim, takePermit } from "./replica_permit.ts";
+import { sharedPartIds } from "./request_fingerprint.ts";
 import type { RequestScope } from "./request_scope.ts";
 
 /**
@@ -94,7 +94,7 @@
   let stopWaiting: (() => void) | undefined;
   try {
     while (!scope.signal.aborted) {
-      const quarantined = refuseQuarantined(ctx, request.promptParts);
+      const quarantined = refuseQuarantined(ctx, scope);
       if (quarantined) return err(quarantined);
       const checked = selectReplica(ctx, scope, pending);
       if (checked && !checked.ok) return checked;
@@ -102,7 +102,7 @@
         if (!await takePermit(ctx, scope, { request, ...checked.value })) {
           continue;
         }
-        ctx.quarantine.recordSent(sharedPartIds(request.promptParts));
+        ctx.quarantine.recordSent(sharedPartIds(scope));
         return checked;
       }
       // A refusal would cut a stream that has begun, which waits instead.
@@ -149,13 +149,13 @@
   pending: PendingRequest,
 ): Promise<ReplicaSelection | undefined> {
   const { request } = pending;
-  if (refuseQuarantined(ctx, request.promptParts)) return undefined;
+  if (refuseQuarantined(ctx, scope)) return undefined;
   const checked = selectReplica(ctx, scope, pending);
   if (!checked?.ok) return undefined;
   if (!await takePermit(ctx, scope, { request, ...checked.value })) {
     return undefined;
   }
-  ctx.quarantine.recordSent(sharedPartIds(request.promptParts));
+  ctx.quarantine.recordSent(sharedPartIds(scope));
   return checked.value;
 }
 
@@ -200,7 +200,7 @@
     const { server } = claim;
     const selection = replicaTracker.select(request, { only: server })!;
     const checked = checkPredictedTime(ctx, scope, { ...pending, selection });
-    if (checked.ok) quarantine.recordSent(sharedPartIds(request.promptParts));
+    if (checked.ok) quarantine.recordSent(sharedPartIds(scope));
     return checked;
   }
   const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, claim.retryInMs) +
@@ -218,9 +218,9 @@
 /** Refuses a request with a prompt part that crashes replicas. */
 export function refuseQuarantined(
   ctx: GatewayContext,
-  promptParts: readonly PromptPart[],
+  scope: RequestScope,
 ): Refusal | undefined {
-  const quarantined = ctx.quarantine.check(sharedPartIds(promptParts));
+  const quarantined = ctx.quarantine.check(sharedPartIds(scope));
   if (!quarantined) return undefined;
   const { part, retryAfterMs } = quarantined;
   return refuse(
--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -283,10 +283,8 @@
 test("a request that waits is refused when a part of its prompt is quarantined", async (t) => {
   const { ctx, scope, elapsedMs } = createGateway([]);
   const promptParts = ["bad", "own"].map((id) => ({ id, tokens: 10 }));
-  const acquiring = acquireReplica(ctx, scope, {
-    request: { ...REQUEST, promptParts },
-    waitingSince: 0,
-  });
+  const withParts = { ...scope, caller: { ...scope.caller, promptParts } };
+  const acquiring = acquireReplica(ctx, withParts, PENDING);
   for (const replica of ["r1", "r2", "r3"]) {
     await ctx.fleet.changed.wait(300);
     ctx.quarantine.recordCrash(replica, ["bad"]);
--- a/packages/gateway/src/crash_watch.ts
+++ b/packages/gateway/src/crash_watch.ts
@@ -4,6 +4,7 @@
   type Clock,
   incarnationOf,
 } from "@banyanspool/types";
+import type { RequestFingerprint } from "./request_fingerprint.ts";
 
 /** Result of connecting to a replica. */
 export type ConnectResult = "refused" | "accepted" | "unknown";
@@ -20,19 +21,19 @@
   readonly onCrash: (crash: DetectedCrash) => void;
 }
 
-/** A crashed replica and the prompt parts of requests that it cut off. */
+/** A crashed replica and requests that it cut off. */
 export interface DetectedCrash {
   /** Replica. */
   readonly server: BackendServer;
   /** Identifies its incarnation. */
   readonly incarnation: string;
-  /** Ids of the parts. */
-  readonly parts: readonly string[];
+  /** The requests. */
+  readonly requests: readonly RequestFingerprint[];
 }
 
 interface CutOffs {
-  /** Parts of requests that were cut off before the result of the connection. */
-  readonly parts: Set<string>;
+  /** Requests that were cut off before the result of the connection. */
+  readonly requests: RequestFingerprint[];
   readonly checkedAt: number;
   result: ConnectResult | "pending";
 }
@@ -59,39 +60,39 @@
     return new CrashWatch(options);
   }
 
-  /** Records that a replica cut off a request with these prompt parts. */
-  recordCutOff(server: BackendServer, parts: readonly string[]): void {
+  /** Records that a replica cut off a request. */
+  recordCutOff(server: BackendServer, request: RequestFingerprint): void {
     const { clock, isServing, onCrash } = this.#options;
     const incarnation = incarnationOf(server);
     const known = this.#cutOffs.get(incarnation);
     if (known?.result === "refused") {
-      onCrash({ server, incarnation, parts });
+      onCrash({ server, incarnation, requests: [request] });
       return;
     }
     if (known && clock.now() - known.checkedAt < RECHECK_MS) {
-      for (const part of parts) known.parts.add(part);
+      known.requests.push(request);
       return;
     }
     if (!isServing(server)) return;
-    void this.#check(server, incarnation, parts);
+    void this.#check(server, incarnation, request);
   }
 
   async #check(
     server: BackendServer,
     incarnation: string,
-    parts: readonly string[],
+    request: RequestFingerprint,
   ): Promise<void> {
     const { clock, tryConnect, onCrash } = this.#options;
     this.#forgetOld();
     const cutOffs: CutOffs = {
-      parts: new Set(parts),
+      requests: [request],
       checkedAt: clock.now(),
       result: "pending",
     };
     this.#cutOffs.set(incarnation, cutOffs);
     cutOffs.result = await tryConnect(server.address);
     if (cutOffs.result !== "refused") return;
-    onCrash({ server, incarnation, parts: [...cutOffs.parts] });
+    onCrash({ server, incarnation, requests: cutOffs.requests });
   }
 
   #forgetOld(): void {
--- a/packages/gateway/src/crash_watch_test.ts
+++ b/packages/gateway/src/crash_watch_test.ts
@@ -15,6 +15,8 @@
   models: [],
 };
 
+const request = (digest: string) => ({ digest, parts: [] });
+
 /** A watch of replicas that answer connections in this way. */
 function createWatch(
   results: readonly ConnectResult[],
@@ -30,7 +32,8 @@
       return Promise.resolve(results[connects.length - 1] ?? "unknown");
     },
     isServing,
-    onCrash: ({ parts }) => crashes.push(parts.join()),
+    onCrash: ({ requests }) =>
+      crashes.push(requests.map(({ digest }) => digest).join()),
   });
   const settle = () => new Promise((resolve) => setImmediate(resolve));
   return {
@@ -44,10 +47,10 @@
 
 test("a replica that cuts off requests and refuses connections has crashed", async (t) => {
   const { watch, crashes, connects, settle } = createWatch(["refused"]);
-  watch.recordCutOff(REPLICA, ["a"]);
-  watch.recordCutOff(REPLICA, ["b"]);
+  watch.recordCutOff(REPLICA, request("a"));
+  watch.recordCutOff(REPLICA, request("b"));
   await settle();
-  watch.recordCutOff(REPLICA, ["c"]);
+  watch.recordCutOff(REPLICA, request("c"));
   t.deepEqual(crashes, ["a,b", "c"]);
   t.is(connects.length, 1);
 });
@@ -55,7 +58,7 @@
 for (const result of ["accepted", "unknown"] as const) {
   test(`a replica whose connection is ${result} has not crashed`, async (t) => {
     const { watch, crashes, settle } = createWatch([result]);
-    watch.recordCutOff(REPLICA, ["a"]);
+    watch.recordCutOff(REPLICA, request("a"));
     await settle();
     t.deepEqual(crashes, []);
   });
@@ -66,17 +69,17 @@
     "accepted",
     "refused",
   ]);
-  watch.recordCutOff(REPLICA, ["a"]);
+  watch.recordCutOff(REPLICA, request("a"));
   await settle();
   advance(5000);
-  watch.recordCutOff(REPLICA, ["b"]);
+  watch.recordCutOff(REPLICA, request("b"));
   await settle();
   t.deepEqual(crashes, ["b"]);
 });
 
 test("a replica that was draining or has left the list has not crashed", async (t) => {
   const { watch, connects, settle } = createWatch(["refused"], () => false);
-  watch.recordCutOff(REPLICA, ["a"]);
+  watch.recordCutOff(REPLICA, request("a"));
   await settle();
   t.is(connects.length, 0);
 });
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -156,9 +156,11 @@
       clock,
       tryConnect,
       isServing: options.isServing,
-      onCrash: ({ server, incarnation, parts }) => {
+      onCrash: ({ server, incarnation, requests }) => {
+        const parts = [...new Set(requests.flatMap(({ parts }) => parts))];
         log.write("replica crashed", {
           replica: incarnation,
+          requests: requests.map(({ digest }) => digest),
           prompt_parts: parts,
         });
         quarantine.recordCrash(incarnation, parts);
--- a/packages/gateway/src/finish_attempt.ts
+++ b/packages/gateway/src/finish_attempt.ts
@@ -7,10 +7,10 @@
   summariseProgress,
 } from "./final_responses.ts";
 import type { PendingAttempt } from "./pending_attempt.ts";
-import { sharedPartIds } from "./prompt_parts.ts";
 import { relayResponse } from "./relay_attempt.ts";
 import { isEventStream } from "./relay_response.ts";
 import type { RequestExecution } from "./request_execution.ts";
+import { fingerprintOf } from "./request_fingerprint.ts";
 import type { RequestOutcome } from "./request_scope.ts";
 import type { AttemptOutcome, StartedResponse } from "./send_attempt.ts";
 
@@ -168,7 +168,7 @@
   execution: RequestExecution,
   { selection, outcome }: PendingAttempt,
 ): void {
-  const { ctx, progress, request } = execution;
+  const { ctx, scope, progress, request } = execution;
   const { server } = selection;
   if (outcome?.kind === "notRun") {
     progress.rejections += 1;
@@ -185,8 +185,7 @@
   recordObservation(execution, selection, "failure");
   if (outcome?.kind === "started") outcome.call.abort();
   if (outcome?.kind === "unknown") {
-    const parts = sharedPartIds(request.promptParts);
-    ctx.crashWatch.recordCutOff(server, parts);
+    ctx.crashWatch.recordCutOff(server, fingerprintOf(scope));
   }
 }
 
--- a/packages/gateway/src/relay_attempt.ts
+++ b/packages/gateway/src/relay_attempt.ts
@@ -1,6 +1,5 @@
 import { framingOf } from "@banyanspool/responses";
 import type { ReplicaSelection } from "@banyanspool/routing";
-import { sharedPartIds } from "./prompt_parts.ts";
 import {
   isEventStream,
   type RelayOutcome,
@@ -8,6 +7,7 @@
   relayStream,
 } from "./relay_response.ts";
 import type { RequestExecution } from "./request_execution.ts";
+import { fingerprintOf } from "./request_fingerprint.ts";
 import type { StartedResponse } from "./send_attempt.ts";
 import { versionOfResponse } from "./stream_version.ts";
 
@@ -77,17 +77,17 @@
 
 /** Records whether a response was complete or the replica cut it off. */
 function recordResponseEnd(
-  { ctx, scope, request }: RequestExecution,
+  { ctx, scope }: RequestExecution,
   { response, selection }: AttemptResponse,
   relayed: RelayOutcome,
 ): void {
   const { kind } = relayed;
-  const parts = sharedPartIds(request.promptParts);
+  const fingerprint = fingerprintOf(scope);
   if (kind === "whole" && response.head.status === 200) {
-    ctx.quarantine.recordCompletion(parts);
+    ctx.quarantine.recordCompletion(fingerprint.parts);
   }
   if (kind !== "lost" && kind !== "broken") return;
-  ctx.crashWatch.recordCutOff(selection.server, parts);
+  ctx.crashWatch.recordCutOff(selection.server, fingerprint);
   ctx.log.write("response cut off", {
     id: scope.caller.id,
     replica: selection.server.id,
@@ -95,6 +95,7 @@
     reason: relayed.reason,
     framing: framingOf(response.head.headers),
     incomplete_bytes: kind === "broken" ? relayed.incompleteBytes : undefined,
-    prompt_parts: parts,
+    request: fingerprint.digest,
+    prompt_parts: fingerprint.parts,
   });
 }
--- a/packages/gateway/src/run_attempts.ts
+++ b/packages/gateway/src/run_attempts.ts
@@ -13,10 +13,10 @@
   REJECTED_RETRY_AFTER_MS,
 } from "./final_responses.ts";
 import { PendingAttempt, waitForOutcome } from "./pending_attempt.ts";
-import { sharedPartIds } from "./prompt_parts.ts";
 import { jitterRetryAfter } from "./refusals.ts";
 import type { ReplicaSelection } from "@banyanspool/routing";
 import type { RequestExecution } from "./request_execution.ts";
+import { fingerprintOf } from "./request_fingerprint.ts";
 import type { RequestOutcome } from "./request_scope.ts";
 
 /** Multiple of the predicted time after which a response is overdue. */
@@ -147,9 +147,10 @@
 }
 
 function logAttempt(
-  { ctx, scope, request }: RequestExecution,
+  { ctx, scope }: RequestExecution,
   { selection, outcome = { kind: "superseded" } }: PendingAttempt,
 ): void {
+  const lost = outcome.kind === "unknown" ? fingerprintOf(scope) : undefined;
   ctx.log.write("attempt", {
     id: scope.caller.id,
     replica: selection.server.id,
@@ -159,8 +160,7 @@
     version: ctx.fleet.version,
     outcome: outcome.kind,
     reason: "reason" in outcome ? outcome.reason : undefined,
-    prompt_parts: outcome.kind === "unknown"
-      ? sharedPartIds(request.promptParts)
-      : undefined,
+    request: lost?.digest,
+    prompt_parts: lost?.parts,
   });
 }
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -24,7 +24,7 @@
   scope: RequestScope,
 ): Promise<RequestOutcome> {
   const progress = RequestProgress.create();
-  const refusal = refuseQuarantined(ctx, scope.caller.promptParts) ??
+  const refusal = refuseQuarantined(ctx, scope) ??
     await consumeRateLimit(ctx, scope);
   if (refusal) return refuseRequest(scope, refusal, progress);
   const outcome = await resumeOrRun(createExecution(ctx, scope, progress));
