--- a/packages/gateway/src/crashing_prompt_test.ts
+++ b/packages/gateway/src/crashing_prompt_test.ts
@@ -1,8 +1,5 @@
-import type {
-  FleetStandin,
-  ReplicaHandler,
-} from "@banyanspool/platform-adapter/testing";
 import test from "ava";
+import { addCrashingReplicas } from "./testing/crashing_replicas.ts";
 import {
   chat,
   event,
@@ -11,12 +8,13 @@
   startGateway,
 } from "./testing/running_gateway.ts";
 
-/** A chat request with these prompt parts. */
+/** A chat request with these prompt parts, and a body that tells them. */
 function chatWith(...parts: string[]): ReturnType<typeof chat> {
   const request = chat("m1");
   const prefix = parts.map((id) => `${id}:40`).join(",");
   return {
     ...request,
+    body: prefix,
     headers: {
       ...request.headers,
       "prompt-prefix": prefix,
@@ -25,40 +23,18 @@
   };
 }
 
-/**
- * Adds replicas that crash when they begin to answer a request with the part
- * "bad", each by closing its connections and its port. Returns the number of
- * those that crashed so far.
- */
-async function addReplicas(
-  fleet: FleetStandin,
-  count: number,
-): Promise<() => number> {
-  let crashes = 0;
-  for (let i = 1; i <= count; i += 1) {
-    const answer: ReplicaHandler = (req, res) => {
-      if (!String(req.headers["prompt-prefix"]).includes("bad:")) {
-        res.writeHead(200, { "content-type": "text/event-stream" });
-        res.end(event(1) + event(2));
-        return;
-      }
-      crashes += 1;
-      replica.close();
-    };
-    const replica = await fleet.addReplica({
-      id: `i-${i}`,
-      service: "pool",
-      holds: ["m1"],
-      answer,
-    });
-  }
-  return () => crashes;
-}
-
 // Requests with one part in their prompts crashed back end after back end.
 test("requests with a prompt part that crashes replicas stop reaching them at all gateways", async (t) => {
   const fleet = await startFleet(t);
-  const countCrashes = await addReplicas(fleet, 9);
+  const countCrashes = await addCrashingReplicas(fleet, {
+    service: "pool",
+    count: 9,
+    isFatal: ({ headers }) => String(headers["prompt-prefix"]).includes("bad:"),
+    answer: (_req, res) => {
+      res.writeHead(200, { "content-type": "text/event-stream" });
+      res.end(event(1) + event(2));
+    },
+  });
   const port = await findFreePort();
   const first = await startGateway(t, fleet, { port });
   const second = await startGateway(t, fleet, { host: "127.0.0.2", port });
