Gateway: a replica that says in its responses that it leaves gets no more requests

What was seen with stand-ins: a replica that answered with `Server-Leaving: 1`, its row unchanged, went on to get requests (33 plain ones and 37 streams later than 2 s after the first such answer).

Cause: the header was read nowhere; only the row in the list told that a replica leaves.

Change: it is decoded in platform/ from the head of every response, of requests, orders and reports alike, and marks that incarnation as draining for the rest of its life, whatever its row says, also behind a restore of the store. Reports between gateways carry the incarnations. A successor under the same id is listed with another start and serves at once. What a response tells of a limit is now read from the responses to orders and reports too.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -6,7 +6,7 @@
 import type { LimitTable, ReplicaPermits } from "@banyanspool/replica-limits";
 import type { ReplicaTracker } from "@banyanspool/routing";
 import type { StreamOrigins, VersionHistory } from "@banyanspool/streams";
-import type { Clock, Random, Sleep } from "@banyanspool/types";
+import type { BackendServer, Clock, Random, Sleep } from "@banyanspool/types";
 import type { ConnectionPools } from "./connection_pools.ts";
 import type { CrashWatch } from "./crash_watch.ts";
 import type { ExpectedModels } from "./expected_models.ts";
@@ -30,6 +30,8 @@
   readonly replicaLimits: LimitTable;
   /** Permits for requests to replicas with a limit. */
   readonly replicaPermits: ReplicaPermits;
+  /** Records that a replica said in a response that it leaves. */
+  readonly markLeaving: (server: BackendServer) => void;
   /** Rate limits of organisations, shared by all gateways. */
   readonly limits: SlidingWindowLimiter;
   /** Returns this gateway's share of a service's retry budget. */
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -48,6 +48,8 @@
   readonly liveGateways: () => readonly RankedGateway[];
   /** Whether a replica is listed and not draining. */
   readonly isServing: (server: BackendServer) => boolean;
+  /** Records that a replica said in a response that it leaves. */
+  readonly markLeaving: (server: BackendServer) => void;
   /** Sends a message about streams to another gateway; it may be lost. */
   readonly sendStreamMessage: StreamOriginsOptions["send"];
   /** Whether another gateway has reported within the last few intervals. */
@@ -124,6 +126,7 @@
     replicaTracker,
     replicaLimits,
     replicaPermits,
+    markLeaving: options.markLeaving,
     limits: SlidingWindowLimiter.create({
       clock,
       windowMs: cfg.limit_window_ms,
--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from "@banyanspool/logger";
 import type { Lease } from "@banyanspool/platform";
 import {
+  type EngineCallOptions,
   type EngineReport,
   type OrderOutcome,
   readEngineReport,
@@ -15,6 +16,7 @@
   listAvailableNames,
 } from "./engine_state.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { ReplicaNotices } from "./replica_notices.ts";
 
 /** Options of {@link EngineController.create}. */
 export interface EngineControllerOptions {
@@ -30,6 +32,8 @@
   readonly pools: ConnectionPools;
   /** Waits until a call may be sent to a replica that limits its requests. */
   readonly awaitPermit: (server: BackendServer) => Promise<void>;
+  /** Called with what the head of a response tells of its replica. */
+  readonly onNotices: (server: BackendServer, notices: ReplicaNotices) => void;
   /** Called when the names available at any replica may have changed. */
   readonly onAvailableModelsChange: () => void;
   /** Structured log. */
@@ -222,7 +226,7 @@
     state: EngineState,
     order: PlacementOrder,
   ): Promise<OrderOutcome | "lease lost"> {
-    const { lease, holder, pools, log, metrics, awaitPermit } = this.#options;
+    const { lease, holder, log, metrics, awaitPermit } = this.#options;
     await awaitPermit(state.server);
     if (!lease.held || !this.#isCurrent(state)) return "lease lost";
     const { fencingToken } = lease;
@@ -232,7 +236,7 @@
       expectedOrderCount: expectedOrders,
       holder,
       fencingToken,
-    }, pools.forReplica(state.server).pool);
+    }, this.#callOptions(state.server));
     if (outcome === "accepted" || outcome === "done") {
       state.acceptedOrderCount += 1;
     }
@@ -302,9 +306,9 @@
   async #readReport(
     { server }: EngineState,
   ): Promise<Result<EngineReport, string>> {
-    const { pools, metrics, awaitPermit } = this.#options;
+    const { metrics, awaitPermit } = this.#options;
     await awaitPermit(server);
-    const read = await readEngineReport(server, pools.forReplica(server).pool);
+    const read = await readEngineReport(server, this.#callOptions(server));
     metrics.reportReads.inc({ outcome: read.ok ? "ok" : "failed" });
     return read;
   }
@@ -346,6 +350,15 @@
     }
   }
 
+  #callOptions(server: BackendServer): EngineCallOptions {
+    const { pools, clock, onNotices } = this.#options;
+    const sentAt = clock.now();
+    return {
+      dispatcher: pools.forReplica(server).pool,
+      onHead: (facts) => onNotices(server, { facts, sentAt }),
+    };
+  }
+
   #isCurrent(state: EngineState): boolean {
     return this.#engines.get(state.server.id) === state;
   }
--- a/packages/gateway/src/engine_controller_test.ts
+++ b/packages/gateway/src/engine_controller_test.ts
@@ -35,6 +35,7 @@
     sleep,
     pools,
     awaitPermit: () => permit,
+    onNotices: () => {},
     onAvailableModelsChange: () => onAvailable(),
     log: LOG,
     metrics: GatewayMetrics.create(),
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -427,6 +427,7 @@
       suspected: ctx.replicaTracker.suspected(),
       listAgeMs: listAge === undefined ? undefined : Math.round(listAge),
       listDigest: registry.digest,
+      leavingReplicas: registry.leaving,
       knowsWindow: ctx.limits.knowsWindow,
       use: [...ctx.limits.currentUsage()].map((
         [organisation, { admitted, inWindow }],
@@ -506,6 +507,9 @@
   #applyReplicaChanges(state: GatewayState): void {
     const { registry, readSchedule, onReplicaChange, ctx } = this.#options;
     let hasChanged = false;
+    for (const incarnation of state.leavingReplicas) {
+      if (registry.markLeaving(incarnation)) hasChanged = true;
+    }
     for (const news of state.news) {
       if (registry.applyPeerChange(decodeReplicaChange(news))) {
         hasChanged = true;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import { leaveMembership, maintainMembership } from "./member_table.ts";
 import { PlacementController } from "./placement_controller.ts";
 import { PublicServer } from "./public_server.ts";
+import { recordReplicaNotices } from "./replica_notices.ts";
 import { ReplicaRegistry } from "./replica_registry.ts";
 import { watchReplicas } from "./replica_watch.ts";
 import { startMetricsServer, startReadinessServer } from "./status_servers.ts";
@@ -123,6 +124,11 @@
           listed.id === id && listed.startedAt === startedAt &&
           !listed.draining
         ),
+      markLeaving: (server) => {
+        if (!this.#registry.markLeaving(incarnationOf(server))) return;
+        this.#applyReplicaList();
+        this.#exchange.announceSoon();
+      },
       isResponsive: (instance) => this.#exchange.isResponsive(instance),
       reachableShare: () => this.#exchange.reachableShare,
       sendPermitMessage: (instance, message) =>
@@ -137,6 +143,8 @@
       pools: this.#ctx.pools,
       awaitPermit: (server) =>
         this.#ctx.replicaPermits.wait(incarnationOf(server)),
+      onNotices: (server, notices) =>
+        recordReplicaNotices(this.#ctx, server, notices),
       onAvailableModelsChange: () => this.#exchange.publishAvailableModels(),
       log,
       metrics,
--- a/packages/gateway/src/replica_registry.ts
+++ b/packages/gateway/src/replica_registry.ts
@@ -1,7 +1,12 @@
 import { createHash } from "node:crypto";
 import type { EventLog } from "@banyanspool/logger";
+import { LRUCache } from "lru-cache";
 import { comparePositions, type StorePosition } from "@banyanspool/platform";
-import { type BackendServer, isEarlierRow } from "@banyanspool/types";
+import {
+  type BackendServer,
+  incarnationOf,
+  isEarlierRow,
+} from "@banyanspool/types";
 
 /** A replica with the position at which its row was last written. */
 export interface ListedReplica {
@@ -52,6 +57,8 @@
 const RESTORED_ROW_HOLD_MS = 5000;
 /** Tombstones kept, so that an older change doesn't restore a removed replica. */
 const MAX_TOMBSTONES = 1000;
+/** Incarnations kept that said that they leave, so that no row brings one back. */
+const MAX_LEAVING = 4000;
 
 /**
  * The replicas that requests may be routed to. A replica that is missing from
@@ -63,11 +70,18 @@
  * When the store was restored from a copy, the list is as it was some time ago,
  * until the replicas have written their rows again. A row that the replica wrote
  * before one that is known doesn't override it.
+ *
+ * A replica that says in a response that it leaves is draining for the rest of
+ * its life, whatever its row says.
  */
 export class ReplicaRegistry {
   readonly #options: ReplicaRegistryOptions;
   readonly #replicas: Map<string, ListedReplica> = new Map();
   readonly #tombstones: Map<string, Tombstone> = new Map();
+  /** Incarnations that said in a response that they leave. */
+  readonly #leaving: LRUCache<string, true> = new LRUCache({
+    max: MAX_LEAVING,
+  });
   #listPosition: StorePosition | undefined;
   #digest: bigint | undefined;
   #hadOutage = false;
@@ -96,6 +110,43 @@
     return this.#digest;
   }
 
+  /** Listed incarnations that said in a response that they leave. */
+  get leaving(): string[] {
+    if (this.#leaving.size === 0) return [];
+    return this.replicas.map(incarnationOf)
+      .filter((incarnation) => this.#leaving.has(incarnation));
+  }
+
+  /**
+   * Records that an incarnation said in a response that it leaves. Returns whether
+   * a replica is draining that wasn't before.
+   */
+  markLeaving(incarnation: string): boolean {
+    if (this.#leaving.has(incarnation)) return false;
+    this.#leaving.set(incarnation, true);
+    for (const [id, listed] of this.#replicas) {
+      const { server, position } = listed;
+      if (incarnationOf(server) !== incarnation || server.draining) continue;
+      this.#replicas.set(id, { server: this.#asKnown(server), position });
+      this.#digest = undefined;
+      this.#options.log.write("replica leaving", {
+        replica: id,
+        leaving: true,
+        said_in: "response",
+      });
+      return true;
+    }
+    return false;
+  }
+
+  /** A row's replica, which drains if it said in a response that it leaves. */
+  #asKnown(server: BackendServer): BackendServer {
+    if (server.draining || !this.#leaving.has(incarnationOf(server))) {
+      return server;
+    }
+    return { ...server, draining: true };
+  }
+
   /** Records that the list could not be read. */
   recordReadFailure(): void {
     this.#hadOutage = true;
@@ -149,7 +200,9 @@
    * draining state, address, service or software has changed; a heartbeat changes
    * only the row's position.
    */
-  #applyRow({ server, position }: ListedReplica, now?: number): boolean {
+  #applyRow(row: ListedReplica, now?: number): boolean {
+    const { position } = row;
+    const server = this.#asKnown(row.server);
     const before = this.#replicas.get(server.id);
     if (before) {
       if (comparePositions(before.position, position) >= 0) return false;
--- a/packages/gateway/src/replica_registry_test.ts
+++ b/packages/gateway/src/replica_registry_test.ts
@@ -217,3 +217,38 @@
   });
   t.deepEqual(ids(), ["a"]);
 });
+
+test("a replica that said in a response that it leaves drains whatever its row says, until its successor is listed", (t) => {
+  const { registry } = createRegistry();
+  const drains = () => registry.replicas.map(({ draining }) => draining);
+  registry.applyList([listed("a")], { position: at(5), now: 0 });
+  const { digest } = registry;
+  t.true(registry.markLeaving("a 1"));
+  t.false(registry.markLeaving("a 1"), "known");
+  t.false(registry.markLeaving("b 1"), "not listed");
+  t.not(registry.digest, digest);
+  t.deepEqual(registry.leaving, ["a 1"]);
+  registry.applyList([listed("a", 6, { sequence: 2 })], {
+    position: at(6),
+    now: 1000,
+  });
+  t.deepEqual(drains(), [true]);
+  registry.applyList([listed("a", at(2, 2))], {
+    position: at(2, 2),
+    now: 2000,
+  });
+  t.deepEqual(drains(), [true], "a row that a restore brought back");
+  registry.applyList([listed("a", at(3, 2), { startedAt: 9 })], {
+    position: at(3, 2),
+    now: 3000,
+  });
+  t.deepEqual(drains(), [false]);
+  t.deepEqual(registry.leaving, []);
+});
+
+test("a replica of which another gateway says that it leaves drains from its first row", (t) => {
+  const { registry } = createRegistry();
+  registry.markLeaving("a 1");
+  registry.applyList([listed("a")], { position: at(5), now: 0 });
+  t.true(registry.replicas[0]!.draining);
+});
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -5,7 +5,6 @@
 } from "@banyanspool/platform-adapter";
 import type { ReplicaSelection, SelectionRequest } from "@banyanspool/routing";
 import { formatModelName } from "@banyanspool/routing";
-import { type BackendServer, incarnationOf } from "@banyanspool/types";
 import { isCallerPresent } from "./caller_presence.ts";
 import type { GatewayContext } from "./context.ts";
 import {
@@ -13,6 +12,7 @@
   ReplicaCallError,
   type ResponseHead,
 } from "./replica_call.ts";
+import { recordReplicaNotices } from "./replica_notices.ts";
 import type { RequestScope } from "./request_scope.ts";
 
 /** A response of a replica whose head has arrived. */
@@ -113,7 +113,7 @@
     call.abort();
     return { kind: "unknown", reason: "response to another request" };
   }
-  recordNamedLimit(ctx, selection.server, { facts, sentAt });
+  recordReplicaNotices(ctx, selection.server, { facts, sentAt });
   if (!facts.notRun) return { kind: "started", call, head };
   await discardBody(call);
   const name = formatModelName(request);
@@ -124,25 +124,6 @@
   return { kind: "notRun", reason: `status ${head.status}`, sent: true };
 }
 
-/**
- * Records the limit that a replica names. A rejection that names none doesn't
- * tell that there is none, and a misdirected one is of another replica.
- */
-function recordNamedLimit(
-  { replicaLimits }: GatewayContext,
-  server: BackendServer,
-  { facts, sentAt }: { facts: ReplicaResponseInfo; sentAt: number },
-): void {
-  const { limit, notRun, misdirected } = facts;
-  if (misdirected || limit.kind === "unreadable") return;
-  if (limit.kind === "none" && notRun) return;
-  replicaLimits.record({
-    replica: incarnationOf(server),
-    ratePerS: limit.kind === "limited" ? limit.requestsPerS : undefined,
-    sentAt,
-  });
-}
-
 /**
  * Whether the response has the request's id. A response without an id can't be
  * checked and is accepted.
