Gateway: the replicas that leave are kept in a plain set

An LRU cache for each registry reserved its memory ahead, and the test of all interleavings creates thousands of registries: its file took over two minutes instead of a few seconds.

--- a/packages/gateway/src/replica_registry.ts
+++ b/packages/gateway/src/replica_registry.ts
@@ -1,6 +1,5 @@
 import { createHash } from "node:crypto";
 import type { EventLog } from "@banyanspool/logger";
-import { LRUCache } from "lru-cache";
 import { comparePositions, type StorePosition } from "@banyanspool/platform";
 import {
   type BackendServer,
@@ -79,9 +78,7 @@
   readonly #replicas: Map<string, ListedReplica> = new Map();
   readonly #tombstones: Map<string, Tombstone> = new Map();
   /** Incarnations that said in a response that they leave. */
-  readonly #leaving: LRUCache<string, true> = new LRUCache({
-    max: MAX_LEAVING,
-  });
+  readonly #leaving: Set<string> = new Set();
   #listPosition: StorePosition | undefined;
   #digest: bigint | undefined;
   #hadOutage = false;
@@ -123,7 +120,10 @@
    */
   markLeaving(incarnation: string): boolean {
     if (this.#leaving.has(incarnation)) return false;
-    this.#leaving.set(incarnation, true);
+    this.#leaving.add(incarnation);
+    if (this.#leaving.size > MAX_LEAVING) {
+      this.#leaving.delete(this.#leaving.values().next().value!);
+    }
     for (const [id, listed] of this.#replicas) {
       const { server, position } = listed;
       if (incarnationOf(server) !== incarnation || server.draining) continue;
