Gateway: reads of reports don't lift a replica's limit

Cause: since the responses to orders and reads of reports are decoded like others, one without the header counted as "no limit any more". The lease holder reads reports of replicas that are slow, so that the limit was lifted beside load.

--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -355,7 +355,7 @@
     const sentAt = clock.now();
     return {
       dispatcher: pools.forReplica(server).pool,
-      onHead: (facts) => onNotices(server, { facts, sentAt }),
+      onHead: (facts) => onNotices(server, { facts, sentAt, isRequest: false }),
     };
   }
 
--- a/packages/gateway/src/replica_notices.ts
+++ b/packages/gateway/src/replica_notices.ts
@@ -8,6 +8,8 @@
   readonly facts: ReplicaResponseInfo;
   /** When the request was sent, in ms. */
   readonly sentAt: number;
+  /** Whether it responds to a caller's request, and not to an order or a read. */
+  readonly isRequest: boolean;
 }
 
 /**
@@ -17,13 +19,14 @@
 export function recordReplicaNotices(
   ctx: Pick<GatewayContext, "replicaLimits" | "markLeaving">,
   server: BackendServer,
-  { facts, sentAt }: ReplicaNotices,
+  { facts, sentAt, isRequest }: ReplicaNotices,
 ): void {
   const { limit, notRun, misdirected, leaving } = facts;
   if (misdirected) return;
   if (leaving) ctx.markLeaving(server);
-  // A rejection that names no limit doesn't tell that there is none.
-  if (limit.kind === "unreadable" || (limit.kind === "none" && notRun)) return;
+  if (limit.kind === "unreadable") return;
+  // Only the response to a request that was run tells that there is no limit.
+  if (limit.kind === "none" && (notRun || !isRequest)) return;
   ctx.replicaLimits.record({
     replica: incarnationOf(server),
     ratePerS: limit.kind === "limited" ? limit.requestsPerS : undefined,
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -113,7 +113,11 @@
     call.abort();
     return { kind: "unknown", reason: "response to another request" };
   }
-  recordReplicaNotices(ctx, selection.server, { facts, sentAt });
+  recordReplicaNotices(ctx, selection.server, {
+    facts,
+    sentAt,
+    isRequest: true,
+  });
   if (!facts.notRun) return { kind: "started", call, head };
   await discardBody(call);
   const name = formatModelName(request);
