Gateway: a replica that turns requests away for a time gets nothing until it is over

Cause: the header was relayed at best; nothing kept it. A rejected plain request was kept from the replica, the next one wasn't.

Change: `packages/replica-limits` keeps the pauses that replicas ask this gateway for. Requests, orders and reads of reports wait for the end alike; then a slow start doubles the requests in flight with each response. Values are bounded by a minute, dates and other texts are logged and ignored. It is no failure of the replica. Where all replicas of a service are paused for longer than a caller waits, its request is refused at once with the first one's end; nothing is loaded at a paused replica while others can take it.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -2,7 +2,7 @@
 import type { ReplicaSelection, SelectionRequest } from "@banyanspool/routing";
 import { formatModelName } from "@banyanspool/routing";
 import type { Refusal, Result, Route } from "@banyanspool/types";
-import { err, ok, refuse } from "@banyanspool/types";
+import { err, incarnationOf, ok, refuse } from "@banyanspool/types";
 import type { GatewayContext } from "./context.ts";
 import { jitterRetryAfter } from "./refusals.ts";
 import { claimPermit, type PermitClaim, takePermit } from "./replica_permit.ts";
@@ -49,6 +49,7 @@
 const MIN_RETURN_SHARE = 0.1;
 /** Added to the time of a promised permit, which is kept for longer, in ms. */
 const MAX_PROMISE_JITTER_MS = 200;
+const NO_REPLICAS: ReadonlySet<string> = new Set();
 
 /** Estimated time that a caller waits for the first byte, in ms. */
 export function callerFirstByteTimeoutMs(route: Route): number {
@@ -115,13 +116,16 @@
         });
       if (claim) return endClaim(ctx, scope, { ...pending, claim });
       const leftMs = waitUntil - clock.now();
+      const paused = refuseWhilePaused(ctx, { request, waitUntil });
+      if (paused && name === undefined) return err(paused);
       if (leftMs <= 0 || (name === undefined && request.excluded.size > 0)) {
         return err(refuseNoReplica(ctx, request));
       }
       if (name !== undefined) {
         stopWaiting ??= waitingRequests.add(name, request.softwareVersion);
       }
-      const refusal = refuseUntilLoaded(ctx, scope, { request, waitUntil });
+      const refusal = paused ??
+        refuseUntilLoaded(ctx, scope, { request, waitUntil });
       if (refusal) {
         // The model is still to be loaded for the caller that returns.
         waitingRequests.expectReturn(name!, refusal.retryAfterMs ?? 0);
@@ -325,6 +329,37 @@
   ));
 }
 
+/**
+ * Refuses a request whose replicas all asked for a pause that lasts for longer
+ * than its caller waits, with the time at which the first one takes requests.
+ */
+function refuseWhilePaused(
+  { clock, random, replicaTracker, replicaPauses, expectedModels }:
+    GatewayContext,
+  { request, waitUntil }: { request: SelectionRequest; waitUntil: number },
+): Refusal | undefined {
+  const { service, excluded } = request;
+  // A replica that turned this request away may take the caller's next one.
+  const anyReplica = { ...request, excluded: NO_REPLICAS };
+  const paused = replicaTracker.paused(anyReplica);
+  if (paused.length === 0 || replicaTracker.usable(request).length > 0) return;
+  const { model } = request;
+  const readyAt = model === undefined
+    ? undefined
+    : expectedModels.readyAt(model);
+  const endsInMs = Math.min(
+    ...paused.map((server) => replicaPauses.remainingMs(incarnationOf(server))),
+    readyAt === undefined ? Infinity : Math.max(0, readyAt - clock.now()),
+  );
+  const mayWait = model !== undefined || excluded.size === 0;
+  if (mayWait && clock.now() + endsInMs < waitUntil) return;
+  return refuse(
+    "overloaded",
+    `The replicas of "${service}" take no requests now`,
+    { retryAfterMs: jitterRetryAfter(endsInMs + MIN_RETRY_AFTER_MS, random) },
+  );
+}
+
 /**
  * Refuses a request for a model that no replica will have in time, with the time
  * at which it will be there. A caller that would come back too early to see it
--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -1,6 +1,10 @@
 import test from "ava";
 import { Quarantine } from "@banyanspool/quarantine";
-import { LimitTable, ReplicaPermits } from "@banyanspool/replica-limits";
+import {
+  LimitTable,
+  ReplicaPauses,
+  ReplicaPermits,
+} from "@banyanspool/replica-limits";
 import { ReplicaTracker, type SelectionRequest } from "@banyanspool/routing";
 import {
   type BackendServer,
@@ -93,6 +97,11 @@
     reachableShare: () => 1,
     send: () => {},
   });
+  const replicaPauses = ReplicaPauses.create({
+    clock,
+    sleep: () => Promise.resolve(),
+    onPause: () => {},
+  });
   const replicaTracker = ReplicaTracker.create({
     clock,
     random: () => 0.7,
@@ -100,6 +109,8 @@
     liveEntryCount: () => liveEntryCount,
     kvCapacityOf: () => undefined,
     permitStateOf: (server) => replicaPermits.stateOf(incarnationOf(server)),
+    admits: (server, inFlight) =>
+      replicaPauses.admits(incarnationOf(server), inFlight),
   });
   replicaTracker.updateServers(servers);
   const changed = ChangeSignal.create();
@@ -113,6 +124,7 @@
     replicaTracker,
     replicaLimits,
     replicaPermits,
+    replicaPauses,
     fleet: { changed },
     waitingRequests: WaitingRequestCounts.create({ clock }),
     expectedModels: ExpectedModels.create({ clock }),
@@ -311,3 +323,48 @@
   t.true((await acquireReplica(ctx, scope, PENDING)).ok);
   t.false((await acquireReplica(ctx, scope, PENDING)).ok, "one at a time");
 });
+
+test("a request whose replicas are all paused is refused at once with the first one's end if its caller would leave before", async (t) => {
+  const servers = ["r1", "r2"].map((id) => backendServer(id, ["m"]));
+  const { ctx, scope, elapsedMs } = createGateway(servers);
+  for (const [i, server] of servers.entries()) {
+    const forMs = 4000 + 1000 * i;
+    ctx.replicaPauses.record(incarnationOf(server), { forMs });
+  }
+  const refused = await acquireReplica(ctx, scope, PENDING);
+  t.is(elapsedMs(), 0);
+  t.false(refused.ok);
+  if (refused.ok) return;
+  t.is(refused.error.ran, "no");
+  t.true(refused.error.retryAfterMs! >= 4000);
+  t.true(refused.error.retryAfterMs! <= 5000);
+});
+
+test("a request waits for the end of a pause that its caller waits for, and one at a time follows", async (t) => {
+  const server = backendServer("r1", ["m"]);
+  const { ctx, scope, elapsedMs } = createGateway([server]);
+  ctx.replicaPauses.record(incarnationOf(server), { forMs: 900 });
+  const acquired = await acquireReplica(ctx, scope, PENDING);
+  t.true(acquired.ok);
+  t.true(elapsedMs() >= 900 && elapsedMs() < 1000, `${elapsedMs()} ms`);
+  if (!acquired.ok) return;
+  ctx.replicaTracker.dispatch(REQUEST, acquired.value);
+  t.false(ctx.replicaTracker.admits(server));
+});
+
+test("a request that one paused replica turned away is told the time of its end, not a guess", async (t) => {
+  const server = backendServer("r1", []);
+  const { ctx, scope } = createGateway([server]);
+  ctx.replicaPauses.record(incarnationOf(server), { forMs: 3000 });
+  const request = {
+    ...REQUEST,
+    model: undefined,
+    excluded: new Set(["r1"]),
+  };
+  const refused = await acquireReplica(ctx, scope, {
+    request,
+    waitingSince: 0,
+  });
+  t.false(refused.ok);
+  if (!refused.ok) t.true(refused.error.retryAfterMs! >= 3000);
+});
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -3,7 +3,11 @@
 import type { DemandMeter } from "@banyanspool/placement";
 import type { RetryBudget } from "@banyanspool/retry";
 import type { Quarantine } from "@banyanspool/quarantine";
-import type { LimitTable, ReplicaPermits } from "@banyanspool/replica-limits";
+import type {
+  LimitTable,
+  ReplicaPauses,
+  ReplicaPermits,
+} from "@banyanspool/replica-limits";
 import type { ReplicaTracker } from "@banyanspool/routing";
 import type { StreamOrigins, VersionHistory } from "@banyanspool/streams";
 import type { BackendServer, Clock, Random, Sleep } from "@banyanspool/types";
@@ -30,6 +34,8 @@
   readonly replicaLimits: LimitTable;
   /** Permits for requests to replicas with a limit. */
   readonly replicaPermits: ReplicaPermits;
+  /** Pauses that replicas asked this gateway for. */
+  readonly replicaPauses: ReplicaPauses;
   /** Records that a replica said in a response that it leaves. */
   readonly markLeaving: (server: BackendServer) => void;
   /** Rate limits of organisations, shared by all gateways. */
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -4,6 +4,7 @@
 import { Quarantine } from "@banyanspool/quarantine";
 import {
   LimitTable,
+  ReplicaPauses,
   ReplicaPermits,
   type ReplicaPermitsOptions,
 } from "@banyanspool/replica-limits";
@@ -107,6 +108,12 @@
     reachableShare: options.reachableShare,
     send: options.sendPermitMessage,
   });
+  const replicaPauses = ReplicaPauses.create({
+    clock,
+    sleep,
+    onPause: (replica, forMs) =>
+      log.write("replica paused", { replica, for_ms: Math.round(forMs) }),
+  });
   const replicaTracker = ReplicaTracker.create({
     clock,
     random: Math.random,
@@ -117,6 +124,9 @@
       replicaLimits.hasLimits
         ? replicaPermits.stateOf(incarnationOf(server))
         : "unlimited",
+    admits: (server, inFlight) =>
+      replicaPauses.isEmpty ||
+      replicaPauses.admits(incarnationOf(server), inFlight),
   });
   return {
     clock,
@@ -126,6 +136,7 @@
     replicaTracker,
     replicaLimits,
     replicaPermits,
+    replicaPauses,
     markLeaving: options.markLeaving,
     limits: SlidingWindowLimiter.create({
       clock,
--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -30,7 +30,7 @@
   readonly sleep: Sleep;
   /** Connections to replicas. */
   readonly pools: ConnectionPools;
-  /** Waits until a call may be sent to a replica that limits its requests. */
+  /** Waits until a call may be sent to a replica that limits or pauses them. */
   readonly awaitPermit: (server: BackendServer) => Promise<void>;
   /** Called with what the head of a response tells of its replica. */
   readonly onNotices: (server: BackendServer, notices: ReplicaNotices) => void;
--- a/packages/gateway/src/finish_attempt.ts
+++ b/packages/gateway/src/finish_attempt.ts
@@ -72,7 +72,10 @@
     // A repeatable request that failed at one replica may succeed at another.
     response.call.abort();
     progress.hasReservedRetry = true;
-    return recordRetry(execution, selection, "status");
+    return recordRetry(execution, selection, {
+      reason: "status",
+      observation: response.asksForPause ? undefined : "failure",
+    });
   }
   if (scope.res.headersSent && !isEventStream(response)) {
     // Anything else would end the caller's stream as if it were complete.
@@ -87,11 +90,10 @@
   });
   switch (relayed.kind) {
     case "whole":
-      recordObservation(
-        execution,
-        selection,
-        isFailure ? "failure" : "success",
-      );
+      if (!response.asksForPause) {
+        const observation = isFailure ? "failure" : "success";
+        recordObservation(execution, selection, observation);
+      }
       return {
         result: "answered",
         status: response.head.status,
@@ -101,7 +103,10 @@
       return endAborted(scope, progress, true);
     default:
       if (canRepeat && hasTimeForAttempt(execution) && canResume(execution)) {
-        return recordRetry(execution, selection, relayed.kind);
+        return recordRetry(execution, selection, {
+          reason: relayed.kind,
+          observation: "failure",
+        });
       }
       recordObservation(execution, selection, "failure");
       return endTruncated(scope, progress);
@@ -118,15 +123,16 @@
 }
 
 /**
- * Records that a replica failed the request, which is retried at another one.
+ * Records that a replica failed the request, which is retried at another one. It
+ * is observed as a failure unless the replica only asked for a pause.
  */
 function recordRetry(
   execution: RequestExecution,
   selection: ReplicaSelection,
-  reason: string,
+  { reason, observation }: { reason: string; observation?: Observation },
 ): undefined {
   const { ctx, progress } = execution;
-  recordObservation(execution, selection, "failure");
+  if (observation) recordObservation(execution, selection, observation);
   progress.possibleRuns += 1;
   progress.excluded.add(selection.server.id);
   ctx.metrics.retries.inc({ reason });
@@ -180,7 +186,8 @@
   }
   progress.possibleRuns += 1;
   progress.excluded.add(server.id);
-  recordObservation(execution, selection, "failure");
+  const asksForPause = outcome?.kind === "started" && outcome.asksForPause;
+  if (!asksForPause) recordObservation(execution, selection, "failure");
   if (outcome?.kind === "started") outcome.call.abort();
   if (outcome?.kind === "unknown") {
     progress.crashCheck = ctx.crashWatch.recordCutOff(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -141,8 +141,11 @@
       clock,
       sleep,
       pools: this.#ctx.pools,
-      awaitPermit: (server) =>
-        this.#ctx.replicaPermits.wait(incarnationOf(server)),
+      awaitPermit: async (server) => {
+        const replica = incarnationOf(server);
+        await this.#ctx.replicaPauses.wait(replica);
+        await this.#ctx.replicaPermits.wait(replica);
+      },
       onNotices: (server, notices) =>
         recordReplicaNotices(this.#ctx, server, notices),
       onAvailableModelsChange: () => this.#exchange.publishAvailableModels(),
@@ -158,8 +161,11 @@
       demand: () => this.#exchange.fleetDemand(),
       hasFleetDemand: () => this.#exchange.hasFleetDemand(),
       streamNeeds: () => this.#exchange.streamNeeds(),
-      isLimited: (server) =>
-        this.#ctx.replicaLimits.get(incarnationOf(server)) !== undefined,
+      isLimited: (server) => {
+        const replica = incarnationOf(server);
+        return this.#ctx.replicaLimits.get(replica) !== undefined ||
+          this.#ctx.replicaPauses.remainingMs(replica) > 0;
+      },
       log,
     });
     this.#registry = ReplicaRegistry.create({
@@ -362,6 +368,7 @@
     const incarnations = new Set(replicas.map(incarnationOf));
     this.#ctx.replicaLimits.retain(incarnations);
     this.#ctx.replicaPermits.retain(incarnations);
+    this.#ctx.replicaPauses.retain(incarnations);
     replicaTracker.updateServers(replicas);
     versionHistory.update(replicas);
     pools.closeAllExcept(replicas);
--- a/packages/gateway/src/replica_notices.ts
+++ b/packages/gateway/src/replica_notices.ts
@@ -17,18 +17,28 @@
  * call. A misdirected response is another replica's.
  */
 export function recordReplicaNotices(
-  ctx: Pick<GatewayContext, "replicaLimits" | "markLeaving">,
+  ctx: Pick<
+    GatewayContext,
+    "replicaLimits" | "replicaPauses" | "markLeaving" | "log"
+  >,
   server: BackendServer,
   { facts, sentAt, isRequest }: ReplicaNotices,
 ): void {
-  const { limit, notRun, misdirected, leaving } = facts;
+  const { limit, notRun, misdirected, leaving, pause } = facts;
   if (misdirected) return;
+  const replica = incarnationOf(server);
   if (leaving) ctx.markLeaving(server);
+  if (pause.kind === "pause") ctx.replicaPauses.record(replica, pause);
+  else ctx.replicaPauses.recordResponse(replica);
+  if (pause.kind === "unreadable") {
+    const { text } = pause;
+    ctx.log.write("retry-after unreadable", { replica, retry_after: text });
+  }
   if (limit.kind === "unreadable") return;
   // Only the response to a request that was run tells that there is no limit.
   if (limit.kind === "none" && (notRun || !isRequest)) return;
   ctx.replicaLimits.record({
-    replica: incarnationOf(server),
+    replica,
     ratePerS: limit.kind === "limited" ? limit.requestsPerS : undefined,
     sentAt,
   });
--- a/packages/gateway/src/replica_notices_test.ts
+++ b/packages/gateway/src/replica_notices_test.ts
@@ -1,4 +1,4 @@
-import { LimitTable } from "@banyanspool/replica-limits";
+import { LimitTable, ReplicaPauses } from "@banyanspool/replica-limits";
 import {
   decodeReplicaResponse,
   type ResponseHeaders,
@@ -20,6 +20,8 @@
   models: [],
 };
 
+const SILENT_LOG = { write: () => {}, dropped: () => 0, flush: () => {} };
+
 function createRecorder() {
   let now = 0;
   const replicaLimits = LimitTable.create({
@@ -27,9 +29,17 @@
     onChange: () => {},
   });
   const leaving: string[] = [];
+  const logged: string[] = [];
+  const replicaPauses = ReplicaPauses.create({
+    clock: { now: () => now, wall: () => now },
+    sleep: () => Promise.resolve(),
+    onPause: () => {},
+  });
   const ctx = {
     replicaLimits,
+    replicaPauses,
     markLeaving: ({ id }: BackendServer) => void leaving.push(id),
+    log: { ...SILENT_LOG, write: (event: string) => void logged.push(event) },
   };
   const receive = (
     status: number,
@@ -40,7 +50,13 @@
     const facts = decodeReplicaResponse(status, headers);
     recordReplicaNotices(ctx, REPLICA, { facts, sentAt: now - 1, isRequest });
   };
-  return { receive, leaving, limit: () => replicaLimits.get("i-1 7") };
+  return {
+    receive,
+    leaving,
+    logged,
+    limit: () => replicaLimits.get("i-1 7"),
+    pauseMs: () => replicaPauses.remainingMs("i-1 7"),
+  };
 }
 
 test("any response of a replica may say that it leaves, but for a misdirected one", (t) => {
@@ -65,3 +81,32 @@
   receive(200, {});
   t.is(limit(), undefined);
 });
+
+test("only a rejection asks for a pause, which is bounded, and other values are logged", (t) => {
+  const { receive, pauseMs, logged } = createRecorder();
+  receive(200, { "retry-after": "4" });
+  receive(429, { "retry-after": "4" });
+  t.is(pauseMs(), 0);
+  for (const text of ["-4", "NaN", "", "1e3", "Infinity", "soon"]) {
+    receive(503, { "retry-after": text });
+  }
+  receive(503, { "retry-after": "Fri, 05 Dec 2026 08:00:00 GMT" });
+  t.is(pauseMs(), 0);
+  t.is(logged.length, 7);
+  receive(503, { "retry-after": "0.25" });
+  t.is(pauseMs(), 250);
+  receive(503, { "retry-after": "4", "not-executed": "1" });
+  t.is(pauseMs(), 4000);
+  receive(503, { "retry-after": "86400" });
+  t.is(pauseMs(), 60_000);
+});
+
+test("a limit, a pause and the end of a replica count in any order", (t) => {
+  const { receive, pauseMs, limit, leaving } = createRecorder();
+  receive(503, { "retry-after": "2", "server-limit": "1.5" });
+  receive(200, { "server-limit": "0.5", "server-leaving": "1" });
+  receive(503, { "retry-after": "1", "not-executed": "1" });
+  t.is(limit(), 0.5);
+  t.is(pauseMs(), 1980);
+  t.deepEqual(leaving, ["i-1"]);
+});
--- a/packages/gateway/src/run_attempts.ts
+++ b/packages/gateway/src/run_attempts.ts
@@ -42,6 +42,8 @@
     });
     progress.waitedMs += ctx.clock.now() - waitStartedAt;
     if (!acquired.ok) return endWithoutRetry(scope, acquired.error, progress);
+    // Another request may have been sent there since.
+    if (!ctx.replicaTracker.admits(acquired.value.server)) continue;
     const needsBudget = progress.replicas.length > 0 &&
       !progress.hasReservedRetry;
     progress.hasReservedRetry = false;
@@ -152,6 +154,7 @@
   if (!selection || pending.some(({ outcome }) => outcome !== undefined)) {
     return undefined;
   }
+  if (!ctx.replicaTracker.admits(selection.server)) return undefined;
   if (!budget.take()) return undefined;
   const overdue = pending.at(-1)!;
   recordObservation(execution, overdue.selection, "failure");
--- a/packages/gateway/src/run_attempts_test.ts
+++ b/packages/gateway/src/run_attempts_test.ts
@@ -1,7 +1,8 @@
 import { Quarantine } from "@banyanspool/quarantine";
+import { ReplicaPauses } from "@banyanspool/replica-limits";
 import { RetryBudget } from "@banyanspool/retry";
 import { ReplicaTracker } from "@banyanspool/routing";
-import type { BackendServer } from "@banyanspool/types";
+import { type BackendServer, incarnationOf } from "@banyanspool/types";
 import test from "ava";
 import type { Dispatcher } from "undici";
 import type { RequestExecution } from "./request_execution.ts";
@@ -19,6 +20,8 @@
   readonly afterMs: number;
   /** Status of its responses; undefined if it closes the connection instead. */
   readonly status?: number;
+  /** Pause that it asks for when it turns its first request away, in ms. */
+  readonly pauseMs?: number;
 }
 
 /** A clock that jumps from one event to the next. */
@@ -57,6 +60,11 @@
 function createGateway(behaviours: readonly Behaviour[]) {
   const { clock, schedule, sleep, play } = createTimeline();
   const arrivals = new Map(behaviours.map(({ id }) => [id, 0]));
+  const replicaPauses = ReplicaPauses.create({
+    clock,
+    sleep,
+    onPause: () => {},
+  });
   const replicaTracker = ReplicaTracker.create({
     clock,
     random: () => 0.5,
@@ -64,14 +72,21 @@
     liveEntryCount: () => 1,
     kvCapacityOf: () => undefined,
     permitStateOf: () => "unlimited",
+    admits: (server, inFlight) =>
+      replicaPauses.admits(incarnationOf(server), inFlight),
   });
   replicaTracker.updateServers(behaviours.map(({ id }) => describe(id)));
+  /** Requests in flight at each arrival, with its time in ms. */
+  const inFlightAt: { at: number; requests: number }[] = [];
   const dispatch = (
     behaviour: Behaviour,
     handler: Dispatcher.DispatchHandler,
   ) => {
-    const { id, afterMs, status } = behaviour;
+    const { id, afterMs, status, pauseMs } = behaviour;
     arrivals.set(id, arrivals.get(id)! + 1);
+    const { requests } = replicaTracker.loadAt(id);
+    inFlightAt.push({ at: clock.now(), requests });
+    const isRejected = pauseMs !== undefined && arrivals.get(id) === 1;
     let isAborted = false;
     const controller = {
       abort: () => {
@@ -87,9 +102,17 @@
         handler.onResponseError?.(controller, new Error("closed"));
         return;
       }
-      handler.onResponseStart?.(controller, status, {
-        "content-length": "0",
-      });
+      if (isRejected) {
+        handler.onResponseStart?.(controller, 503, {
+          "content-length": "0",
+          "not-executed": "1",
+          "retry-after": String(pauseMs / 1000),
+        });
+      } else {
+        handler.onResponseStart?.(controller, status, {
+          "content-length": "0",
+        });
+      }
       handler.onResponseEnd?.(controller, {});
     });
   };
@@ -101,6 +124,11 @@
     random: () => 0,
     replicaTracker,
     replicaLimits: { record: ignore },
+    replicaPauses,
+    markLeaving: ignore,
+    replicaPermits: {},
+    waitingRequests: { add: () => ignore },
+    expectedModels: { readyAt: ignore },
     quarantine: Quarantine.create({
       clock,
       isTrialOwner: () => true,
@@ -118,7 +146,7 @@
         },
       }),
     },
-    fleet: { version: 1 },
+    fleet: { version: 1, changed: { wait: (ms: number) => sleep(ms) } },
     log: { write: ignore },
     metrics: {
       retries: { inc: ignore },
@@ -179,7 +207,7 @@
     await play(all);
     return await all;
   };
-  return { sendLoad, arrivals, replicaTracker };
+  return { sendLoad, arrivals, inFlightAt, replicaTracker };
 }
 
 function describe(id: string): BackendServer {
@@ -221,3 +249,19 @@
   t.true(sum - statuses.length <= BURST, `${sum} arrivals`);
   t.is(replicaTracker.loadAt("still").requests, 0);
 });
+
+// All requests that had waited were sent to a replica at once when its pause ended.
+test("the requests that wait for the end of a pause are sent a few at a time", async (t) => {
+  const { sendLoad, arrivals, inFlightAt } = createGateway([
+    { id: "paused", afterMs: 20, status: 200, pauseMs: 500 },
+  ]);
+  const statuses = await sendLoad(41, 10);
+  // The first one was turned away, and no other replica could take it.
+  t.is(statuses.filter((status) => status !== 200).length, 1);
+  t.is(arrivals.get("paused"), 41);
+  t.false(inFlightAt.some(({ at }) => at > 20 && at < 520));
+  const inFlight = inFlightAt.filter(({ at }) => at >= 520)
+    .map(({ requests }) => requests);
+  t.is(inFlight[0], 1);
+  t.true(Math.max(...inFlight.slice(0, 3)) <= 2, inFlight.join());
+});
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -21,6 +21,8 @@
   readonly call: ReplicaCall;
   /** Status and headers. */
   readonly head: ResponseHead;
+  /** Whether the replica asks for a pause, which is no failure of it. */
+  readonly asksForPause: boolean;
 }
 
 /** Result of sending a request to a replica, up to the head of its response. */
@@ -118,7 +120,8 @@
     sentAt,
     isRequest: true,
   });
-  if (!facts.notRun) return { kind: "started", call, head };
+  const asksForPause = facts.pause.kind === "pause";
+  if (!facts.notRun) return { kind: "started", call, head, asksForPause };
   await discardBody(call);
   const name = formatModelName(request);
   if (name !== undefined) {
--- a/packages/replica-limits/src/mod.ts
+++ b/packages/replica-limits/src/mod.ts
@@ -1,6 +1,6 @@
 /**
  * Keeps the rate limits that replicas name in their responses, over all gateways
- * together.
+ * together, and the pauses that they ask a gateway for.
  *
  * @module
  */
@@ -16,6 +16,8 @@
   PermitRequester,
   PermitResult,
 } from "./permit_schedule.ts";
+export { ReplicaPauses } from "./replica_pauses.ts";
+export type { ReplicaPausesOptions } from "./replica_pauses.ts";
 export { ReplicaPermits } from "./replica_permits.ts";
 export type {
   PermitAnswer,
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -80,6 +80,11 @@
   readonly kvCapacityOf: (service: string) => number | undefined;
   /** What a replica that limits its requests takes now. */
   readonly permitStateOf: (server: BackendServer) => PermitState;
+  /**
+   * Whether a replica may be sent a request beside those that this entry has in
+   * flight there.
+   */
+  readonly admits: (server: BackendServer, inFlight: number) => boolean;
 }
 
 /** Which of the candidates are compared. */
@@ -381,17 +386,32 @@
 
   /** Replicas that can serve a request, whether or not their limits allow it. */
   usable(request: SelectionRequest): BackendServer[] {
+    return this.#reachable(request).filter((server) => this.admits(server));
+  }
+
+  /** Replicas that could serve a request if they were admitted one now. */
+  paused(request: SelectionRequest): BackendServer[] {
+    return this.#reachable(request).filter((server) => !this.admits(server));
+  }
+
+  /** Whether a replica may be sent a request beside those in flight there. */
+  admits(server: BackendServer): boolean {
+    const inFlight = this.#loads.ownRequestsAt(server.id);
+    return this.#options.admits(server, inFlight);
+  }
+
+  #reachable(request: SelectionRequest): BackendServer[] {
     const name = formatModelName(request);
     const now = this.#options.clock.now();
-    const usable: BackendServer[] = [];
+    const reachable: BackendServer[] = [];
     for (const server of this.#servers.values()) {
       if (!isEligible(server, request)) continue;
       if (request.excluded.has(server.id)) continue;
       if ((this.#unreachableUntil.get(server.id) ?? 0) > now) continue;
       if (name !== undefined && !this.isAvailable(server, name)) continue;
-      usable.push(server);
+      reachable.push(server);
     }
-    return usable;
+    return reachable;
   }
 
   /** Selects the replica with the least cost; undefined if there is none. */
--- a/packages/routing/src/replica_tracker_test.ts
+++ b/packages/routing/src/replica_tracker_test.ts
@@ -34,6 +34,7 @@
 function createTracker(
   servers: BackendServer[],
   permitStates: Record<string, PermitState> = {},
+  admitted: Record<string, number> = {},
 ) {
   let now = 0;
   const tracker = ReplicaTracker.create({
@@ -43,6 +44,7 @@
     liveEntryCount: () => 1,
     kvCapacityOf: () => 200_000,
     permitStateOf: ({ id }) => permitStates[id] ?? "unlimited",
+    admits: ({ id }, inFlight) => inFlight < (admitted[id] ?? Infinity),
   });
   tracker.updateServers(servers);
   return { tracker, advance: (ms: number) => now += ms };
@@ -118,6 +120,7 @@
       liveEntryCount: () => entries,
       kvCapacityOf: () => 200_000,
       permitStateOf: () => "unlimited",
+      admits: () => true,
     });
     tracker.updateServers(servers);
     tracker.updatePeerLoad("other", reported);
@@ -266,3 +269,19 @@
   permitStates.r1 = "available";
   t.is(tracker.select(request())?.server.id, "r1");
 });
+
+test("a replica takes as many requests of this entry as are admitted, and is reported as paused beyond", (t) => {
+  const { tracker } = createTracker([server("r1"), server("r2")], {}, {
+    r1: 0,
+    r2: 1,
+  });
+  const selected = tracker.select(request())!;
+  t.is(selected.server.id, "r2");
+  t.true(tracker.admits(selected.server));
+  const { finished } = tracker.dispatch(request(), selected);
+  t.false(tracker.admits(selected.server));
+  t.is(tracker.select(request()), undefined);
+  t.deepEqual(tracker.paused(request()).map(({ id }) => id), ["r1", "r2"]);
+  finished();
+  t.is(tracker.select(request())?.server.id, "r2");
+});
