Tests: a retry has another agent to go to

"a request without streaming is retried at another replica when its agent is killed" failed once with outcome_unknown, in the first whole run on a slow machine, and in none of 11 runs of its file alone. The test before it kills and restarts all agents, and waits until one of them serves.

Shown: with the second agent not restarted the test fails in the same way; with it restarted 3 s late, the new precondition (each agent serves both entries) passes two of two runs, without it there is no other replica. The assertions are unchanged. Tried and dropped: waiting until both engines run one of the requests, as requests with one prompt prefer one replica.

--- a/packages/system-tests/src/answers_test.ts
+++ b/packages/system-tests/src/answers_test.ts
@@ -149,6 +149,9 @@
 
 test.serial("a request without streaming is retried at another replica when its agent is killed", async (t) => {
   const { deployment } = t.context;
+  for (const agent of deployment.agents) {
+    await deployment.waitUntilAgentServes(agent);
+  }
   const responses = Array.from(
     { length: 8 },
     () => startStream(t.context, { stream: false, maxTokens: 100 }).done,
