Gateway: streams are taken up after a loss of all gateways

Cause: what a take-up needs was kept in the memory of gateways alone.

Change: each gateway keeps a row in the store, written when it changes and read once at the start of a process: the versions of each service within the last 30 s, and, while there are several, the streams that it began and hasn't completed. Ruled out: a row a stream (5,200 writes a second at the target).

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -56,6 +56,8 @@
   readonly streamOrigins: StreamOrigins;
   /** Software versions that replicas ran lately. */
   readonly versionHistory: VersionHistory;
+  /** Resolves when what was stored before this process started is known. */
+  readonly recalled: () => Promise<void>;
   /** Connections to replicas. */
   readonly pools: ConnectionPools;
   /** Structured log. */
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -59,6 +59,8 @@
   readonly reachableShare: () => number;
   /** Sends a message about permits to another gateway; it may be lost. */
   readonly sendPermitMessage: ReplicaPermitsOptions["send"];
+  /** Resolves when what was stored before this process started is known. */
+  readonly recalled: () => Promise<void>;
   /** Called when the other gateways should get a report soon. */
   readonly onNews: () => void;
 }
@@ -197,6 +199,7 @@
       isFirstStart: cfg.first_start,
       windowMs: RESUMPTION_WINDOW_MS,
     }),
+    recalled: options.recalled,
     pools: ConnectionPools.create({
       maxConnectionsFor: (service) => {
         const spec = fleet.activeConfiguration?.configuration.services.get(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import { PlacementController } from "./placement_controller.ts";
 import { PublicServer } from "./public_server.ts";
 import { recordReplicaNotices } from "./replica_notices.ts";
+import { RecoveryTable } from "./recovery_table.ts";
 import { ReplicaRegistry } from "./replica_registry.ts";
 import { watchReplicas } from "./replica_watch.ts";
 import { startMetricsServer, startReadinessServer } from "./status_servers.ts";
@@ -71,6 +72,7 @@
   readonly #placementController: PlacementController;
   readonly #exchange: FleetExchange;
   readonly #registry: ReplicaRegistry;
+  readonly #recoveryTable: RecoveryTable;
   readonly #readSchedule: ListReadSchedule;
   readonly #newerVersionSignal: ChangeSignal = ChangeSignal.create();
   readonly #restoredSignal: ChangeSignal = ChangeSignal.create();
@@ -133,8 +135,19 @@
       reachableShare: () => this.#exchange.reachableShare,
       sendPermitMessage: (instance, message) =>
         this.#exchange.sendPermitMessage(instance, message),
+      recalled: () => this.#recoveryTable.recalled,
       onNews: () => this.#exchange.announceSoon(),
     });
+    this.#recoveryTable = RecoveryTable.create({
+      store: this.#store,
+      ctx: this.#ctx,
+      instance: cfg.instance,
+      isFirstStart: cfg.first_start,
+      liveCount: () => this.#exchange.liveCount,
+      restoredSignal: this.#restoredSignal,
+      sleep,
+      log,
+    });
     const engineController = EngineController.create({
       lease: this.#lease,
       holder: cfg.instance,
@@ -328,6 +341,11 @@
           onMember: (instance, host) => this.#exchange.addPeer(instance, host),
         }, signal),
     });
+    this.#supervisor.start({
+      name: "recovery",
+      restart: "always",
+      run: (signal) => this.#recoveryTable.run(signal),
+    });
     this.#supervisor.start({
       name: "peers",
       restart: "always",
--- a/packages/gateway/src/relay_attempt.ts
+++ b/packages/gateway/src/relay_attempt.ts
@@ -87,6 +87,9 @@
   const { kind } = relayed;
   const fingerprint = fingerprintOf(scope);
   const { status } = response.head;
+  if (kind === "whole") {
+    ctx.streamOrigins.complete(scope.caller.resumedAttempt ?? scope.caller.id);
+  }
   if (kind === "whole" && status < FIRST_FAILURE_STATUS) {
     const isGenerated = status === 200;
     ctx.quarantine.recordCompletion(fingerprint, { isGenerated });
--- a/packages/gateway/src/stream_version.ts
+++ b/packages/gateway/src/stream_version.ts
@@ -3,6 +3,8 @@
 import type { GatewayContext } from "./context.ts";
 import type { RequestScope } from "./request_scope.ts";
 
+const MAX_RECALL_MS = 500;
+
 /**
  * Finds the software version that began the stream that a request resumes;
  * undefined if the request begins a new one. What two versions write doesn't fit
@@ -17,6 +19,7 @@
   if (route.retrySafety !== "resumable" || lastEventId === undefined) {
     return ok(undefined);
   }
+  await awaitRecall(ctx);
   const recorded = resumedAttempt === undefined
     ? undefined
     : await ctx.streamOrigins.find(resumedAttempt, signal);
@@ -32,6 +35,14 @@
   ));
 }
 
+/** Waits until a process that has just started knows what was stored before. */
+async function awaitRecall({ recalled, sleep }: GatewayContext): Promise<void> {
+  const timer = new AbortController();
+  const expired = sleep(MAX_RECALL_MS, timer.signal).catch(() => {});
+  await Promise.race([recalled(), expired]);
+  timer.abort();
+}
+
 /**
  * Returns the software version of the replica that a response comes from;
  * undefined if the replica was listed with another one since it was selected.
--- a/packages/streams/src/stream_origins.ts
+++ b/packages/streams/src/stream_origins.ts
@@ -36,6 +36,7 @@
 
 /** Number of records that a gateway keeps, for its own and others' streams. */
 const MAX_ORIGINS = 10_000;
+const MAX_UNFINISHED = 1000;
 /** Number of gateways to which a record is sent. */
 const COPIES = 2;
 /**
@@ -56,16 +57,19 @@
 export class StreamOrigins {
   readonly #options: StreamOriginsOptions;
   readonly #versions: LRUCache<string, { version: string | undefined }>;
+  /** Records of streams that this gateway relays or has failed to complete. */
+  readonly #unfinished: LRUCache<string, string>;
   readonly #waiting: Map<string, Set<() => void>> = new Map();
 
   private constructor(options: StreamOriginsOptions) {
     this.#options = options;
-    this.#versions = new LRUCache({
-      max: MAX_ORIGINS,
+    const bounds = {
       ttl: options.windowMs,
       perf: { now: options.clock.now },
       ttlResolution: 0,
-    });
+    };
+    this.#versions = new LRUCache({ ...bounds, max: MAX_ORIGINS });
+    this.#unfinished = new LRUCache({ ...bounds, max: MAX_UNFINISHED });
   }
 
   /** Creates an empty set of records. */
@@ -80,11 +84,32 @@
   record(origin: StreamOrigin): void {
     const { keepersOf, send } = this.#options;
     this.#keep(origin);
+    this.#unfinished.set(origin.id, origin.version);
     for (const instance of keepersOf(origin.id).slice(0, COPIES)) {
       send(instance, { origins: [origin], queries: [] });
     }
   }
 
+  /** Records that a stream was relayed to its end, and won't be taken up. */
+  complete(id: string): void {
+    this.#unfinished.delete(id);
+  }
+
+  /** Streams that this gateway began and that may be taken up. */
+  get unfinished(): StreamOrigin[] {
+    this.#unfinished.purgeStale();
+    return [...this.#unfinished.entries()].map(([id, version]) => ({
+      id,
+      version,
+    }));
+  }
+
+  /** Adds a record that a gateway stored before this process started. */
+  recall(origin: StreamOrigin): void {
+    this.#keep(origin);
+    this.#unfinished.set(origin.id, origin.version);
+  }
+
   /**
    * Returns the version that began a stream; undefined if no gateway that is
    * asked has a record in time, or if two records contradict each other.
