Gateway: what crashes replicas stays in quarantine after a loss of all gateways

Change: the suspects in quarantine are part of each gateway's row in the store. The time that a quarantine has left goes on by the wall clock; rows older than a quarter of an hour tell nothing.

"a request that crashes replicas is kept away after a restart of all gateways" failed with rows that are not read: the request crashed replicas again; now at most one, by a trial.

--- a/packages/gateway/src/crashing_request_test.ts
+++ b/packages/gateway/src/crashing_request_test.ts
@@ -115,3 +115,27 @@
   }
   t.deepEqual(sound.map(({ status }) => status), sound.map(() => 200));
 });
+
+// After a loss of all gateways a request crashed replicas again that had been kept
+// away from them.
+test("a request that crashes replicas is kept away after a restart of all gateways", async (t) => {
+  const fleet = await startFleet(t);
+  const countCrashes = await addCrashingReplicas(fleet, {
+    service: "desk",
+    count: REPLICAS,
+    isFatal: ({ body }) => body === "fatal",
+  });
+  const gateways = await startGateways(t, fleet);
+  const fatal = { method: "POST", body: "fatal" };
+  await repeat(gateways, ({ send }) => send("/look/", fatal));
+  // Time in which the quarantine is stored.
+  await pause(1500);
+  for (const { gateway } of gateways) await gateway.closeNow();
+  const before = countCrashes();
+  const { send } = await startGateway(t, fleet, { isFirstStart: false });
+  t.is((await send("/look/", { method: "POST", body: "sound" })).status, 200);
+  for (let i = 0; i < REPEATS; i += 1) {
+    t.is((await send("/look/", fatal)).status, 503);
+  }
+  t.true(countCrashes() - before <= 1, "one trial at most");
+});
--- a/packages/gateway/src/recovery_row.ts
+++ b/packages/gateway/src/recovery_row.ts
@@ -1,3 +1,8 @@
+import {
+  isSuspect,
+  type QuarantinedSuspect,
+  type Suspect,
+} from "@banyanspool/quarantine";
 import type { StreamOrigin } from "@banyanspool/streams";
 import * as z from "zod";
 import type { GatewayContext } from "./context.ts";
@@ -13,11 +18,13 @@
   readonly versions: ReadonlyMap<string, readonly string[]>;
   /** Streams that may be taken up; only while there are several versions. */
   readonly origins: readonly StreamOrigin[];
+  /** Suspects in quarantine. */
+  readonly quarantined: readonly QuarantinedSuspect[];
 }
 
 type Sources = Pick<
   GatewayContext,
-  "versionHistory" | "streamOrigins" | "clock"
+  "versionHistory" | "streamOrigins" | "quarantine" | "clock"
 >;
 
 /** Time after which a row tells nothing any more, in ms. */
@@ -27,6 +34,11 @@
   writtenAt: z.number(),
   versions: z.record(z.string(), z.array(z.string())),
   origins: z.record(z.string(), z.array(z.string())),
+  quarantined: z.array(z.object({
+    suspect: z.string(),
+    ageMs: z.number(),
+    remainingMs: z.number(),
+  })),
 });
 
 /** Returns this gateway's row. */
@@ -37,6 +49,7 @@
     writtenAt: ctx.clock.wall(),
     versions,
     origins: hasSeveral ? ctx.streamOrigins.unfinished : [],
+    quarantined: ctx.quarantine.quarantined,
   };
 }
 
@@ -48,16 +61,33 @@
     ctx.versionHistory.recall(service, versions);
   }
   for (const origin of row.origins) ctx.streamOrigins.recall(origin);
+  ctx.quarantine.applyReport({
+    crashes: [],
+    completions: [],
+    quarantined: row.quarantined.map(({ suspect, ageMs, remainingMs }) => ({
+      suspect,
+      ageMs: ageMs + passedMs,
+      remainingMs: remainingMs - passedMs,
+    })),
+  });
 }
 
 /** What a row holds, without the times that pass anyway. */
-export function digestRow({ versions, origins }: RecoveryRow) {
-  return JSON.stringify([[...versions], origins.map(({ id }) => id)]);
+export function digestRow({ versions, origins, quarantined }: RecoveryRow) {
+  return JSON.stringify([
+    [...versions],
+    origins.map(({ id }) => id),
+    quarantined.map(({ suspect, ageMs, remainingMs }) => [
+      suspect,
+      // A renewed quarantine lasts longer.
+      Math.round((ageMs + remainingMs) / 1000),
+    ]),
+  ]);
 }
 
 /** Encodes a row. */
 export function encodeRow(
-  { writtenAt, versions, origins }: RecoveryRow,
+  { writtenAt, versions, origins, quarantined }: RecoveryRow,
 ): string {
   const idsByVersion: Record<string, string[]> = {};
   for (const { id, version } of origins) {
@@ -67,6 +97,7 @@
     writtenAt,
     versions: Object.fromEntries(versions),
     origins: idsByVersion,
+    quarantined,
   });
 }
 
@@ -80,12 +111,17 @@
   }
   const parsed = rowSchema.safeParse(json);
   if (!parsed.success) return undefined;
-  const { writtenAt, versions, origins } = parsed.data;
+  const { writtenAt, versions, origins, quarantined } = parsed.data;
   return {
     writtenAt,
     versions: new Map(Object.entries(versions)),
     origins: Object.entries(origins).flatMap(([version, ids]) =>
       ids.map((id) => ({ id, version }))
     ),
+    quarantined: quarantined.filter((
+      entry,
+    ): entry is typeof entry & { suspect: Suspect } =>
+      isSuspect(entry.suspect)
+    ),
   };
 }
--- a/packages/gateway/src/recovery_row_test.ts
+++ b/packages/gateway/src/recovery_row_test.ts
@@ -1,3 +1,4 @@
+import { Quarantine } from "@banyanspool/quarantine";
 import { StreamOrigins, VersionHistory } from "@banyanspool/streams";
 import type { BackendServer } from "@banyanspool/types";
 import test from "ava";
@@ -9,6 +10,8 @@
   recallRow,
 } from "./recovery_row.ts";
 
+const FATAL = { digest: "fatal", parts: [] };
+
 /** What a gateway stores, with a clock of its own. */
 function createGateway({ wall = 1_000_000, isFirstStart = false } = {}) {
   let now = 0;
@@ -34,6 +37,12 @@
       keepersOf: () => [],
       send: () => {},
     }),
+    quarantine: Quarantine.create({
+      clock,
+      isTrialOwner: () => false,
+      onStart: () => {},
+      onCleared: () => {},
+    }),
   };
   return { ctx, list, advance: (ms: number) => now += ms };
 }
@@ -78,9 +87,29 @@
   t.is(ctx.versionHistory.onlyVersion("pool"), undefined);
 });
 
+test("a quarantine goes on for the time that it had left when its row was written", (t) => {
+  const before = createGateway();
+  for (const replica of ["r1", "r2", "r3"]) {
+    before.ctx.quarantine.recordCrash(replica, [FATAL]);
+    before.advance(400);
+  }
+  before.ctx.quarantine.recordCrash("r4", [FATAL]);
+  const { retryAfterMs } = before.ctx.quarantine.check(FATAL)!;
+  const row = decodeRow(encodeRow(composeRow(before.ctx)))!;
+  const after = createGateway({ wall: row.writtenAt + 5000 });
+  recallRow(after.ctx, row);
+  t.is(after.ctx.quarantine.check(FATAL)?.retryAfterMs, retryAfterMs - 5000);
+  const late = createGateway({ wall: row.writtenAt + 1_000_000 });
+  recallRow(late.ctx, row);
+  t.is(late.ctx.quarantine.check(FATAL), undefined);
+});
+
 test("a row changes with what it holds, and not with time", (t) => {
   const { ctx, list, advance } = createGateway({ isFirstStart: true });
   list("v1");
+  for (const replica of ["r1", "r2"]) {
+    ctx.quarantine.recordCrash(replica, [FATAL]);
+  }
   const digest = digestRow(composeRow(ctx));
   advance(700);
   t.is(digestRow(composeRow(ctx)), digest);
--- a/packages/gateway/src/recovery_table.ts
+++ b/packages/gateway/src/recovery_table.ts
@@ -98,6 +98,7 @@
       writtenAt: 0,
       versions: new Map(),
       origins: [],
+      quarantined: [],
     });
     let writtenAt = ctx.clock.now();
     let epoch = store.epoch;
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -129,16 +129,23 @@
     return hasNewCrashes;
   }
 
+  /** Suspects in quarantine. */
+  get quarantined(): QuarantinedSuspect[] {
+    const now = this.#options.clock.now();
+    return [...this.#quarantines].map(([suspect, { startedAt, endsAt }]) => ({
+      suspect,
+      ageMs: now - startedAt,
+      remainingMs: endsAt - now,
+    }));
+  }
+
   /** Returns what the other gateways need to know. */
   report(): QuarantineReport {
     this.#judgeParts();
-    const now = this.#options.clock.now();
     return {
       crashes: this.#evidence.reportCrashes(),
       completions: this.#evidence.reportCompletions(),
-      quarantined: [...this.#quarantines].map((
-        [suspect, { startedAt, endsAt }],
-      ) => ({ suspect, ageMs: now - startedAt, remainingMs: endsAt - now })),
+      quarantined: this.quarantined,
     };
   }
 
