Soak: requests that crash replicas, replicas that leave by their word alone, and pauses

New faults, in series and overlapping with the others: a request that is repeated at all gateways and crashes each replica that runs it; a replica that says in its responses that it leaves, with its row unchanged or changed late; one that turns requests away for 3 s.

--- a/packages/gateway/src/fault_injection.ts
+++ b/packages/gateway/src/fault_injection.ts
@@ -5,3 +5,4 @@
  */
 export { FleetState } from "./fleet_state.ts";
 export { ReplicaCall } from "./replica_call.ts";
+export { ReplicaRegistry } from "./replica_registry.ts";
--- a/packages/soak/src/commands/soak.ts
+++ b/packages/soak/src/commands/soak.ts
@@ -46,7 +46,8 @@
   injectedFault?: InjectedFault = Option.String("--planted", {
     description: "defect to inject: runTwice, passKeyOn, oldConfiguration, " +
       "ignoreVersion, guessVersion, versionAlone, fenceFromStore, " +
-      "ignoreEpoch, issueAlone or countAlone",
+      "ignoreEpoch, issueAlone, countAlone, " +
+      "forgetRepeats, ignoreLeaving or ignorePause",
   });
 
   /** Runs all seeds; the exit code is 1 if any of them has violations. */
--- a/packages/soak/src/fault_proxy.ts
+++ b/packages/soak/src/fault_proxy.ts
@@ -19,11 +19,12 @@
   readonly #server: Server;
   readonly #connections: Set<Connection> = new Set();
   #target: string;
+  #port = 0;
   #fault: LinkFault | undefined;
 
   private constructor(target: string) {
     this.#target = target;
-    this.#server = createServer((client) => this.#accept(client));
+    this.#server = createServer((client) => this.#forward(client));
   }
 
   /** Starts a proxy to an address (`host:port`) on a free port. */
@@ -32,12 +33,13 @@
     await new Promise<void>((resolve) => {
       link.#server.listen(0, "127.0.0.1", resolve);
     });
+    link.#port = (link.#server.address() as { port: number }).port;
     return link;
   }
 
   /** Port that the proxy listens on. */
   get port(): number {
-    return (this.#server.address() as { port: number }).port;
+    return this.#port;
   }
 
   /** Forwards new connections to another address; resets open ones. */
@@ -57,6 +59,20 @@
     this.#fault = undefined;
   }
 
+  /** Resets all connections and refuses new ones, until `accept` is called. */
+  async refuse(): Promise<void> {
+    this.#resetAll();
+    await new Promise((resolve) => this.#server.close(resolve));
+  }
+
+  /** Accepts connections again. */
+  async accept(): Promise<void> {
+    const { port } = this;
+    await new Promise<void>((resolve) => {
+      this.#server.listen(port, "127.0.0.1", resolve);
+    });
+  }
+
   /** Resets all connections and stops listening. */
   close(): void {
     this.#resetAll();
@@ -71,7 +87,7 @@
     this.#connections.clear();
   }
 
-  #accept(client: Socket): void {
+  #forward(client: Socket): void {
     const [host = "", port = ""] = this.#target.split(":");
     const upstream = connect(Number(port), host);
     const connection = { client, upstream, isLossy: false };
--- a/packages/soak/src/injected_fault.ts
+++ b/packages/soak/src/injected_fault.ts
@@ -16,7 +16,13 @@
   /** Each gateway keeps the limit of a replica on its own. */
   | "issueAlone"
   /** Each gateway keeps the rate of an organisation on its own. */
-  | "countAlone";
+  | "countAlone"
+  /** Repeats of a request count as requests of their own. */
+  | "forgetRepeats"
+  /** What a replica says of its leaving is ignored. */
+  | "ignoreLeaving"
+  /** The time for which a replica turns requests away is ignored. */
+  | "ignorePause";
 
 /** Environment variable that passes an injected defect to a gateway. */
 export const INJECTED_FAULT_VARIABLE = "BANYANSPOOL_SOAK_PLANTED";
--- a/packages/soak/src/invariant_checker.ts
+++ b/packages/soak/src/invariant_checker.ts
@@ -48,6 +48,24 @@
   readonly drainMs: number;
   /** Time after which gateways must keep the limit of a replica, in ms. */
   readonly limitMs: number;
+  /**
+   * Time after the third crash by a request in which it may still reach replicas,
+   * in ms.
+   */
+  readonly crashMs: number;
+  /**
+   * Time after a replica has turned a request away in which others of the same
+   * gateway may still come, in ms.
+   */
+  readonly pauseGraceMs: number;
+}
+
+/** A time for which a replica wants nothing from a gateway. */
+export interface ReplicaPause {
+  /** Replica id. */
+  readonly replica: string;
+  /** Its length, in ms. */
+  readonly forMs: number;
 }
 
 /** A limit that a replica names. */
@@ -72,6 +90,12 @@
 const LIMIT_FACTOR = 1.5;
 const LIMIT_SLACK = 5;
 
+/** Crashes by one request after which it is to be kept away from replicas. */
+const MAX_CRASHES = 3;
+/** Runs of such a request that may follow, and requests within a pause. */
+const MAX_LATE_RUNS = 3;
+const MAX_PAUSED_REQUESTS = 2;
+
 interface Run {
   readonly received: ReceivedCall;
   readonly replica: string;
@@ -98,6 +122,16 @@
   readonly #limits: Map<string, NamedLimit> = new Map();
   /** Times of the requests of each replica while it names a limit. */
   readonly #limitedRuns: Map<string, number[]> = new Map();
+  /** Times of the crashes by each request, and its runs long after the third. */
+  readonly #crashes: Map<string, { times: number[]; lateRuns: number }> =
+    new Map();
+  /** When each gateway process first passed on that a replica leaves. */
+  readonly #leavingSince: Map<string, number> = new Map();
+  /** Pauses that each gateway process was asked for, and requests in them. */
+  readonly #pauses: Map<
+    string,
+    { from: number; until: number; requests: number }
+  > = new Map();
   readonly #disturbances: { gateway: number; from: number; to: number }[] = [];
   readonly #violations: Map<string, Violation> = new Map();
 
@@ -196,6 +230,8 @@
     this.#checkNotRun(received.id);
     this.#checkKey(request, atMs);
     this.#checkDrain(request, replica, atMs);
+    this.#checkLeaving(request, replica);
+    this.#checkPause(request, replica, atMs);
     this.#checkLimit(request, replica, atMs);
     if (runs.length === 1) {
       const tokens = received.tokens || PLAIN_TOKENS;
@@ -207,10 +243,82 @@
     }
   }
 
+  /** Records and checks that a request crashes the replica that runs it. */
+  recordCrash({ id, target }: ReceivedCall, atMs: number): void {
+    const { times, lateRuns } = this.#crashes.get(target) ??
+      { times: [], lateRuns: 0 };
+    const third = times[MAX_CRASHES - 1] ?? Infinity;
+    const { gateway } = this.#requests.get(id)!;
+    const { crashMs, undisturbedMs } = this.#bounds;
+    const isLate = atMs > third + crashMs &&
+      this.#isUndisturbed(gateway, { from: third - undisturbedMs, to: atMs });
+    const late = lateRuns + Number(isLate);
+    this.#crashes.set(target, { times: [...times, atMs], lateRuns: late });
+    if (late <= MAX_LATE_RUNS) return;
+    this.#fail(
+      "a request that crashes replicas is kept away from them",
+      `${target}: ${times.length + 1} crashes`,
+    );
+  }
+
+  /** Records and checks that a replica turns a request away for a time. */
+  recordRejection(
+    id: string,
+    { replica, forMs }: ReplicaPause,
+    atMs: number,
+  ): void {
+    const request = this.#requests.get(id);
+    if (!request) return;
+    this.#checkPause(request, replica, atMs);
+    const key = processKey(request, replica);
+    const from = atMs + this.#bounds.pauseGraceMs;
+    const known = this.#pauses.get(key);
+    if (known && known.until > atMs) return;
+    this.#pauses.set(key, { from, until: atMs + forMs, requests: 0 });
+  }
+
+  #checkPause(request: SentRequest, replica: string, atMs: number): void {
+    const pause = this.#pauses.get(processKey(request, replica));
+    if (!pause || atMs < pause.from || atMs > pause.until) return;
+    const span = { from: pause.from - this.#bounds.undisturbedMs, to: atMs };
+    if (!this.#isUndisturbed(request.gateway, span)) return;
+    pause.requests += 1;
+    if (pause.requests <= MAX_PAUSED_REQUESTS) return;
+    this.#fail(
+      "a replica that turns requests away for a time gets none until then",
+      `${request.id} came to ${replica} from gateway ${request.gateway}`,
+    );
+  }
+
+  /** Records that a process passed on a response of a replica that leaves. */
+  #recordLeaving(id: string, stamp: string | undefined): void {
+    const request = this.#requests.get(id);
+    const run = this.#runs.get(id)?.find(({ replica }) =>
+      stamp === `stamp-of-${replica}`
+    );
+    if (!request || !run) return;
+    const key = processKey(request, run.replica);
+    if (!this.#leavingSince.has(key)) this.#leavingSince.set(key, run.atMs);
+  }
+
+  /** Checks that a process sends nothing on to a replica that it knows to leave. */
+  #checkLeaving(request: SentRequest, replica: string): void {
+    const since = this.#leavingSince.get(processKey(request, replica));
+    const { drainMs, undisturbedMs } = this.#bounds;
+    if (since === undefined || request.atMs < since + drainMs) return;
+    const span = { from: since - undisturbedMs, to: request.atMs };
+    if (!this.#isUndisturbed(request.gateway, span)) return;
+    this.#fail(
+      "a replica that says that it leaves receives no requests",
+      `${request.id} came to ${replica} from gateway ${request.gateway}`,
+    );
+  }
+
   /** Records and checks the response that a caller received. */
   recordResponse(id: string, response: GatewayResponse): void {
     this.#responses.set(id, response);
-    const { status, isComplete, stamp, text } = response;
+    const { status, isComplete, stamp, text, isLeaving } = response;
+    if (isLeaving) this.#recordLeaving(id, stamp);
     this.#checkNotRun(id);
     if (status === 200 && this.#requests.get(id)?.route === "chat") {
       this.#checkStream(id, response);
@@ -381,3 +489,11 @@
     });
   }
 }
+
+/** Identifies what one process of a gateway knows of a replica. */
+function processKey(
+  { gateway, incarnation }: SentRequest,
+  replica: string,
+): string {
+  return `${gateway} ${incarnation} ${replica}`;
+}
--- a/packages/soak/src/invariant_checker_test.ts
+++ b/packages/soak/src/invariant_checker_test.ts
@@ -15,6 +15,8 @@
     undisturbedMs: 1000,
     drainMs: 2000,
     limitMs: 3000,
+    crashMs: 6000,
+    pauseGraceMs: 1000,
   });
   checker.recordKey("key", "acme");
   return checker;
@@ -188,3 +190,56 @@
     "an organisation gets no more than its rate and burst",
   ]);
 });
+
+test("a request that crashes replicas may reach three more once it should be known", (t) => {
+  const checker = createChecker();
+  for (const [i, atMs] of [0, 50, 100, 5000, 6200, 6300, 6400].entries()) {
+    const id = `r${i}`;
+    checker.recordRequest({ ...SENT, id, route: "look", key: "key", atMs });
+    checker.recordCrash(createReceived(id), atMs);
+  }
+  t.deepEqual(getInvariants(checker), []);
+  checker.recordRequest({ ...SENT, id: "r", route: "look", key: "key" });
+  checker.recordCrash(createReceived("r"), 6500);
+  t.deepEqual(getInvariants(checker), [
+    "a request that crashes replicas is kept away from them",
+  ]);
+});
+
+test("two requests may come to a replica in a pause after a moment, from a process that was asked for it", (t) => {
+  const checker = createChecker();
+  const send = (id: string, atMs: number, incarnation = 0) => {
+    const sent = { ...SENT, id, route: "look", key: "key", atMs, incarnation };
+    checker.recordRequest(sent);
+    return id;
+  };
+  const pause = { replica: "i-1", forMs: 3000 };
+  checker.recordRejection(send("r0", 0), pause, 0);
+  for (const [i, atMs] of [500, 1500, 2500, 3500].entries()) {
+    checker.recordRun(createReceived(send(`a${i}`, atMs)), "i-1", atMs);
+    checker.recordRun(createReceived(send(`b${i}`, atMs, 1)), "i-1", atMs);
+  }
+  t.deepEqual(getInvariants(checker), []);
+  checker.recordRun(createReceived(send("c", 2900)), "i-1", 2900);
+  t.deepEqual(getInvariants(checker), [
+    "a replica that turns requests away for a time gets none until then",
+  ]);
+});
+
+test("a process that passed on that a replica leaves sends it nothing later", (t) => {
+  const checker = createChecker();
+  const run = (id: string, atMs: number, incarnation = 0) => {
+    const sent = { ...SENT, id, route: "look", key: "key", atMs, incarnation };
+    checker.recordRequest(sent);
+    checker.recordRun(createReceived(id), "i-1", atMs);
+  };
+  run("r1", 0);
+  checker.recordResponse("r1", { ...COMPLETE, isLeaving: true });
+  run("r2", 1500);
+  run("r3", 5000, 1);
+  t.deepEqual(getInvariants(checker), []);
+  run("r4", 2500);
+  t.deepEqual(getInvariants(checker), [
+    "a replica that says that it leaves receives no requests",
+  ]);
+});
--- a/packages/soak/src/planted_schedule.ts
+++ b/packages/soak/src/planted_schedule.ts
@@ -56,6 +56,14 @@
       return LIMITS_OF_A_SERVICE;
     case "countAlone":
       return [];
+    case "forgetRepeats":
+      return [{ atMs: 0, durationMs: 0, kind: "crashingRequest", target: 0 }];
+    case "ignoreLeaving":
+      return [
+        { atMs: 0, durationMs: 10_000, kind: "replicaLeaving", target: 0 },
+      ];
+    case "ignorePause":
+      return [{ atMs: 0, durationMs: 3000, kind: "replicaPause", target: 0 }];
     default:
       return EARLY_WITHDRAWALS;
   }
--- a/packages/soak/src/preload.ts
+++ b/packages/soak/src/preload.ts
@@ -8,10 +8,15 @@
   INJECTED_FAULT_VARIABLE,
   type InjectedFault,
 } from "./injected_fault.ts";
-import { FleetState, ReplicaCall } from "@banyanspool/gateway/fault_injection";
+import {
+  FleetState,
+  ReplicaCall,
+  ReplicaRegistry,
+} from "@banyanspool/gateway/fault_injection";
+import { Quarantine } from "@banyanspool/quarantine";
 import { StoreClient } from "@banyanspool/platform-adapter";
 import { SlidingWindowLimiter } from "@banyanspool/limits";
-import { ReplicaPermits } from "@banyanspool/replica-limits";
+import { ReplicaPauses, ReplicaPermits } from "@banyanspool/replica-limits";
 import { ReplicaTracker } from "@banyanspool/routing";
 import { StreamOrigins } from "@banyanspool/streams";
 import { ok } from "@banyanspool/types";
@@ -72,6 +77,14 @@
       return issuePermitsAlone();
     case "countAlone":
       return countAlone();
+    case "forgetRepeats":
+      return forgetRepeats();
+    case "ignoreLeaving":
+      ReplicaRegistry.prototype.markLeaving = () => false;
+      return;
+    case "ignorePause":
+      ReplicaPauses.prototype.record = () => {};
+      return;
   }
 }
 
@@ -148,3 +161,12 @@
     create({ ...options, liveEntryCount: () => 1 });
   SlidingWindowLimiter.prototype.recordReport = () => {};
 }
+
+/** Gives the requests of each crash digests of their own. */
+function forgetRepeats(): void {
+  const { recordCrash } = Quarantine.prototype;
+  Quarantine.prototype.recordCrash = function (replica, requests) {
+    const alone = requests.map(({ parts }) => ({ digest: replica, parts }));
+    recordCrash.call(this, replica, alone);
+  };
+}
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -1,5 +1,6 @@
 import {
   callGateway,
+  type GatewayRequest,
   STANDIN_KEY,
 } from "@banyanspool/platform-adapter/testing";
 import { type Random, sleep } from "@banyanspool/types";
@@ -46,12 +47,16 @@
 const UNDISTURBED_MS = 3000;
 const DRAIN_MS = 4000;
 const LIMIT_MS = 3000;
+const CRASH_MS = 6000;
+const PAUSE_GRACE_MS = 1000;
 /** Time from a replica's drain notice until it is removed. */
 const DRAIN_NOTICE_MS = 1500;
 /** Time for which the store is away before it is restored. */
 const STORE_AWAY_MS = 150;
 /** Least time for which a replica limits its requests. */
 const MIN_LIMIT_MS = 5000;
+/** Least time from a replica's first word that it leaves until it is removed. */
+const MIN_LEAVING_MS = 5000;
 /** Time in which every route must be served again after the last fault. */
 const RECOVERY_TIMEOUT_MS = 30_000;
 const POLL_MS = 100;
@@ -70,6 +75,8 @@
     undisturbedMs: UNDISTURBED_MS,
     drainMs: DRAIN_MS,
     limitMs: LIMIT_MS,
+    crashMs: CRASH_MS,
+    pauseGraceMs: PAUSE_GRACE_MS,
   });
   const fleet = await SoakFleet.create({
     gateways,
@@ -89,7 +96,13 @@
     callersAbort.signal,
   );
   const trafficStartedAt = now();
-  const run = { fleet, checker, now };
+  const run: Run = {
+    fleet,
+    checker,
+    now,
+    repeats: [],
+    signal: callersAbort.signal,
+  };
   await Promise.all([
     injectedFault ? waitForViolation(run) : sleep(durationMs),
     ...steps.map(async (step) => {
@@ -100,7 +113,7 @@
   fleet.cutsOffNewStreams = false;
   await checkRecovery(run);
   callersAbort.abort();
-  await callers;
+  await Promise.all([callers, ...run.repeats]);
   await checkResumptions(run, createRandom(seed));
   const codes = await fleet.stop();
   for (const [index, code] of codes.entries()) {
@@ -137,9 +150,57 @@
   readonly fleet: SoakFleet;
   readonly checker: InvariantChecker;
   readonly now: () => number;
+  /** Callers that repeat a request until the signal is aborted. */
+  readonly repeats: Promise<void>[];
+  readonly signal: AbortSignal;
 }
 
-async function injectFault(step: FaultStep, run: Run): Promise<void> {
+/** Routes of the requests that crash replicas. */
+const CRASHING_ROUTES = ["look", "book", "chat"] as const;
+const REPEAT_GAP_MS = 120;
+
+/** Repeats a request that crashes replicas, at any gateway. */
+async function startRepeating(
+  { atMs, target }: FaultStep,
+  { fleet, checker, now, signal }: Run,
+): Promise<void> {
+  const route = CRASHING_ROUTES[target % CRASHING_ROUTES.length]!;
+  const resource = `fatal-${atMs}`;
+  for (let i = 0; !signal.aborted; i += 1) {
+    const gateway = i % fleet.gateways.length;
+    const { host, incarnation } = fleet.gateways[gateway]!;
+    const call: GatewayRequest = {
+      id: `${resource}-${i}`,
+      route,
+      resource,
+      key: STANDIN_KEY,
+      model: route === "chat" ? "m2" : undefined,
+      deadlineMs: 1000,
+      body: "fatal",
+    };
+    checker.recordRequest({ ...call, gateway, incarnation, atMs: now() });
+    const response = await callGateway(call, { host, port: fleet.callerPort });
+    checker.recordResponse(call.id, response);
+    await sleep(REPEAT_GAP_MS);
+  }
+}
+
+/** Lets a replica leave that says so in its responses, and replaces it. */
+async function leaveSilently(
+  { target, durationMs, linkFault }: FaultStep,
+  { fleet }: Run,
+): Promise<void> {
+  const replica = fleet.replicas[target]!;
+  if (replica.isLeaving) return;
+  replica.isLeaving = true;
+  await sleep(MIN_LEAVING_MS);
+  if (linkFault === "silent") fleet.announceDraining(replica);
+  await sleep(durationMs);
+  replica.isLeaving = false;
+  await fleet.replaceReplica(replica);
+}
+
+async function injectFault(step: FaultStep, run: Run): Promise<unknown> {
   const { fleet, checker, now } = run;
   const { kind, target, durationMs, linkFault } = step;
   const from = now();
@@ -176,6 +237,15 @@
         ),
       );
       return recordDisturbances(run, from);
+    case "crashingRequest":
+      return run.repeats.push(startRepeating(step, run));
+    case "replicaLeaving":
+      return await leaveSilently(step, run);
+    case "replicaPause":
+      return await fleet.pauseReplica(
+        fleet.replicas[target]!,
+        durationMs,
+      );
     case "replicaLimit":
       return await fleet.limitReplica(
         fleet.replicas[target]!,
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -40,6 +40,12 @@
   | "herdKill"
   /** Drops a gateway's datagrams to and from the others. */
   | "peerLink"
+  /** Sends a request that crashes each replica that runs it again and again. */
+  | "crashingRequest"
+  /** Lets a replica say in its responses that it leaves, and replaces it. */
+  | "replicaLeaving"
+  /** Lets a replica turn requests away, and name a time for it. */
+  | "replicaPause"
   /** Lets a replica limit its requests; the limit is kept for some seconds. */
   | "replicaLimit"
   /** Drains a replica and replaces it by a new one. */
@@ -67,7 +73,10 @@
   readonly kind: FaultKind;
   /** Index of the gateway or replica; unused for faults of the store. */
   readonly target: number;
-  /** Network fault; used by `storeLink` and `replicaLink` only. */
+  /**
+   * Network fault of `storeLink` and `replicaLink`, and the variant of some other
+   * kinds.
+   */
   readonly linkFault: LinkFault;
 }
 
@@ -99,6 +108,9 @@
   "rollingStop",
   "herdKill",
   "peerLink",
+  "crashingRequest",
+  "replicaLeaving",
+  "replicaPause",
   "replicaLimit",
   "replicaDrain",
   "lateOrders",
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -49,6 +49,12 @@
   readonly proxy: FaultProxy;
   /** Whether it has announced that it is draining. */
   isDraining: boolean;
+  /** Whether it says in its responses that it leaves. */
+  isLeaving: boolean;
+  /** Whether it turns requests away for a time. */
+  isPaused: boolean;
+  /** Whether it has crashed and isn't back yet. */
+  isCrashed: boolean;
   /** Requests a second that it takes, while it limits them. */
   limitPerS?: number;
 }
@@ -108,6 +114,10 @@
 const OTHER_WRITES = 50;
 /** Requests a second that a replica with a limit takes. */
 const REPLICA_LIMIT_PER_S = 1.2;
+/** Time after which a crashed replica is back. */
+const CRASHED_MS = 1500;
+/** Time for which a paused replica wants nothing, in seconds. */
+const PAUSE_S = 3;
 /** Time between two parts of a response. */
 const RESPONSE_GAP_MS = 20;
 
@@ -240,6 +250,27 @@
     checker.endLimit(id);
   }
 
+  /** Lets a replica turn requests away for some time, in ms. */
+  async pauseReplica(replica: SoakReplica, forMs: number): Promise<void> {
+    replica.isPaused = true;
+    await sleep(forMs);
+    replica.isPaused = false;
+  }
+
+  /** Lets a replica crash; it is back after a while, under its old id. */
+  async #crash(replica: SoakReplica): Promise<void> {
+    if (replica.isCrashed) return;
+    replica.isCrashed = true;
+    const { standin, id } = replica;
+    await replica.proxy.refuse();
+    await sleep(CRASHED_MS);
+    await replica.proxy.accept();
+    replica.isCrashed = false;
+    // It may have been restarted or replaced meanwhile.
+    if (replica.standin !== standin || replica.id !== id) return;
+    await this.restartReplica(replica);
+  }
+
   /** Writes rows of no meaning, and the replicas' rows again after them. */
   raiseVersion(): void {
     for (let i = 0; i < OTHER_WRITES; i += 1) {
@@ -356,6 +387,9 @@
       standin,
       proxy,
       isDraining: false,
+      isLeaving: false,
+      isPaused: false,
+      isCrashed: false,
     };
     this.replicas.push(replica);
     this.#register(replica);
@@ -380,10 +414,24 @@
       holds,
       answer: async (req, res) => {
         const received = decodeReceivedCall(req);
-        this.#options.checker.recordRun(received, id, this.#options.now());
-        const limited = this.replicas.find((replica) => replica.id === id);
-        if (limited?.limitPerS !== undefined) {
-          res.setHeader("server-limit", String(limited.limitPerS));
+        const { checker, now } = this.#options;
+        const replica = this.replicas.find((each) => each.id === id);
+        if (replica?.isLeaving) res.setHeader("server-leaving", "1");
+        if (replica?.isPaused) {
+          const pause = { replica: id, forMs: PAUSE_S * MS_PER_S };
+          checker.recordRejection(received.id, pause, now());
+          res.setHeader("not-executed", "1");
+          res.setHeader("retry-after", String(PAUSE_S));
+          res.writeHead(503).end();
+          return;
+        }
+        checker.recordRun(received, id, now());
+        if (replica && received.target.includes("/fatal-")) {
+          checker.recordCrash(received, now());
+          return await this.#crash(replica);
+        }
+        if (replica?.limitPerS !== undefined) {
+          res.setHeader("server-limit", String(replica.limitPerS));
         }
         if (service === "pool") {
           await this.#stream(res, { received, version: softwareVersion });
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -31,6 +31,10 @@
   ignoreEpoch: "one lease holder gives orders at a time",
   issueAlone: "gateways together keep the limit of a replica",
   countAlone: "an organisation gets no more than its rate and burst",
+  forgetRepeats: "a request that crashes replicas is kept away from them",
+  ignoreLeaving: "a replica that says that it leaves receives no requests",
+  ignorePause:
+    "a replica that turns requests away for a time gets none until then",
 } as const;
 
 for (
@@ -45,6 +49,9 @@
     "ignoreEpoch",
     "issueAlone",
     "countAlone",
+    "forgetRepeats",
+    "ignoreLeaving",
+    "ignorePause",
   ] as const
 ) {
   test.serial(`the injected defect ${fault} is detected`, async (t) => {
