Gateway: requests that wait for a connection aren't sent to a paused replica

Read from the code, with a test that failed before: requests beyond the connections of a replica wait in the connection pool, and were sent one after the other when it had turned the first of them away for a time. Whether a call may still be sent is asked once more when a connection is free.

--- a/packages/gateway/src/relay_attempt.ts
+++ b/packages/gateway/src/relay_attempt.ts
@@ -87,7 +87,7 @@
   const { kind } = relayed;
   const fingerprint = fingerprintOf(scope);
   const { status } = response.head;
-  if (kind === "whole") {
+  if (kind === "whole" && scope.route.retrySafety === "resumable") {
     ctx.streamOrigins.complete(scope.caller.resumedAttempt ?? scope.caller.id);
   }
   if (kind === "whole" && status < FIRST_FAILURE_STATUS) {
--- a/packages/gateway/src/replica_call.ts
+++ b/packages/gateway/src/replica_call.ts
@@ -48,6 +48,8 @@
   readonly headers: string[];
   /** Body, or undefined for none. */
   readonly body?: Buffer;
+  /** Whether the call may still be sent, once a connection is free. */
+  readonly maySend?: () => boolean;
 }
 
 /** Unread body bytes at which reading from the replica is paused. */
@@ -72,11 +74,14 @@
   #wakeReader: (() => void) | undefined;
   readonly #resetDetector: ResetDetector;
   readonly #readGuard: ReadGuard;
+  readonly #maySend: () => boolean;
   #stopTracking: (() => void) | undefined;
 
-  private constructor({ resetDetector, readGuard }: ReplicaConnections) {
+  private constructor({ connections, maySend }: ReplicaCallOptions) {
+    const { resetDetector, readGuard } = connections;
     this.#resetDetector = resetDetector;
     this.#readGuard = readGuard;
+    this.#maySend = maySend ?? (() => true);
     this.head = new Promise((resolve, reject) => {
       this.#resolveHead = resolve;
       this.#rejectHead = reject;
@@ -88,7 +93,7 @@
   /** Starts the call. A failure is reported by `head` and `body()`. */
   static create(options: ReplicaCallOptions): ReplicaCall {
     const { connections, origin, method, target, headers, body } = options;
-    const call = new ReplicaCall(connections);
+    const call = new ReplicaCall(options);
     try {
       connections.pool.dispatch({
         origin,
@@ -135,6 +140,11 @@
 
   /** Called by the transport before it writes the first byte. */
   onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (!this.#maySend()) {
+      this.#fail("notSent", new Error("replica takes no requests now"));
+      controller.abort(new Error("call not sent"));
+      return;
+    }
     this.#controller = controller;
     if (this.#isAborted) controller.abort(new Error("call aborted"));
   }
--- a/packages/gateway/src/replica_call_test.ts
+++ b/packages/gateway/src/replica_call_test.ts
@@ -46,8 +46,13 @@
   return pools;
 }
 
-function call(pools: ConnectionPools, replica: BackendServer): ReplicaCall {
+function call(
+  pools: ConnectionPools,
+  replica: BackendServer,
+  maySend?: () => boolean,
+): ReplicaCall {
   return ReplicaCall.create({
+    maySend,
     connections: pools.forReplica(replica),
     origin: `http://${replica.address}`,
     method: "GET",
@@ -148,3 +153,29 @@
   await closed;
   t.is(await failureOf(started), "aborted");
 });
+
+// Requests that waited for a connection were sent to a replica that wanted nothing.
+test("a call that waits for a connection isn't sent if it may no longer be", async (t) => {
+  let arrivals = 0;
+  let isPaused = false;
+  const replica = await startReplica(t, (socket) => {
+    arrivals += 1;
+    setTimeout(() => {
+      isPaused = true;
+      socket.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    }, 50);
+  });
+  const pools = createPools(t);
+  const calls = Array.from(
+    { length: 9 },
+    () => call(pools, replica, () => !isPaused),
+  );
+  const heads = await Promise.allSettled(calls.map(({ head }) => head));
+  const failures = heads.flatMap((head) =>
+    head.status === "rejected"
+      ? [(head.reason as ReplicaCallError).failure]
+      : []
+  );
+  t.is(arrivals, 4, "one for each connection");
+  t.deepEqual(failures, Array.from({ length: 5 }, () => "notSent"));
+});
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -5,6 +5,7 @@
 } from "@banyanspool/platform-adapter";
 import type { ReplicaSelection, SelectionRequest } from "@banyanspool/routing";
 import { formatModelName } from "@banyanspool/routing";
+import { incarnationOf } from "@banyanspool/types";
 import { isCallerPresent } from "./caller_presence.ts";
 import type { GatewayContext } from "./context.ts";
 import {
@@ -62,6 +63,7 @@
   if (!await isCallerPresent(scope)) return { kind: "given up", sent: false };
   if (signal.aborted) return { kind: "superseded" };
   const sentAt = ctx.clock.now();
+  const replica = incarnationOf(selection.server);
   const call = ReplicaCall.create({
     connections: ctx.pools.forReplica(selection.server),
     origin: `http://${selection.server.address}`,
@@ -78,12 +80,16 @@
       bodyBytes: scope.body?.length,
     }),
     body: scope.body,
+    maySend: () => ctx.replicaPauses.remainingMs(replica) === 0,
   });
   try {
     return await awaitHead(ctx, scope, { ...options, call, sentAt });
   } catch (error) {
     const callError = error as ReplicaCallError;
-    if (callError.failure === "notSent" && !scope.signal.aborted) {
+    const isPaused = ctx.replicaPauses.remainingMs(replica) > 0;
+    if (
+      callError.failure === "notSent" && !isPaused && !scope.signal.aborted
+    ) {
       ctx.replicaTracker.markUnreachable(selection.server.id);
     }
     return outcomeOfFailure(scope, callError);
