Quarantine, gateway, soak: causes, refusals and replica faults are files of their own

`crash_evidence.ts` kept evidence and judged it, `acquire_replica.ts` held the refusals of quarantined requests and of paused replicas, and `run_seed.ts` the faults that replicas bring themselves. Behaviour is unchanged.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -1,11 +1,12 @@
-import { isRequest } from "@banyanspool/quarantine";
 import type { ReplicaSelection, SelectionRequest } from "@banyanspool/routing";
 import { formatModelName } from "@banyanspool/routing";
 import type { Refusal, Result, Route } from "@banyanspool/types";
-import { err, incarnationOf, ok, refuse } from "@banyanspool/types";
+import { err, ok, refuse } from "@banyanspool/types";
 import type { GatewayContext } from "./context.ts";
 import { jitterRetryAfter } from "./refusals.ts";
 import { claimPermit, type PermitClaim, takePermit } from "./replica_permit.ts";
+import { refuseQuarantined } from "./refuse_quarantined.ts";
+import { refuseWhilePaused } from "./refuse_while_paused.ts";
 import { fingerprintOf } from "./request_fingerprint.ts";
 import type { RequestScope } from "./request_scope.ts";
 
@@ -49,7 +50,6 @@
 const MIN_RETURN_SHARE = 0.1;
 /** Added to the time of a promised permit, which is kept for longer, in ms. */
 const MAX_PROMISE_JITTER_MS = 200;
-const NO_REPLICAS: ReadonlySet<string> = new Set();
 
 /** Estimated time that a caller waits for the first byte, in ms. */
 export function callerFirstByteTimeoutMs(route: Route): number {
@@ -220,47 +220,6 @@
   ));
 }
 
-/**
- * Refuses a request that crashes replicas, alone or because of a part of its
- * prompt. Before its service is known, a request that may be tried isn't refused.
- */
-export function refuseQuarantined(
-  ctx: GatewayContext,
-  scope: RequestScope,
-  request?: SelectionRequest,
-): Refusal | undefined {
-  const quarantined = ctx.quarantine.check(fingerprintOf(scope), {
-    mayTry: () => request === undefined || hasSpareReplica(ctx, request),
-  });
-  if (!quarantined) return undefined;
-  const { suspect, retryAfterMs } = quarantined;
-  const options = { retryAfterMs: jitterRetryAfter(retryAfterMs, ctx.random) };
-  return isRequest(suspect)
-    ? refuse(
-      "request_quarantined",
-      `Replicas crashed at repeats of this request ("${suspect}")`,
-      options,
-    )
-    : refuse(
-      "prompt_quarantined",
-      `Replicas crashed at requests with the same prompt part ("${suspect}")`,
-      options,
-    );
-}
-
-/**
- * Whether the service keeps a replica if a trial crashes another one. One that
- * never had more than one has nothing to keep.
- */
-function hasSpareReplica(
-  { replicaTracker }: GatewayContext,
-  { service }: SelectionRequest,
-): boolean {
-  const listed = [...replicaTracker.servers.values()]
-    .filter((server) => server.service === service);
-  return listed.length === 1 || replicaTracker.countUsable(service) > 1;
-}
-
 /** Time at which the caller is assumed to leave without a further byte, in ms. */
 function callerLeavesAt(
   { deadlineAt, route }: RequestScope,
@@ -329,37 +288,6 @@
   ));
 }
 
-/**
- * Refuses a request whose replicas all asked for a pause that lasts for longer
- * than its caller waits, with the time at which the first one takes requests.
- */
-function refuseWhilePaused(
-  { clock, random, replicaTracker, replicaPauses, expectedModels }:
-    GatewayContext,
-  { request, waitUntil }: { request: SelectionRequest; waitUntil: number },
-): Refusal | undefined {
-  const { service, excluded } = request;
-  // A replica that turned this request away may take the caller's next one.
-  const anyReplica = { ...request, excluded: NO_REPLICAS };
-  const paused = replicaTracker.paused(anyReplica);
-  if (paused.length === 0 || replicaTracker.usable(request).length > 0) return;
-  const { model } = request;
-  const readyAt = model === undefined
-    ? undefined
-    : expectedModels.readyAt(model);
-  const endsInMs = Math.min(
-    ...paused.map((server) => replicaPauses.remainingMs(incarnationOf(server))),
-    readyAt === undefined ? Infinity : Math.max(0, readyAt - clock.now()),
-  );
-  const mayWait = model !== undefined || excluded.size === 0;
-  if (mayWait && clock.now() + endsInMs < waitUntil) return;
-  return refuse(
-    "overloaded",
-    `The replicas of "${service}" take no requests now`,
-    { retryAfterMs: jitterRetryAfter(endsInMs + MIN_RETRY_AFTER_MS, random) },
-  );
-}
-
 /**
  * Refuses a request for a model that no replica will have in time, with the time
  * at which it will be there. A caller that would come back too early to see it
--- a/packages/gateway/src/recovery_row.ts
+++ b/packages/gateway/src/recovery_row.ts
@@ -73,7 +73,9 @@
 }
 
 /** What a row holds, without the times that pass anyway. */
-export function digestRow({ versions, origins, quarantined }: RecoveryRow) {
+export function digestRow(
+  { versions, origins, quarantined }: RecoveryRow,
+): string {
   return JSON.stringify([
     [...versions],
     origins.map(({ id }) => id),
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -1,9 +1,9 @@
 import type { SelectionRequest } from "@banyanspool/routing";
 import type { Route } from "@banyanspool/types";
-import { refuseQuarantined } from "./acquire_replica.ts";
 import { consumeRateLimit } from "./admit_request.ts";
 import type { GatewayContext } from "./context.ts";
 import { endWithoutRetry, refuseRequest } from "./final_responses.ts";
+import { refuseQuarantined } from "./refuse_quarantined.ts";
 import type { RequestExecution } from "./request_execution.ts";
 import { RequestProgress } from "./request_progress.ts";
 import type { RequestOutcome, RequestScope } from "./request_scope.ts";
--- a/packages/quarantine/src/crash_evidence.ts
+++ b/packages/quarantine/src/crash_evidence.ts
@@ -1,7 +1,6 @@
 import { LRUCache } from "lru-cache";
 import type { Clock } from "@banyanspool/types";
 import {
-  isRequest,
   partSuspect,
   type RequestFingerprint,
   requestSuspect,
@@ -26,15 +25,9 @@
   readonly ageMs: number;
 }
 
-/** A likely cause of crashes. */
-export interface Cause {
-  /** The request or part. */
-  readonly suspect: Suspect;
-  /** Whether the crashes have hardly another explanation. */
-  readonly isCertain: boolean;
-}
-
-interface CrashRecord {
+/** A crash, with what all gateways had in flight as far as it is known. */
+export interface CrashRecord {
+  /** When it was noticed, in ms. */
   readonly at: number;
   /** Requests in flight, by digest. */
   readonly requests: Map<string, RequestFingerprint>;
@@ -55,22 +48,6 @@
 const MAX_REPORTED_CRASHES = 8;
 const MAX_REPORTED_REQUESTS = 64;
 const MAX_REPORTED_COMPLETIONS = 128;
-/**
- * Crashes within this time may have one cause in common, such as a failed rack,
- * in ms. Together they have at most the weight of two.
- */
-const COMMON_CAUSE_MS = 250;
-const MAX_COMMON_CAUSE_WEIGHT = 2;
-/** Weight of the crashes after which a request is taken for their cause. */
-const REQUEST_WEIGHT = 2;
-/** Weight of the crashes after which there is hardly another explanation. */
-const CERTAIN_WEIGHT = 3;
-/**
- * Number of distinct requests that it takes to explain the crashes of a part
- * before the part is taken for their cause, and for certain.
- */
-const PART_REQUESTS = 2;
-const CERTAIN_PART_REQUESTS = 3;
 /**
  * Time after a crash at which the other gateways have reported what they had in
  * flight, in ms. Parts are judged after it, as a request that explains the crash
@@ -181,7 +158,7 @@
     { since, causes }: { since: number; causes: ReadonlySet<Suspect> },
   ): boolean {
     const from = Math.max(since, this.completedAt(suspect));
-    return this.#recent().some((crash) =>
+    return this.recent().some((crash) =>
       crash.at > from && crash.suspects.has(suspect) &&
       ![...causes].some((cause) =>
         cause !== suspect && crash.suspects.has(cause)
@@ -189,42 +166,6 @@
     );
   }
 
-  /**
-   * Returns the requests that most likely caused the crashes that the known
-   * causes don't explain; several if they are equally likely.
-   */
-  findRequests(knownCauses: ReadonlySet<Suspect>): Cause[] {
-    const crashes = this.#unexplainedBy([...knownCauses]);
-    const suspects = inFlightAt(crashes, REQUEST_WEIGHT).filter(isRequest);
-    return this.#likeliest(suspects, (suspect) => {
-      const weight = weigh(this.#crashesOf(suspect, crashes));
-      return { weight, isCertain: weight >= CERTAIN_WEIGHT };
-    }, REQUEST_WEIGHT);
-  }
-
-  /**
-   * Returns the prompt parts that most likely caused the crashes that the known
-   * parts don't explain; several if they are equally likely. A part of which one
-   * request explains all crashes is none of them.
-   */
-  findParts(knownParts: ReadonlySet<Suspect>): Cause[] {
-    const before = this.#clock.now() - COMPLETE_AFTER_MS;
-    const crashes = this.#unexplainedBy([...knownParts])
-      .filter(({ at }) => at <= before);
-    const parts = inFlightAt(crashes, CERTAIN_WEIGHT)
-      .filter((suspect) => !isRequest(suspect));
-    return this.#likeliest(parts, (suspect) => {
-      const own = this.#crashesOf(suspect, crashes);
-      const weight = weigh(own);
-      if (weight < CERTAIN_WEIGHT) return { weight, isCertain: false };
-      const requests = this.#countExplainingRequests(own, suspect);
-      return {
-        weight: requests >= PART_REQUESTS ? weight : 0,
-        isCertain: requests >= CERTAIN_PART_REQUESTS,
-      };
-    }, CERTAIN_WEIGHT);
-  }
-
   /** When the evidence of the next crash is complete; Infinity if there is none. */
   nextCompleteAt(): number {
     const now = this.#clock.now();
@@ -264,69 +205,6 @@
     return reported.slice(-MAX_REPORTED_COMPLETIONS);
   }
 
-  /** Returns the likeliest of the suspects that have at least a weight. */
-  #likeliest(
-    suspects: readonly Suspect[],
-    judge: (suspect: Suspect) => { weight: number; isCertain: boolean },
-    minWeight: number,
-  ): Cause[] {
-    let likeliest: Cause[] = [];
-    let best = { weight: minWeight, completedAt: Infinity };
-    for (const suspect of suspects) {
-      const { weight, isCertain } = judge(suspect);
-      // Of suspects with as many crashes, the one that completed least recently
-      // is likelier.
-      const completedAt = this.completedAt(suspect);
-      if (weight < best.weight) continue;
-      if (weight === best.weight && completedAt > best.completedAt) continue;
-      if (weight > best.weight || completedAt < best.completedAt) {
-        likeliest = [];
-      }
-      best = { weight, completedAt };
-      likeliest.push({ suspect, isCertain });
-    }
-    return likeliest;
-  }
-
-  /** Crashes with a suspect in flight since it last completed. */
-  #crashesOf(
-    suspect: Suspect,
-    crashes: readonly CrashRecord[],
-  ): CrashRecord[] {
-    const completedAt = this.completedAt(suspect);
-    return crashes.filter((crash) =>
-      crash.at > completedAt && crash.suspects.has(suspect)
-    );
-  }
-
-  /** Crashes that none of the causes explains, in order of time. */
-  #unexplainedBy(causes: readonly Suspect[]): CrashRecord[] {
-    return this.#recent().filter((crash) =>
-      !causes.some((cause) =>
-        crash.at > this.completedAt(cause) && crash.suspects.has(cause)
-      )
-    );
-  }
-
-  /**
-   * Number of requests with a part that it takes to explain its crashes, up to
-   * {@link CERTAIN_PART_REQUESTS}; found greedily.
-   */
-  #countExplainingRequests(
-    crashes: readonly CrashRecord[],
-    part: Suspect,
-  ): number {
-    let left = crashes;
-    let count = 0;
-    while (left.length > 0 && count < CERTAIN_PART_REQUESTS) {
-      const explained = mostExplainedBy(left, part, this);
-      if (explained.size === 0) return CERTAIN_PART_REQUESTS;
-      left = left.filter((crash) => !explained.has(crash));
-      count += 1;
-    }
-    return count;
-  }
-
   #reportUntil(suspect: Suspect, now: number): void {
     this.#reportedUntil.set(suspect, now + REPORT_MS);
   }
@@ -375,7 +253,9 @@
     return record;
   }
 
-  #recent(): CrashRecord[] {
+  /** Crashes that still count, in order of time. */
+  /** Crashes that still count, in order of time. */
+  recent(): CrashRecord[] {
     const since = this.#clock.now() - CRASH_WINDOW_MS;
     for (const [replica, { at }] of this.#crashes) {
       if (at < since) this.#crashes.delete(replica);
@@ -383,56 +263,3 @@
     return [...this.#crashes.values()].sort((a, b) => a.at - b.at);
   }
 }
-
-/** Suspects that were in flight at a number of crashes at least. */
-function inFlightAt(
-  crashes: readonly CrashRecord[],
-  minCrashes: number,
-): Suspect[] {
-  const counts = new Map<Suspect, number>();
-  for (const { suspects } of crashes) {
-    for (const suspect of suspects) {
-      counts.set(suspect, (counts.get(suspect) ?? 0) + 1);
-    }
-  }
-  return [...counts.keys()].filter((s) => counts.get(s)! >= minCrashes);
-}
-
-/** Crashes that the request with a part explains that explains most of them. */
-function mostExplainedBy(
-  crashes: readonly CrashRecord[],
-  part: Suspect,
-  evidence: CrashEvidence,
-): ReadonlySet<CrashRecord> {
-  const byRequest = new Map<string, Set<CrashRecord>>();
-  for (const crash of crashes) {
-    for (const { digest, parts } of crash.requests.values()) {
-      if (!parts.some((id) => partSuspect(id) === part)) continue;
-      if (evidence.completedAt(requestSuspect(digest)) > crash.at) continue;
-      const explained = byRequest.get(digest) ?? new Set();
-      byRequest.set(digest, explained.add(crash));
-    }
-  }
-  let most: ReadonlySet<CrashRecord> = new Set();
-  for (const explained of byRequest.values()) {
-    if (explained.size > most.size) most = explained;
-  }
-  return most;
-}
-
-/** Weight of crashes, which are in order of time. */
-function weigh(crashes: readonly CrashRecord[]): number {
-  let weight = 0;
-  let groupStart = -Infinity;
-  let groupWeight = 0;
-  for (const { at } of crashes) {
-    if (at - groupStart > COMMON_CAUSE_MS) {
-      groupStart = at;
-      groupWeight = 0;
-    }
-    if (groupWeight >= MAX_COMMON_CAUSE_WEIGHT) continue;
-    groupWeight += 1;
-    weight += 1;
-  }
-  return weight;
-}
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "@banyanspool/types";
+import { type Cause, findParts, findRequests } from "./crash_causes.ts";
 import {
-  type Cause,
   COMPLETE_AFTER_MS,
   type Completion,
   CrashEvidence,
@@ -239,16 +239,18 @@
 
   /** Starts quarantines of the requests that caused crashes. */
   #judgeRequests(): void {
-    this.#startEach((known) => this.#evidence.findRequests(known));
+    this.#startEach((known) => findRequests(this.#evidence, known));
   }
 
   /** Starts quarantines of the parts that caused crashes, once it can be told. */
   #judgeParts(): void {
-    if (this.#options.clock.now() < this.#partsDueAt) return;
+    const now = this.#options.clock.now();
+    if (now < this.#partsDueAt) return;
     this.#partsDueAt = this.#evidence.nextCompleteAt();
-    this.#startEach((known) =>
-      this.#evidence.findParts(new Set([...known].filter((s) => !isRequest(s))))
-    );
+    this.#startEach((known) => {
+      const knownParts = [...known].filter((suspect) => !isRequest(suspect));
+      return findParts(this.#evidence, { knownParts, now });
+    });
   }
 
   /**
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -1,6 +1,5 @@
 import {
   callGateway,
-  type GatewayRequest,
   STANDIN_KEY,
 } from "@banyanspool/platform-adapter/testing";
 import { type Random, sleep } from "@banyanspool/types";
@@ -9,6 +8,7 @@
 import { parseStreamEvents } from "./stream_events.ts";
 import type { InjectedFault } from "./injected_fault.ts";
 import { createPlantedSchedule } from "./planted_schedule.ts";
+import { leaveByWord, repeatCrashingRequest } from "./replica_faults.ts";
 import { drawSchedule, type FaultStep } from "./schedule.ts";
 import { REPLICA_SERVICES, SoakFleet, type SoakGateway } from "./soak_fleet.ts";
 import { InvariantChecker, type Violation } from "./invariant_checker.ts";
@@ -55,8 +55,6 @@
 const STORE_AWAY_MS = 150;
 /** Least time for which a replica limits its requests. */
 const MIN_LIMIT_MS = 5000;
-/** Least time from a replica's first word that it leaves until it is removed. */
-const MIN_LEAVING_MS = 5000;
 /** Time in which every route must be served again after the last fault. */
 const RECOVERY_TIMEOUT_MS = 30_000;
 const POLL_MS = 100;
@@ -146,7 +144,8 @@
   }
 }
 
-interface Run {
+/** A fleet and what observes it, during one run. */
+export interface Run {
   readonly fleet: SoakFleet;
   readonly checker: InvariantChecker;
   readonly now: () => number;
@@ -155,51 +154,6 @@
   readonly signal: AbortSignal;
 }
 
-/** Routes of the requests that crash replicas. */
-const CRASHING_ROUTES = ["look", "book", "chat"] as const;
-const REPEAT_GAP_MS = 120;
-
-/** Repeats a request that crashes replicas, at any gateway. */
-async function startRepeating(
-  { atMs, target }: FaultStep,
-  { fleet, checker, now, signal }: Run,
-): Promise<void> {
-  const route = CRASHING_ROUTES[target % CRASHING_ROUTES.length]!;
-  const resource = `fatal-${atMs}`;
-  for (let i = 0; !signal.aborted; i += 1) {
-    const gateway = i % fleet.gateways.length;
-    const { host, incarnation } = fleet.gateways[gateway]!;
-    const call: GatewayRequest = {
-      id: `${resource}-${i}`,
-      route,
-      resource,
-      key: STANDIN_KEY,
-      model: route === "chat" ? "m2" : undefined,
-      deadlineMs: 1000,
-      body: "fatal",
-    };
-    checker.recordRequest({ ...call, gateway, incarnation, atMs: now() });
-    const response = await callGateway(call, { host, port: fleet.callerPort });
-    checker.recordResponse(call.id, response);
-    await sleep(REPEAT_GAP_MS);
-  }
-}
-
-/** Lets a replica leave that says so in its responses, and replaces it. */
-async function leaveSilently(
-  { target, durationMs, linkFault }: FaultStep,
-  { fleet }: Run,
-): Promise<void> {
-  const replica = fleet.replicas[target]!;
-  if (replica.isLeaving) return;
-  replica.isLeaving = true;
-  await sleep(MIN_LEAVING_MS);
-  if (linkFault === "silent") fleet.announceDraining(replica);
-  await sleep(durationMs);
-  replica.isLeaving = false;
-  await fleet.replaceReplica(replica);
-}
-
 async function injectFault(step: FaultStep, run: Run): Promise<unknown> {
   const { fleet, checker, now } = run;
   const { kind, target, durationMs, linkFault } = step;
@@ -238,9 +192,9 @@
       );
       return recordDisturbances(run, from);
     case "crashingRequest":
-      return run.repeats.push(startRepeating(step, run));
+      return run.repeats.push(repeatCrashingRequest(step, run));
     case "replicaLeaving":
-      return await leaveSilently(step, run);
+      return await leaveByWord(step, run);
     case "replicaPause":
       return await fleet.pauseReplica(
         fleet.replicas[target]!,
