Routing: streams that go on through a pause don't keep a replica out of use

Cause: after a replica's pause the slow start admits as many requests as may wait for a response, but counted all requests of this gateway in flight there. Streams that had begun before the pause and went on through it counted against the first admitted request, so that the replica got nothing until they ended or five seconds had passed.

Ruled out: ending the slow start with the first response (the requests that were held back come all at once then).

Change: only requests whose response hasn't begun are counted.

--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -109,8 +109,8 @@
     liveEntryCount: () => liveEntryCount,
     kvCapacityOf: () => undefined,
     permitStateOf: (server) => replicaPermits.stateOf(incarnationOf(server)),
-    admits: (server, inFlight) =>
-      replicaPauses.admits(incarnationOf(server), inFlight),
+    admits: (server, waiting) =>
+      replicaPauses.admits(incarnationOf(server), waiting),
   });
   replicaTracker.updateServers(servers);
   const changed = ChangeSignal.create();
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -126,9 +126,9 @@
       replicaLimits.hasLimits
         ? replicaPermits.stateOf(incarnationOf(server))
         : "unlimited",
-    admits: (server, inFlight) =>
+    admits: (server, waiting) =>
       replicaPauses.isEmpty ||
-      replicaPauses.admits(incarnationOf(server), inFlight),
+      replicaPauses.admits(incarnationOf(server), waiting),
   });
   return {
     clock,
--- a/packages/gateway/src/run_attempts_test.ts
+++ b/packages/gateway/src/run_attempts_test.ts
@@ -72,8 +72,8 @@
     liveEntryCount: () => 1,
     kvCapacityOf: () => undefined,
     permitStateOf: () => "unlimited",
-    admits: (server, inFlight) =>
-      replicaPauses.admits(incarnationOf(server), inFlight),
+    admits: (server, waiting) =>
+      replicaPauses.admits(incarnationOf(server), waiting),
   });
   replicaTracker.updateServers(behaviours.map(({ id }) => describe(id)));
   /** Requests in flight at each arrival, with its time in ms. */
--- a/packages/replica-limits/src/replica_pauses.ts
+++ b/packages/replica-limits/src/replica_pauses.ts
@@ -12,21 +12,21 @@
 
 interface Pause {
   endsAt: number;
-  /** Requests that may be in flight after the end. */
+  /** Requests that may wait for a response after the end. */
   admitted: number;
 }
 
 /** Longest pause; after it the replica may ask for another one. */
 const MAX_PAUSE_MS = 60_000;
-/** Requests in flight that end the slow start, and its longest time, in ms. */
+/** Waiting requests that end the slow start, and its longest time, in ms. */
 const FULL_ADMISSION = 64;
 const SLOW_START_MS = 5000;
 
 /**
  * Pauses that replicas asked this gateway for (`Retry-After`). During a pause
  * nothing is sent to the replica. Afterwards a slow start (RFC 5681) doubles the
- * requests in flight with each response, so that those that waited don't all come
- * at once.
+ * requests that may wait for its response with each response that begins, so that
+ * those that were held back don't all come at once.
  */
 export class ReplicaPauses {
   readonly #options: ReplicaPausesOptions;
@@ -65,13 +65,13 @@
     if (pause.admitted >= FULL_ADMISSION) this.#pauses.delete(replica);
   }
 
-  /** Whether a replica may be sent a request beside those in flight there. */
-  admits(replica: string, inFlight: number): boolean {
+  /** Whether a replica may be sent a request beside those that wait for it. */
+  admits(replica: string, waiting: number): boolean {
     const pause = this.#pauses.get(replica);
     if (!pause) return true;
     const now = this.#options.clock.now();
     if (pause.endsAt > now) return false;
-    if (now - pause.endsAt < SLOW_START_MS) return inFlight < pause.admitted;
+    if (now - pause.endsAt < SLOW_START_MS) return waiting < pause.admitted;
     this.#pauses.delete(replica);
     return true;
   }
--- a/packages/replica-limits/src/replica_pauses_test.ts
+++ b/packages/replica-limits/src/replica_pauses_test.ts
@@ -15,7 +15,7 @@
   return { pauses, logged, now: () => now, advance: (ms: number) => now += ms };
 }
 
-/** Most requests that may be in flight at a replica. */
+/** Most requests that may wait for a response of a replica. */
 function countAdmitted(pauses: ReplicaPauses, replica: string): number {
   let admitted = 0;
   while (admitted < 1000 && pauses.admits(replica, admitted)) admitted += 1;
@@ -33,7 +33,7 @@
   t.is(pauses.remainingMs("r1"), 1);
 });
 
-test("after a pause the requests in flight double with each response, until all are admitted", (t) => {
+test("after a pause the requests that may wait double with each response, until all are admitted", (t) => {
   const { pauses, advance } = createPauses();
   pauses.record("r1", { forMs: 1000 });
   pauses.recordResponse("r1");
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -81,10 +81,10 @@
   /** What a replica that limits its requests takes now. */
   readonly permitStateOf: (server: BackendServer) => PermitState;
   /**
-   * Whether a replica may be sent a request beside those that this entry has in
-   * flight there.
+   * Whether a replica may be sent a request beside those of this entry that wait
+   * for its response.
    */
-  readonly admits: (server: BackendServer, inFlight: number) => boolean;
+  readonly admits: (server: BackendServer, waiting: number) => boolean;
 }
 
 /** Which of the candidates are compared. */
@@ -394,10 +394,10 @@
     return this.#reachable(request).filter((server) => !this.admits(server));
   }
 
-  /** Whether a replica may be sent a request beside those in flight there. */
+  /** Whether a replica may be sent a request now. */
   admits(server: BackendServer): boolean {
-    const inFlight = this.#loads.ownRequestsAt(server.id);
-    return this.#options.admits(server, inFlight);
+    const waiting = this.#unstarted.get(server.id)?.size ?? 0;
+    return this.#options.admits(server, waiting);
   }
 
   #reachable(request: SelectionRequest): BackendServer[] {
--- a/packages/routing/src/replica_tracker_test.ts
+++ b/packages/routing/src/replica_tracker_test.ts
@@ -44,7 +44,7 @@
     liveEntryCount: () => 1,
     kvCapacityOf: () => 200_000,
     permitStateOf: ({ id }) => permitStates[id] ?? "unlimited",
-    admits: ({ id }, inFlight) => inFlight < (admitted[id] ?? Infinity),
+    admits: ({ id }, waiting) => waiting < (admitted[id] ?? Infinity),
   });
   tracker.updateServers(servers);
   return { tracker, advance: (ms: number) => now += ms };
@@ -285,3 +285,12 @@
   finished();
   t.is(tracker.select(request())?.server.id, "r2");
 });
+
+// Streams that went on through a replica's pause kept it from being used after it.
+test("requests whose response has begun don't count against those that are admitted", (t) => {
+  const { tracker } = createTracker([server("r1")], {}, { r1: 1 });
+  const { started } = tracker.dispatch(request(), tracker.select(request())!);
+  t.is(tracker.select(request()), undefined);
+  started();
+  t.is(tracker.select(request())?.server.id, "r1");
+});
