--- a/packages/gateway/src/restored_store_test.ts
+++ b/packages/gateway/src/restored_store_test.ts
@@ -51,7 +51,7 @@
   raiseVersion(fleet, 50);
   await delay(300);
   // The calls that wait for a change go on, and its version is lower than theirs.
-  fleet.store.restore(copy, { keepWaits: true });
+  fleet.store.restore(copy, { waitingCalls: "kept" });
   fleet.configure({ version: 2, keys: ["another"] });
   await delay(APPLY_MS);
   t.is((await send("/look/")).status, 401);
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -259,7 +259,7 @@
   await sleep(STORE_AWAY_MS);
   store.fault = "none";
   store.restore(Math.min(version, store.version), {
-    keepWaits: linkFault === "delay",
+    waitingCalls: linkFault === "delay" ? "kept" : "reset",
   });
   fleet.rewritePlatform();
 }
