Platform: after a call without an answer, open connections to the store aren't used

Callers saw: after the platform had lost track of open connections, a gateway's calls to the store failed one after the other, each after 1.2 s, until every connection of the pool had been tried; meanwhile the placement lease lapsed.

Cause: a call that gets no answer closes its own connection only. The others of the pool are as old and may be as dead.

Ruled out: shorter time-outs (a slow store answers after hundreds of ms); opening a connection for each call (a connection for each of dozens of calls a second).

Change: a call that times out takes the pool out of use; calls in progress on it go on.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,11 @@
 import type { Server } from "node:http";
 import { createEventLog, type EventLog } from "@banyanspool/logger";
 import { Lease } from "@banyanspool/platform";
-import { createTableStore, StoreClient } from "@banyanspool/platform-adapter";
+import {
+  createTableStore,
+  StoreClient,
+  StoreConnections,
+} from "@banyanspool/platform-adapter";
 import { type GatewaySettings, splitAddress } from "@banyanspool/settings";
 import { Supervisor } from "@banyanspool/supervisor";
 import {
@@ -10,7 +14,6 @@
   incarnationOf,
   sleep,
 } from "@banyanspool/types";
-import { Pool } from "undici";
 import { ChangeSignal } from "./change_signal.ts";
 import { watchConfiguration } from "./configuration_watch.ts";
 import type { GatewayContext } from "./context.ts";
@@ -46,9 +49,8 @@
 const VALIDITY_SHARE = 0.6;
 /** Share of the lease time after which a lease not renewed is taken over. */
 const TAKEOVER_SHARE = 0.85;
-/** Connections for two long-polling calls and a few short ones. */
+/** Connections for a long-polling call and a few short ones. */
 const STORE_CONNECTIONS = 6;
-const STORE_CONNECT_TIMEOUT_MS = 800;
 /**
  * Time from the start of a graceful stop until the load balancer sends no more
  * connections.
@@ -67,7 +69,7 @@
   readonly #supervisor: Supervisor;
   readonly #publicServer: PublicServer;
   readonly #store: StoreClient;
-  readonly #storePool: Pool;
+  readonly #storeConnections: StoreConnections;
   readonly #lease: Lease;
   readonly #placementController: PlacementController;
   readonly #exchange: FleetExchange;
@@ -83,16 +85,13 @@
     this.#cfg = cfg;
     const clock = createSystemClock();
     const metrics = GatewayMetrics.create();
-    this.#storePool = new Pool(`http://${cfg.store_address}`, {
+    this.#storeConnections = StoreConnections.create({
+      address: cfg.store_address,
       connections: STORE_CONNECTIONS,
-      pipelining: 1,
-      connectTimeout: STORE_CONNECT_TIMEOUT_MS,
-      bodyTimeout: 0,
-      headersTimeout: 0,
     });
     this.#store = StoreClient.create({
       address: cfg.store_address,
-      dispatcher: this.#storePool,
+      connections: this.#storeConnections,
       onCall: (call, outcome) => metrics.storeCalls.inc({ call, outcome }),
       onRestored: (epoch) => {
         log.write("store restored", { epoch });
@@ -267,7 +266,7 @@
     if (this.#isClosed) return;
     this.#isClosed = true;
     // Long-polling calls to the store end with their connections.
-    await this.#storePool.destroy();
+    await this.#storeConnections.destroy();
     this.#publicServer.stopAccepting();
     this.#publicServer.closeAllConnections();
     for (const server of this.#servers) {
