Gateway: a change is in force in time though the calls that wait for it are in vain

Callers saw: requests handled by an older configuration although a newer one had been acknowledged (CONFIG). Keys that were withdrawn went on to work.

Cause: a gateway learnt of a change only by its own call that waits for one, or from another gateway that did. After a restore that keeps calls, their positions are of the old history, so that no change ends them; on a silent connection nothing does. They ended when their time was over, half a second for each gateway, up to 30 s, and all at once, since every change starts all of them again. A call that was given up kept its connection. What a gateway found was told with the next periodic report.

Ruled out: shorter waits at every gateway (205 calls a second at 410 gateways for 2 s); reads by every gateway once a second.

Change: one of the gateways checks for changes once a second on a connection of its own (SharedReadSchedule, as for the list of replicas); reports name the epoch and the age of the last check; any answer that shows a restore makes all gateways read again; what a check finds is told at once; given-up calls are aborted; reads that find less than others have back off. `configuration in force` says how the configuration was learnt.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,6 @@
 import { Builtins, Cli } from "clipanion";
 import { CompareCommand } from "./commands/compare.ts";
+import { ConfigurationCommand } from "./commands/configuration.ts";
 import { ReplaySiteCommand } from "./commands/replay_site.ts";
 import { SlopesCommand } from "./commands/slopes.ts";
 import { TracesCommand } from "./commands/traces.ts";
@@ -12,6 +13,7 @@
 for (
   const command of [
     CompareCommand,
+    ConfigurationCommand,
     ReplaySiteCommand,
     SlopesCommand,
     TracesCommand,
--- a/packages/bench/src/plot.ts
+++ b/packages/bench/src/plot.ts
@@ -34,6 +34,48 @@
       color: { field: "organisation", type: "nominal" },
     },
   };
+  return await draw(spec);
+}
+
+/** Share of the gateways at which a change is in force, over time. */
+export interface InForcePoint {
+  /** Time since the acknowledgement, in ms. */
+  readonly delayMs: number;
+  /** Share of all changes at all gateways, from 0 to 1. */
+  readonly share: number;
+  /** Name of the curve. */
+  readonly curve: string;
+  /** Name of the plot that the curve belongs to. */
+  readonly plot: string;
+}
+
+/** Draws an SVG of the distribution of the times until changes are in force. */
+export async function plotTimesInForce(
+  points: readonly InForcePoint[],
+): Promise<string> {
+  return await draw({
+    title: "Share of gateways at which a change is in force",
+    data: { values: [...points] },
+    facet: { field: "plot", type: "nominal" },
+    columns: 2,
+    spec: {
+      width: WIDTH / 2,
+      height: HEIGHT,
+      mark: { type: "line", interpolate: "step-after" },
+      encoding: {
+        x: {
+          field: "delayMs",
+          type: "quantitative",
+          title: "time since the acknowledgement in ms",
+        },
+        y: { field: "share", type: "quantitative", title: "share" },
+        color: { field: "curve", type: "nominal", title: "gateways" },
+      },
+    },
+  });
+}
+
+async function draw(spec: TopLevelSpec): Promise<string> {
   const view = new View(parse(compile(spec).spec), { renderer: "none" });
   return await view.toSVG();
 }
--- a/packages/gateway/src/configuration_watch.ts
+++ b/packages/gateway/src/configuration_watch.ts
@@ -3,69 +3,88 @@
   CONFIGURATION_KEY,
   CONFIGURATION_TABLE,
   decodeConfiguration,
+  type RowSet,
   type StoreClient,
   type StoredRow,
 } from "@banyanspool/platform-adapter";
 import type { EventLog } from "@banyanspool/logger";
 import type { StoreError, StorePosition } from "@banyanspool/platform";
 import type {
+  Clock,
   FleetConfiguration,
   Random,
   Result,
   Sleep,
 } from "@banyanspool/types";
-import type { ChangeSignal } from "./change_signal.ts";
+import type { ConfigurationFreshness } from "./configuration_freshness.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { StoreBackoff } from "./store_backoff.ts";
 import { StoreHealth } from "./store_health.ts";
 
+/** Calls of the store that the watch needs. */
+export type ConfigurationStore = Pick<
+  StoreClient,
+  "readTable" | "waitForChanges"
+>;
+
+/**
+ * How a configuration was learnt: from the call that waits for a change, from a
+ * read that was due although no change was known, or from a read of the whole
+ * table.
+ */
+export type ConfigurationOrigin = "wait" | "check" | "read";
+
 /** Options of {@link watchConfiguration}. */
 export interface ConfigurationWatchOptions {
-  /** Client of the configuration store. */
-  readonly store: StoreClient;
+  /** Configuration store. */
+  readonly store: ConfigurationStore;
   /** State in which the configuration is activated. */
   readonly fleet: FleetState;
+  /** Age of the configuration here and at the other gateways. */
+  readonly freshness: ConfigurationFreshness;
+  /** Time source. */
+  readonly clock: Clock;
   /** Sleep function; rejects when its signal is aborted. */
   readonly sleep: Sleep;
-  /** Number of live gateways, including this one. */
-  readonly liveCount: () => number;
-  /** Notified when another gateway reports a newer configuration version. */
-  readonly newerVersionSignal: ChangeSignal;
   /** Random numbers from 0 to 1. */
   readonly random: Random;
   /** Structured log. */
   readonly log: EventLog;
   /** Called with each configuration that has been activated. */
-  readonly onAccepted: (configuration: FleetConfiguration) => void;
+  readonly onAccepted: (
+    configuration: FleetConfiguration,
+    origin: ConfigurationOrigin,
+  ) => void;
 }
 
-/**
- * Time for which one call waits for a change, in ms for each live gateway. A
- * dead connection is noticed only at the end of the wait; the first gateway to
- * notice then reports a newer version to the others.
- */
-const WAIT_PER_GATEWAY_MS = 500;
-const MIN_WAIT_MS = 2000;
-/** The store ends a call after this time. */
-const MAX_WAIT_MS = 30_000;
+/** Time for which one call waits for a change, in ms; the store's longest. */
+const WAIT_MS = 30_000;
+
+/** A wait that ended because the configuration is known to be outdated. */
+interface OutdatedWait {
+  readonly kind: "outdated";
+}
+
+/** What ended a wait, and which of the calls. */
+type WaitResult = Result<
+  (Changes & { readonly origin: ConfigurationOrigin }) | OutdatedWait,
+  StoreError
+>;
 
 /** Reads and activates newer configurations until the signal is aborted. */
 export async function watchConfiguration(
   options: ConfigurationWatchOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { store, sleep, log, random } = options;
+  const { sleep, log, random } = options;
   let after: StorePosition | undefined;
   const health = StoreHealth.create(log, CONFIGURATION_TABLE);
   const backoff = StoreBackoff.create({ random });
+  const rereadBackoff = StoreBackoff.create({ random });
   while (!signal.aborted) {
     const res = after === undefined
-      ? await store.readTable(CONFIGURATION_TABLE)
-      : await waitForChange(options, after);
-    if (res === "kicked") {
-      after = undefined;
-      continue;
-    }
+      ? await readWhole(options)
+      : await waitForChange(options, { after, rereadBackoff, signal });
     if (!res.ok) {
       health.recordFailure(res.error);
       // The change feed may lack changes made while it couldn't be read, so the
@@ -76,61 +95,138 @@
     }
     health.recordSuccess();
     backoff.reset();
-    if ("kind" in res.value && res.value.kind === "historyLost") {
-      log.write("store history lost", {
-        table: CONFIGURATION_TABLE,
-        after: after?.version,
-        epoch: after?.epoch,
-      });
-      after = undefined;
-      continue;
+    switch (res.value.kind) {
+      case "historyLost":
+        log.write("store history lost", {
+          table: CONFIGURATION_TABLE,
+          after: after?.version,
+          epoch: after?.epoch,
+        });
+        after = undefined;
+        continue;
+      case "outdated":
+        after = undefined;
+        continue;
+      case "changes": {
+        const { rows, position, origin } = res.value;
+        for (const row of rows) {
+          acceptRow(row, { epoch: position.epoch, origin }, options);
+        }
+        if (!options.freshness.isOutdated) rereadBackoff.reset();
+        after = position;
+      }
     }
-    const { rows, position } = res.value;
-    for (const row of rows) acceptRow(row, position.epoch, options);
-    after = position;
   }
 }
 
+async function readWhole(
+  { store, clock, freshness }: ConfigurationWatchOptions,
+): Promise<WaitResult> {
+  const startedAt = clock.now();
+  const res = await store.readTable(CONFIGURATION_TABLE, { isFresh: true });
+  if (!res.ok) return res;
+  const { rows, position }: RowSet = res.value;
+  freshness.recordRead(startedAt, position.epoch);
+  return {
+    ok: true,
+    value: { kind: "changes", origin: "read", rows, position },
+  };
+}
+
 /**
- * Time that this gateway gets, in ms, to receive a newer version through its
- * own pending call before that call is abandoned.
+ * Waits for a change in one long call. Meanwhile, short calls on connections of
+ * their own check that there is none whenever no gateway has done so for some
+ * time, as the long call may be dead without notice.
  */
-const OWN_UPDATE_GRACE_MS = 250;
-
 async function waitForChange(
   options: ConfigurationWatchOptions,
-  after: StorePosition,
-): Promise<Result<Changes, StoreError> | "kicked"> {
-  const waitMs = Math.min(
-    MAX_WAIT_MS,
-    Math.max(MIN_WAIT_MS, options.liveCount() * WAIT_PER_GATEWAY_MS),
-  );
+  { after, rereadBackoff, signal }: {
+    after: StorePosition;
+    rereadBackoff: StoreBackoff;
+    signal: AbortSignal;
+  },
+): Promise<WaitResult> {
   const controller = new AbortController();
+  const abort = () => controller.abort();
+  signal.addEventListener("abort", abort);
+  const wait = { after, signal: controller.signal };
   try {
     return await Promise.race([
-      options.store.waitForChanges(CONFIGURATION_TABLE, { after, waitMs }),
-      waitForNewerVersion(options, controller.signal),
+      waitInStore(options, wait),
+      waitUntilOutdated(options, { ...wait, rereadBackoff }),
+      checkWhenDue(options, wait),
     ]);
   } finally {
+    signal.removeEventListener("abort", abort);
     controller.abort();
   }
 }
 
-async function waitForNewerVersion(
-  { newerVersionSignal, fleet, sleep }: ConfigurationWatchOptions,
-  signal: AbortSignal,
-): Promise<"kicked"> {
-  while (true) {
-    await newerVersionSignal.wait(MAX_WAIT_MS * 2, signal);
-    const before = fleet.version;
-    await sleep(OWN_UPDATE_GRACE_MS, signal).catch(() => {});
-    if (signal.aborted || fleet.version === before) return "kicked";
+interface WaitOptions {
+  readonly after: StorePosition;
+  readonly signal: AbortSignal;
+}
+
+async function waitInStore(
+  { store }: ConfigurationWatchOptions,
+  { after, signal }: WaitOptions,
+): Promise<WaitResult> {
+  const res = await store.waitForChanges(CONFIGURATION_TABLE, {
+    after,
+    waitMs: WAIT_MS,
+    signal,
+  });
+  if (!res.ok) return res;
+  return { ok: true, value: { ...res.value, origin: "wait" } };
+}
+
+/**
+ * Waits until the configuration is outdated and stays so for a moment, as the
+ * change may be on its way through the other calls. The delay also spreads the
+ * reads of many gateways, and spares a store that lacks what other gateways have.
+ */
+async function waitUntilOutdated(
+  { freshness, sleep }: ConfigurationWatchOptions,
+  { rereadBackoff, signal }: WaitOptions & { rereadBackoff: StoreBackoff },
+): Promise<WaitResult> {
+  while (!signal.aborted) {
+    await freshness.waitUntilOutdated(signal);
+    await sleep(rereadBackoff.nextDelayMs(), signal).catch(() => {});
+    if (freshness.isOutdated) break;
+    rereadBackoff.reset();
+  }
+  return { ok: true, value: { kind: "outdated" } };
+}
+
+async function checkWhenDue(
+  { store, freshness, clock, sleep }: ConfigurationWatchOptions,
+  { after, signal }: WaitOptions,
+): Promise<WaitResult> {
+  while (!signal.aborted) {
+    const dueInMs = freshness.readDueInMs;
+    if (dueInMs > 0) {
+      await sleep(dueInMs, signal).catch(() => {});
+      continue;
+    }
+    const startedAt = clock.now();
+    const res = await store.waitForChanges(CONFIGURATION_TABLE, {
+      after,
+      waitMs: 0,
+      signal,
+      isFresh: true,
+    });
+    if (!res.ok) return res;
+    const value = { ...res.value, origin: "check" } as const;
+    if (value.kind === "historyLost") return { ok: true, value };
+    freshness.recordRead(startedAt, value.position.epoch);
+    if (value.rows.length > 0) return { ok: true, value };
   }
+  return { ok: true, value: { kind: "outdated" } };
 }
 
 function acceptRow(
   row: StoredRow,
-  epoch: number,
+  { epoch, origin }: { epoch: number; origin: ConfigurationOrigin },
   { fleet, log, onAccepted }: ConfigurationWatchOptions,
 ): void {
   if (row.key !== CONFIGURATION_KEY || row.removed) return;
@@ -145,10 +241,11 @@
   log.write("configuration in force", {
     version: configuration.version,
     before,
+    learned: origin,
     routes: configuration.routes.length,
     limits: changedLimits(configuration, limitsBefore),
   });
-  onAccepted(configuration);
+  onAccepted(configuration, origin);
 }
 
 /** Limits that are new or have changed, as `rate+burst` by organisation. */
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -8,6 +8,7 @@
 import type { GatewayContext } from "./context.ts";
 import { type GatewayReport, PeerExchange } from "./peer_exchange.ts";
 import type { EngineController } from "./engine_controller.ts";
+import type { ConfigurationFreshness } from "./configuration_freshness.ts";
 import { FleetDemandTable } from "./fleet_demand.ts";
 import type { RankedGateway } from "./gateway_ranking.ts";
 import {
@@ -31,7 +32,7 @@
   type ReplicaModels,
 } from "./held_models.ts";
 import type { StreamNeed } from "./waiting_request_counts.ts";
-import type { ListReadSchedule } from "./list_read_schedule.ts";
+import type { SharedReadSchedule } from "./shared_read_schedule.ts";
 import type { ReplicaChange, ReplicaRegistry } from "./replica_registry.ts";
 
 /** Options of {@link FleetExchange.create}. */
@@ -47,13 +48,13 @@
   /** Replicas; updated with the changes that other gateways report. */
   readonly registry: ReplicaRegistry;
   /** Last reads of the replica list by this and other gateways. */
-  readonly readSchedule: ListReadSchedule;
+  readonly readSchedule: SharedReadSchedule;
   /** Time until each model that this lease holder loads is expected, in ms. */
   readonly expectedLoads: () => ReadonlyMap<string, number>;
   /** Called when another gateway's report changed the registry. */
   readonly onReplicaChange: () => void;
-  /** Called when another gateway has a newer configuration. */
-  readonly onNewerConfiguration: () => void;
+  /** Age of the configuration here and at the other gateways. */
+  readonly freshness: ConfigurationFreshness;
 }
 
 /**
@@ -404,11 +405,14 @@
     const { ctx, readSchedule, registry } = this.#options;
     const now = ctx.clock.now();
     const listAge = readSchedule.ownAgeMs;
+    const { version, epoch, ageMs } = this.#options.freshness.report;
     return {
       news: this.#recentChanges
         .filter(({ until }) => until > now)
         .map(({ change }) => encodeReplicaChange(change)),
-      configurationVersion: BigInt(ctx.fleet.version),
+      configurationVersion: BigInt(version),
+      configurationEpoch: epoch,
+      configurationAgeMs: ageMs === undefined ? undefined : Math.round(ageMs),
       leaving: ctx.fleet.isStopping,
       dataCentre: this.#options.cfg.data_centre,
       loads: [...ctx.replicaTracker.ownLoad()].map(([replica, load]) => ({
@@ -499,9 +503,11 @@
     this.#applyReplicaChanges(state);
     const configurationVersion = Number(state.configurationVersion);
     ctx.fleet.recordPeerVersion(configurationVersion);
-    if (configurationVersion > ctx.fleet.version) {
-      this.#options.onNewerConfiguration();
-    }
+    this.#options.freshness.recordPeerReport({
+      version: configurationVersion,
+      epoch: state.configurationEpoch,
+      ageMs: state.configurationAgeMs,
+    });
   }
 
   #applyReplicaChanges(state: GatewayState): void {
@@ -519,10 +525,10 @@
     if (state.listAgeMs !== undefined) {
       readSchedule.recordPeerRead(state.listAgeMs);
       if (state.listDigest === registry.digest) {
-        readSchedule.recordEqualList(state.listAgeMs);
+        readSchedule.recordEqualRead(state.listAgeMs);
         ctx.versionHistory.confirm({ ageMs: state.listAgeMs });
       } else {
-        readSchedule.recordDifferentList(state.listAgeMs);
+        readSchedule.recordDifferentRead(state.listAgeMs);
       }
     }
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
   sleep,
 } from "@banyanspool/types";
 import { ChangeSignal } from "./change_signal.ts";
+import { ConfigurationFreshness } from "./configuration_freshness.ts";
 import { watchConfiguration } from "./configuration_watch.ts";
 import type { GatewayContext } from "./context.ts";
 import { createContext } from "./create_context.ts";
@@ -22,7 +23,7 @@
 import { FleetState } from "./fleet_state.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
-import { ListReadSchedule } from "./list_read_schedule.ts";
+import { SharedReadSchedule } from "./shared_read_schedule.ts";
 import { leaveMembership, maintainMembership } from "./member_table.ts";
 import { PlacementController } from "./placement_controller.ts";
 import { PublicServer } from "./public_server.ts";
@@ -75,8 +76,8 @@
   readonly #exchange: FleetExchange;
   readonly #registry: ReplicaRegistry;
   readonly #recoveryTable: RecoveryTable;
-  readonly #readSchedule: ListReadSchedule;
-  readonly #newerVersionSignal: ChangeSignal = ChangeSignal.create();
+  readonly #readSchedule: SharedReadSchedule;
+  readonly #freshness: ConfigurationFreshness;
   readonly #restoredSignal: ChangeSignal = ChangeSignal.create();
   readonly #servers: Server[] = [];
   #isClosed = false;
@@ -95,10 +96,17 @@
       onCall: (call, outcome) => metrics.storeCalls.inc({ call, outcome }),
       onRestored: (epoch) => {
         log.write("store restored", { epoch });
+        this.#freshness.recordEpoch(epoch);
         this.#restoredSignal.notify();
       },
     });
     const fleet = FleetState.create({ clock });
+    this.#freshness = ConfigurationFreshness.create({
+      clock,
+      random: Math.random,
+      liveCount: () => this.#exchange.liveCount,
+      version: () => fleet.version,
+    });
     const host = splitAddress(cfg.peer_listen).host;
     this.#lease = Lease.create({
       table: createTableStore(this.#store, LEASE_TABLE),
@@ -184,7 +192,7 @@
       log,
       onChange: (change) => this.#exchange.publishReplicaChange(change),
     });
-    this.#readSchedule = ListReadSchedule.create({
+    this.#readSchedule = SharedReadSchedule.create({
       clock,
       random: Math.random,
       liveCount: () => this.#exchange.liveCount,
@@ -198,7 +206,7 @@
       readSchedule: this.#readSchedule,
       expectedLoads: () => this.#placementController.expectedLoads(),
       onReplicaChange: () => this.#applyReplicaList(),
-      onNewerConfiguration: () => this.#newerVersionSignal.notify(),
+      freshness: this.#freshness,
     });
     this.#publicServer = PublicServer.create(this.#ctx);
     this.#supervisor = Supervisor.create({ name: "gateway", sleep });
@@ -296,13 +304,15 @@
           store,
           fleet,
           sleep,
-          liveCount: () => this.#exchange.liveCount,
-          newerVersionSignal: this.#newerVersionSignal,
+          freshness: this.#freshness,
+          clock,
           random: Math.random,
           log,
-          onAccepted: ({ limits, version }) => {
+          onAccepted: ({ limits, version }, origin) => {
             this.#publicServer.applyLimits(limits);
             this.#ctx.metrics.configurationVersion.set(version);
+            // The calls that wait for changes are late, here or everywhere.
+            if (origin === "check") this.#exchange.announceSoon();
           },
         }, signal),
     });
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -88,6 +88,11 @@
  */
 const EXPIRE_AFTER_MS = 60_000;
 
+/** Interval between two periodic reports to a number of peers, in ms. */
+export function reportIntervalMs(peers: number): number {
+  return BASE_INTERVAL_MS + INTERVAL_PER_PEER_MS * peers;
+}
+
 /** Sends this gateway's reports to all others and receives theirs, by UDP. */
 export class PeerExchange {
   readonly #options: PeerExchangeOptions;
@@ -236,7 +241,7 @@
 
   /** Interval between two periodic reports to all peers, in ms. */
   get intervalMs(): number {
-    return BASE_INTERVAL_MS + INTERVAL_PER_PEER_MS * this.#peers.size;
+    return reportIntervalMs(this.#peers.size);
   }
 
   /** Logs peers that have become lost, and removes expired ones. */
--- a/packages/gateway/src/replica_watch.ts
+++ b/packages/gateway/src/replica_watch.ts
@@ -5,7 +5,7 @@
 } from "@banyanspool/platform-adapter";
 import type { EventLog } from "@banyanspool/logger";
 import type { Clock, Random, Sleep } from "@banyanspool/types";
-import type { ListReadSchedule } from "./list_read_schedule.ts";
+import type { SharedReadSchedule } from "./shared_read_schedule.ts";
 import type { ReplicaRegistry } from "./replica_registry.ts";
 import { StoreBackoff } from "./store_backoff.ts";
 import { StoreHealth } from "./store_health.ts";
@@ -17,7 +17,7 @@
   /** Registry that each list is applied to. */
   readonly registry: ReplicaRegistry;
   /** Decides when the list is read next. */
-  readonly readSchedule: ListReadSchedule;
+  readonly readSchedule: SharedReadSchedule;
   /** Time source. */
   readonly clock: Clock;
   /** Sleep function; rejects when its signal is aborted. */
--- a/packages/gateway/src/shared_read_schedule.ts
+++ b/packages/gateway/src/shared_read_schedule.ts
@@ -1,7 +1,7 @@
 import type { Clock, Random } from "@banyanspool/types";
 
-/** Options of {@link ListReadSchedule.create}. */
-export interface ListReadScheduleOptions {
+/** Options of {@link SharedReadSchedule.create}. */
+export interface SharedReadScheduleOptions {
   /** Time source. */
   readonly clock: Clock;
   /** Random numbers from 0 to 1. */
@@ -11,9 +11,9 @@
 }
 
 /**
- * Minimum time between two reads of the list by any gateway, in ms. Together
+ * Minimum time between two reads of the table by any gateway, in ms. Together
  * with the time that a change takes to reach the other gateways, this is half
- * of the two seconds within which a draining replica must be noticed.
+ * of the two seconds within which a change must be noticed.
  */
 const MIN_GAP_MS = 450;
 /**
@@ -24,47 +24,47 @@
 const GAP_JITTER_PER_GATEWAY_MS = 150;
 /**
  * Maximum time between two own reads, in ms, unless a gateway that has read the
- * list knows the same one.
+ * table knows the same content.
  */
 const MAX_OWN_GAP_MS = 5000;
 /**
  * Time for the changes that another gateway has read to arrive, in ms. After it,
- * this gateway reads the list itself, as the changes may be lost.
+ * this gateway reads the table itself, as the changes may be lost.
  */
 const MAX_DIFFERENCE_MS = 700;
 
 /**
- * Decides when this gateway reads the replica list next. A gateway that reads
- * the list sends the changes to the others, so a read is due only when no
- * gateway has read the list for some time. The jitter spreads the reads of
- * gateways that were synchronised, for example after a store outage.
+ * Decides when this gateway reads a table next. A gateway that reads it tells the
+ * others what is new, so a read is due only when no gateway has read the table for
+ * some time. The jitter spreads the reads of gateways that were synchronised, for
+ * example after a store outage.
  */
-export class ListReadSchedule {
-  readonly #options: ListReadScheduleOptions;
+export class SharedReadSchedule {
+  readonly #options: SharedReadScheduleOptions;
   #lastOwnReadAt = -Infinity;
   #lastPeerReadAt = -Infinity;
   #verifiedAt = -Infinity;
-  /** Since when a gateway that read the list later has known a different one. */
+  /** Since when a gateway that read it later has known a different content. */
   #differentSince = Infinity;
   #gapMs: number = MIN_GAP_MS;
 
-  private constructor(options: ListReadScheduleOptions) {
+  private constructor(options: SharedReadScheduleOptions) {
     this.#options = options;
   }
 
   /** Creates a schedule without reads; the first one is due immediately. */
-  static create(options: ListReadScheduleOptions): ListReadSchedule {
-    return new ListReadSchedule(options);
+  static create(options: SharedReadScheduleOptions): SharedReadSchedule {
+    return new SharedReadSchedule(options);
   }
 
-  /** Records that this gateway has read the list as of the given time. */
+  /** Records that this gateway has read the table as of the given time. */
   recordOwnRead(at: number): void {
     this.#lastOwnReadAt = at;
     this.#differentSince = Infinity;
     this.#gapMs = this.#drawGap();
   }
 
-  /** Records how long ago another gateway read the list, in ms. */
+  /** Records how long ago another gateway read the table, in ms. */
   recordPeerRead(ageMs: number): void {
     const at = this.#options.clock.now() - ageMs;
     if (at <= this.#lastPeerReadAt) return;
@@ -73,10 +73,10 @@
   }
 
   /**
-   * Records that another gateway, which read the list some time ago, in ms,
-   * knows the same list. This counts like an own read.
+   * Records that another gateway, which read the table some time ago, in ms,
+   * knows the same content. This counts like an own read.
    */
-  recordEqualList(ageMs: number): void {
+  recordEqualRead(ageMs: number): void {
     const at = this.#options.clock.now() - ageMs;
     if (at <= this.#verifiedAt) return;
     this.#verifiedAt = at;
@@ -84,10 +84,10 @@
   }
 
   /**
-   * Records that another gateway, which read the list some time ago, in ms,
-   * knows a different one.
+   * Records that another gateway, which read the table some time ago, in ms,
+   * knows a different content.
    */
-  recordDifferentList(ageMs: number): void {
+  recordDifferentRead(ageMs: number): void {
     const now = this.#options.clock.now();
     if (now - ageMs <= Math.max(this.#lastOwnReadAt, this.#verifiedAt)) return;
     this.#differentSince = Math.min(this.#differentSince, now);
--- a/packages/gateway/src/shared_read_schedule_test.ts
+++ b/packages/gateway/src/shared_read_schedule_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { ListReadSchedule } from "./list_read_schedule.ts";
+import { SharedReadSchedule } from "./shared_read_schedule.ts";
 
 /** Simulates gateways that report their reads to each other; returns all reads. */
 function simulate(
@@ -24,7 +24,8 @@
   const clock = { now: () => now, wall: () => now };
   const all = Array.from(
     { length: gateways },
-    () => ListReadSchedule.create({ clock, random, liveCount: () => gateways }),
+    () =>
+      SharedReadSchedule.create({ clock, random, liveCount: () => gateways }),
   );
   const reads: { at: number; gateway: number }[] = [];
   // All gateways start synchronised, as after a common start or an outage.
@@ -89,7 +90,7 @@
 
 test("a gateway whose list equals that of one that has read it needs no own read", (t) => {
   let now = 0;
-  const schedule = ListReadSchedule.create({
+  const schedule = SharedReadSchedule.create({
     clock: { now: () => now, wall: () => now },
     random: () => 0,
     liveCount: () => 10,
@@ -97,7 +98,7 @@
   schedule.recordOwnRead(0);
   for (; now <= 20_000; now += 400) {
     schedule.recordPeerRead(100);
-    schedule.recordEqualList(100);
+    schedule.recordEqualRead(100);
     t.true(schedule.dueInMs > 0, `at ${now} ms`);
   }
   for (let ms = 0; ms <= 5000; ms += 400) {
@@ -111,25 +112,25 @@
 // replica for up to five seconds.
 test("a gateway whose list differs from that of one that has read it later reads it itself", (t) => {
   let now = 0;
-  const schedule = ListReadSchedule.create({
+  const schedule = SharedReadSchedule.create({
     clock: { now: () => now, wall: () => now },
     random: () => 0.9,
     liveCount: () => 18,
   });
-  const report = (record: "recordDifferentList" | "recordEqualList") => {
+  const report = (record: "recordDifferentRead" | "recordEqualRead") => {
     now += 100;
     schedule.recordPeerRead(50);
     schedule[record](50);
   };
   schedule.recordOwnRead(0);
-  for (let i = 0; i < 6; i += 1) report("recordDifferentList");
+  for (let i = 0; i < 6; i += 1) report("recordDifferentRead");
   t.true(schedule.dueInMs > 0, "the change may still arrive");
-  report("recordEqualList");
-  for (let i = 0; i < 6; i += 1) report("recordDifferentList");
+  report("recordEqualRead");
+  for (let i = 0; i < 6; i += 1) report("recordDifferentRead");
   t.true(schedule.dueInMs > 0, "another change");
-  for (let i = 0; i < 2; i += 1) report("recordDifferentList");
+  for (let i = 0; i < 2; i += 1) report("recordDifferentRead");
   t.is(schedule.dueInMs, 0);
   schedule.recordOwnRead(now);
-  schedule.recordDifferentList(500);
+  schedule.recordDifferentRead(500);
   t.true(schedule.dueInMs > 700, "the other one read it earlier");
 });
