--- a/packages/bench/src/simulated_store.ts
+++ b/packages/bench/src/simulated_store.ts
@@ -21,6 +21,9 @@
 /** Time that a call takes, and the most that it takes longer, in ms. */
 const CALL_MS = 5;
 const EXTRA_CALL_MS = 3;
+/** Time that the answer of a call that waited takes, in ms. */
+const ANSWER_MS = 1;
+const EXTRA_ANSWER_MS = 3;
 /** Time after which the client gives up a call, beyond its wait, in ms. */
 const TIMEOUT_MS = 1000;
 const UNREACHABLE: StoreError = { kind: "answerLost", detail: "TimeoutError" };
@@ -114,6 +117,7 @@
         if (this.#countChanges(version) === 0 && waitMs > 0) {
           const outcome = await this.#wait(version, waitMs, signal);
           if (outcome) return err(outcome);
+          await this.#time.sleep(ANSWER_MS + EXTRA_ANSWER_MS * this.#random());
         }
         if (!connection.isReachable()) return err(RESET);
         const changes = this.#model.changesSince(TABLE, version);
--- a/packages/gateway/src/fault_injection.ts
+++ b/packages/gateway/src/fault_injection.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export { ConfigurationFreshness } from "./configuration_freshness.ts";
 export { FleetState } from "./fleet_state.ts";
 export { ReplicaCall } from "./replica_call.ts";
 export { ReplicaRegistry } from "./replica_registry.ts";
--- a/packages/soak/src/commands/soak.ts
+++ b/packages/soak/src/commands/soak.ts
@@ -44,7 +44,8 @@
   });
   /** Defect to inject into the gateways. */
   injectedFault?: InjectedFault = Option.String("--planted", {
-    description: "defect to inject: runTwice, passKeyOn, oldConfiguration, " +
+    description:
+      "defect to inject: runTwice, passKeyOn, oldConfiguration, waitsOnly, " +
       "ignoreVersion, guessVersion, versionAlone, fenceFromStore, " +
       "ignoreEpoch, issueAlone, countAlone, " +
       "forgetRepeats, ignoreLeaving or ignorePause",
--- a/packages/soak/src/injected_fault.ts
+++ b/packages/soak/src/injected_fault.ts
@@ -3,6 +3,8 @@
   | "runTwice"
   | "passKeyOn"
   | "oldConfiguration"
+  /** Changes of the configuration are learnt by waiting for them alone. */
+  | "waitsOnly"
   /** Streams go on at replicas of any software version. */
   | "ignoreVersion"
   /** A gateway takes its own guess for the version that began a stream. */
--- a/packages/soak/src/planted_schedule.ts
+++ b/packages/soak/src/planted_schedule.ts
@@ -36,6 +36,17 @@
   target: 0,
 }));
 
+/** Keys that are withdrawn after the calls that wait for it have gone silent. */
+const WITHDRAWALS_IN_SILENCE: readonly Step[] = [
+  { atMs: 2000, durationMs: 0, kind: "storeLosesConnections", target: 0 },
+  ...[2100, 2700].map((atMs) => ({
+    atMs,
+    durationMs: 0,
+    kind: "withdrawKey" as const,
+    target: 0,
+  })),
+];
+
 /** Returns the faults of a run that shows an injected defect. */
 export function createPlantedSchedule(defect: InjectedFault): FaultStep[] {
   return stepsFor(defect).map((step) => ({ ...step, linkFault: "reset" }));
@@ -43,6 +54,8 @@
 
 function stepsFor(defect: InjectedFault): readonly Step[] {
   switch (defect) {
+    case "waitsOnly":
+      return WITHDRAWALS_IN_SILENCE;
     case "versionAlone":
       return [
         { atMs: 0, durationMs: RESTORE_MS, kind: "storeRestored", target: 0 },
--- a/packages/soak/src/preload.ts
+++ b/packages/soak/src/preload.ts
@@ -9,6 +9,7 @@
   type InjectedFault,
 } from "./injected_fault.ts";
 import {
+  ConfigurationFreshness,
   FleetState,
   ReplicaCall,
   ReplicaRegistry,
@@ -23,6 +24,8 @@
 
 /** How far SIGUSR2 moves the wall clock forward; a second one moves it back. */
 const CLOCK_STEP_MS = 2000;
+/** Longer than any run. */
+const NEVER_MS = 3_600_000;
 
 moveClockOnSignal();
 dropDatagramsOnSignal();
@@ -62,6 +65,8 @@
       return forwardKey();
     case "oldConfiguration":
       return keepFirstConfiguration();
+    case "waitsOnly":
+      return waitOnly();
     case "ignoreVersion":
       return ignoreVersions();
     case "guessVersion":
@@ -127,18 +132,25 @@
   };
 }
 
+/** Lets the gateway never check whether it has missed a change. */
+function waitOnly(): void {
+  Object.defineProperty(ConfigurationFreshness.prototype, "readDueInMs", {
+    get: () => NEVER_MS,
+  });
+}
+
 /** Lets the gateway order what it reads from the store by versions alone. */
 function compareVersionsAlone(): void {
   const { readTable, waitForChanges } = StoreClient.prototype;
-  StoreClient.prototype.readTable = async function (table) {
-    const res = await readTable.call(this, table);
+  StoreClient.prototype.readTable = async function (table, choice) {
+    const res = await readTable.call(this, table, choice);
     if (!res.ok) return res;
     const { rows, position } = res.value;
     return ok({ rows, position: { ...position, epoch: 0 } });
   };
-  StoreClient.prototype.waitForChanges = function (table, { after, waitMs }) {
-    const current = { epoch: this.epoch, version: after.version };
-    return waitForChanges.call(this, table, { after: current, waitMs });
+  StoreClient.prototype.waitForChanges = function (table, wait) {
+    const current = { epoch: this.epoch, version: wait.after.version };
+    return waitForChanges.call(this, table, { ...wait, after: current });
   };
 }
 
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -173,12 +173,22 @@
     case "storeBusy":
     case "storeSilent":
     case "storeLosesAnswers":
+    case "storeResets":
       store.fault = STORE_FAULTS[kind];
       await sleep(durationMs);
       store.fault = "none";
       return recordDisturbances(run, from);
+    case "storeDeaf":
+      store.fault = "deaf";
+      await sleep(durationMs);
+      store.fault = "none";
+      return;
+    case "storeLosesConnections":
+      return store.silenceConnections();
     case "storeForgets":
-      store.discardHistory();
+      store.discardHistory({
+        waitingCalls: linkFault === "delay" ? "kept" : "reset",
+      });
       return recordDisturbances(run, from);
     case "storeRestored":
       await restoreStore(step, run);
@@ -240,6 +250,7 @@
   storeBusy: "busy",
   storeSilent: "silent",
   storeLosesAnswers: "loseAnswers",
+  storeResets: "reset",
 } as const;
 
 /**
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -19,6 +19,12 @@
   | "storeSilent"
   /** Lets the store execute writes and drop the responses. */
   | "storeLosesAnswers"
+  /** Lets the store close every connection on which a call arrives. */
+  | "storeResets"
+  /** Lets changes not end the calls that wait for them. */
+  | "storeDeaf"
+  /** Lets all open connections to the store go silent without notice. */
+  | "storeLosesConnections"
   /** Discards the store's history, so that watches can't resume. */
   | "storeForgets"
   /** Restores the store from the copy of the step's start, at its end. */
@@ -99,6 +105,9 @@
   "storeBusy",
   "storeSilent",
   "storeLosesAnswers",
+  "storeResets",
+  "storeDeaf",
+  "storeLosesConnections",
   "storeForgets",
   "storeRestored",
   "storeLink",
