--- a/packages/bench/src/configuration_simulation.ts
+++ b/packages/bench/src/configuration_simulation.ts
@@ -91,6 +91,8 @@
   readonly regressions: number;
   /** Calls of all gateways to the store, a second. */
   readonly storeCallsPerS: number;
+  /** Calls that the store turned away as beyond its rate. */
+  readonly callsOverRate: number;
 }
 
 /** Time within which a change must be in force, in ms. */
@@ -187,6 +189,7 @@
       changes,
       regressions: this.#regressions,
       storeCallsPerS: this.#store.calls / (durationMs / MS_PER_S),
+      callsOverRate: this.#store.callsOverRate,
     };
   }
 
--- a/packages/bench/src/configuration_simulation_test.ts
+++ b/packages/bench/src/configuration_simulation_test.ts
@@ -67,6 +67,7 @@
       const worstMs = worstDelayMs(result);
       t.true(worstMs <= APPLY_MS, `${worstMs} ms`);
       t.is(result.regressions, 0);
+      t.is(result.callsOverRate, 0);
     });
   }
 }
--- a/packages/bench/src/simulated_store.ts
+++ b/packages/bench/src/simulated_store.ts
@@ -27,6 +27,10 @@
 /** Time after which the client gives up a call, beyond its wait, in ms. */
 const TIMEOUT_MS = 1000;
 const UNREACHABLE: StoreError = { kind: "answerLost", detail: "TimeoutError" };
+/** Calls that the store takes in any second; it turns others away. */
+const CALLS_PER_S = 2000;
+const MS_PER_S = 1000;
+const OVER_RATE: StoreError = { kind: "unavailable", detail: "status 429" };
 const BUSY: StoreError = { kind: "unavailable", detail: "status 503" };
 const RESET: StoreError = { kind: "answerLost", detail: "ECONNRESET" };
 
@@ -41,6 +45,10 @@
 export class SimulatedStore {
   /** Number of calls. */
   calls = 0;
+  /** Number of calls that were turned away as beyond the rate. */
+  callsOverRate = 0;
+  /** Times of the calls of the last second. */
+  readonly #recentCalls: number[] = [];
   readonly #model = StoreModel.create();
   readonly #time: VirtualTime;
   readonly #random: Random;
@@ -143,9 +151,21 @@
       return err(UNREACHABLE);
     }
     await this.#time.sleep(CALL_MS + EXTRA_CALL_MS * this.#random());
+    if (this.#isOverRate()) return err(OVER_RATE);
     return this.#outage === "busy" ? err(BUSY) : undefined;
   }
 
+  #isOverRate(): boolean {
+    const { now } = this.#time;
+    while ((this.#recentCalls[0] ?? now) <= now - MS_PER_S) {
+      this.#recentCalls.shift();
+    }
+    this.#recentCalls.push(now);
+    if (this.#recentCalls.length <= CALLS_PER_S) return false;
+    this.callsOverRate += 1;
+    return true;
+  }
+
   #answer(
     { onEpoch }: StoreConnection,
     { rows, ver }: { rows: readonly DescribedRow[]; ver: number },
