Gateway: a member row that another process overwrites is written again after a pause

Found on reading the change: since a gateway reads the table right after its write, one whose row doesn't stay would write without a pause.

Measured: the new test in member_table_test.ts fails without the change.

--- a/packages/gateway/src/member_table.ts
+++ b/packages/gateway/src/member_table.ts
@@ -37,15 +37,18 @@
   signal: AbortSignal,
 ): Promise<void> {
   const { instance, host, isStopping, restoredSignal } = options;
+  let hasJustWritten = false;
   while (!signal.aborted) {
     const hosts = await readMembers(options);
     let waitMs = RETRY_MS;
     if (isStopping() || hosts?.get(instance) === host) {
       waitMs = READ_INTERVAL_MS;
-    } else if (hosts && await writeOwnRow(options)) {
+    } else if (hosts && !hasJustWritten && await writeOwnRow(options)) {
       // Of gateways that start together, the last to write finds all others.
+      hasJustWritten = true;
       continue;
     }
+    hasJustWritten = false;
     await restoredSignal.wait(waitMs, signal);
   }
 }
--- a/packages/gateway/src/member_table_test.ts
+++ b/packages/gateway/src/member_table_test.ts
@@ -9,8 +9,9 @@
 const ROUNDS = 50;
 
 /** A store whose calls take a round of the event loop each. */
-function createStore(): MembershipOptions["store"] {
-  const rows = new Map<string, string>();
+function createStore(
+  rows: Pick<Map<string, string>, "set" | typeof Symbol.iterator> = new Map(),
+): MembershipOptions["store"] {
   const position = { epoch: 1, version: 1 };
   return {
     readTable: async () => {
@@ -31,25 +32,57 @@
   };
 }
 
+function createOptions(
+  instance: string,
+  options: Pick<MembershipOptions, "store" | "onMember">,
+): MembershipOptions {
+  return {
+    ...options,
+    instance,
+    host: `host-${instance}`,
+    isStopping: () => false,
+    restoredSignal: ChangeSignal.create(),
+    log: SILENT_LOG,
+  };
+}
+
 // Each of two gateways had read the table before the other's row was there, and
 // they exceeded a rate limit together until they read it again.
 test("of gateways that start together, one knows the other as soon as both have a row", async (t) => {
   const store = createStore();
   const controller = new AbortController();
   const found: string[] = [];
-  const tasks = ["a", "b"].map((instance) =>
-    maintainMembership({
-      store,
-      instance,
-      host: `host-${instance}`,
-      isStopping: () => false,
-      restoredSignal: ChangeSignal.create(),
-      log: SILENT_LOG,
-      onMember: (other) => found.push(`${instance} knows ${other}`),
-    }, controller.signal)
-  );
+  const tasks = ["a", "b"].map((instance) => {
+    const onMember = (other: string) =>
+      found.push(`${instance} knows ${other}`);
+    const options = createOptions(instance, { store, onMember });
+    return maintainMembership(options, controller.signal);
+  });
   for (let i = 0; i < ROUNDS; i += 1) await setImmediate();
   controller.abort();
   await Promise.all(tasks);
   t.true(found.length > 0);
 });
+
+// A gateway whose row another process overwrites would write without a pause.
+test("a row that isn't there after it was written is written again only after a pause", async (t) => {
+  let writes = 0;
+  const rows = new Map([["a", JSON.stringify({ host: "another" })]]);
+  const overwritten = {
+    set: () => {
+      writes += 1;
+      return rows;
+    },
+    [Symbol.iterator]: () => rows[Symbol.iterator](),
+  };
+  const controller = new AbortController();
+  const options = createOptions("a", {
+    store: createStore(overwritten),
+    onMember: () => {},
+  });
+  const task = maintainMembership(options, controller.signal);
+  for (let i = 0; i < ROUNDS; i += 1) await setImmediate();
+  controller.abort();
+  await task;
+  t.is(writes, 1);
+});
