Streams: a gateway doesn't record versions of a service whose earlier ones it doesn't know

Cause: the recovery row of a gateway names all versions that can have begun streams. When all gateways are lost before they have written their rows, the first one that starts afterwards finds none, and recorded the only version that it had seen itself as if it were all; the next one to start took it for the version of every stream.

Ruled out: writes of gateways that had been closed; the order of reads at the start (rows are read before any stream is taken up).

Change: a row names a service only if the gateway knows its versions: at the first start, from earlier rows, or after the time in which streams may be taken up. Origins of streams are kept as before.

Measured: the new tests of version_history_test.ts and stream_version_test.ts fail without the change.

--- a/packages/gateway/src/recovery_row.ts
+++ b/packages/gateway/src/recovery_row.ts
@@ -43,8 +43,7 @@
 
 /** Returns this gateway's row. */
 export function composeRow(ctx: Sources): RecoveryRow {
-  const { versions } = ctx.versionHistory;
-  const hasSeveral = [...versions.values()].some(({ length }) => length > 1);
+  const { versions, hasSeveral } = ctx.versionHistory;
   return {
     writtenAt: ctx.clock.wall(),
     versions,
--- a/packages/gateway/src/stream_version_test.ts
+++ b/packages/gateway/src/stream_version_test.ts
@@ -183,6 +183,29 @@
   });
 }
 
+// The first gateway after the loss recorded the only version that it had seen, and
+// the next one joined the stream with it.
+test("a stream is not joined from two versions after a loss of all gateways and of what they had recorded", async (t) => {
+  const fleet = await startFleet(t);
+  await addReplica(fleet, { id: "i-1", version: "v1" });
+  const port = await findFreePort();
+  const killed = await startGateway(t, fleet, { port });
+  await killed.gateway.closeNow();
+  for (const key of fleet.store.keys("banyanspool_recovery")) {
+    fleet.store.remove("banyanspool_recovery", key);
+  }
+  await addReplica(fleet, { id: "i-2", version: "v2", cutsOff: false });
+  fleet.setReplicaRow("i-1", undefined);
+  for (const host of ["127.0.0.1", "127.0.0.2"]) {
+    const options = { host, port, isFirstStart: false };
+    const { send } = await startGateway(t, fleet, options);
+    // Time in which the first one records what it knows.
+    await new Promise((resolve) => setTimeout(resolve, 1500));
+    const refused = await send("/chat/", resume("began-before"));
+    t.is(refused.status, 503);
+  }
+});
+
 // No stream could be taken up after a loss of all gateways, as its version had been
 // forgotten with them.
 for (const added of [[], ["v2"]]) {
--- a/packages/streams/src/version_history.ts
+++ b/packages/streams/src/version_history.ts
@@ -26,6 +26,8 @@
   #confirmedAt = -Infinity;
   /** Services whose versions from before this process's start are known. */
   readonly #recalled: Set<string> = new Set();
+  /** The same, including those of which a version may have been missed since. */
+  readonly #everRecalled: Set<string> = new Set();
 
   private constructor(options: VersionHistoryOptions) {
     this.#options = options;
@@ -74,15 +76,31 @@
     for (const version of recorded) versions.set(version, now);
     this.#lastListedAt.set(service, versions);
     this.#recalled.add(service);
+    this.#everRecalled.add(service);
   }
 
-  /** Versions that can have begun a stream that is taken up now, by service. */
+  /**
+   * Versions that can have begun a stream that is taken up now, by service,
+   * without services whose versions from before this process's start are unknown.
+   */
   get versions(): ReadonlyMap<string, readonly string[]> {
-    return new Map(
-      [...this.#lastListedAt].map((
-        [service, versions],
-      ) => [service, [...versions.keys()].sort()]),
-    );
+    const known = new Map<string, readonly string[]>();
+    for (const [service, versions] of this.#lastListedAt) {
+      if (!this.#isKnown(service)) continue;
+      known.set(service, [...versions.keys()].sort());
+    }
+    return known;
+  }
+
+  /** Whether replicas of some service have been listed with several versions. */
+  get hasSeveral(): boolean {
+    return [...this.#lastListedAt.values()].some(({ size }) => size > 1);
+  }
+
+  #isKnown(service: string): boolean {
+    const { clock, windowMs, isFirstStart } = this.#options;
+    return isFirstStart || this.#everRecalled.has(service) ||
+      clock.now() - this.#observedSince >= windowMs;
   }
 
   /**
--- a/packages/streams/src/version_history_test.ts
+++ b/packages/streams/src/version_history_test.ts
@@ -66,3 +66,22 @@
   advance(30_000);
   t.is(history.onlyVersion("pool"), "v2");
 });
+
+// A gateway that had started without a record recorded the only version that it
+// had seen, and the next one joined streams of an earlier version with it.
+test("a gateway records no versions of a service whose earlier ones it doesn't know", (t) => {
+  const first = createHistory(true);
+  first.list("v1");
+  t.deepEqual([...first.history.versions], [["pool", ["v1"]]]);
+  const restarted = createHistory(false);
+  restarted.list("v2", "v3");
+  t.deepEqual([...restarted.history.versions], []);
+  t.true(restarted.history.hasSeveral);
+  restarted.history.recall("pool", ["v1"]);
+  t.deepEqual([...restarted.history.versions], [["pool", ["v1", "v2", "v3"]]]);
+  const observing = createHistory(false);
+  observing.list("v2");
+  observing.advance(30_000);
+  observing.list("v2");
+  t.deepEqual([...observing.history.versions], [["pool", ["v2"]]]);
+});
