--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -10,6 +10,11 @@
 export const TIMEOUT_MS = 1000;
 export const STREAM_TIMEOUT_MS = 5000;
 
+process.on("uncaughtException", (error) => {
+  console.error(error);
+  process.exit(2);
+});
+
 /** Bounds as on the sheet of dongbu-returns. */
 const BOUNDS = {
   graceS: 8,
@@ -119,10 +124,7 @@
     for (const replica of replicas.values()) replica.close();
     store.close();
   };
-  process.on("SIGTERM", () => {
-    close();
-    process.exit(2);
-  });
+  process.on("SIGTERM", () => process.exit(2));
   if (!await awaitReady(fleet.gateways)) {
     record("the gateways were not ready in time");
     close();
--- a/review/standins/gateways.mjs
+++ b/review/standins/gateways.mjs
@@ -116,17 +116,16 @@
     });
   }
 
-  for (const gateway of gateways) start(gateway);
+  /** Ends all processes and removes the folder. */
+  function close() {
+    isClosed = true;
+    for (const { child } of gateways) child?.kill("SIGKILL");
+    rmSync(folder, { recursive: true, force: true });
+  }
 
-  return {
-    gateways,
-    /** Ends all processes and removes the folder. */
-    close: () => {
-      isClosed = true;
-      for (const { child } of gateways) child.kill("SIGKILL");
-      rmSync(folder, { recursive: true, force: true });
-    },
-  };
+  process.on("exit", close);
+  for (const gateway of gateways) start(gateway);
+  return { gateways, close };
 }
 
 /** Whether a gateway answers its readiness check with 200. */
