Gateway: a row or a token count that can't be encoded ends no gateway

Cause: the decoder of rows took any number, and the encoder of the messages between gateways threw on those that its fields don't hold. The message is built in a timer, where an error ends the process. Ruled out: that the row is routed to (its service is in no configuration), and that the list is rejected (the processes' last words are the encoder's RangeError).

Change: numbers have their range where they are decoded; encoders convert to the nearest value of their field, also sums; an error while a datagram is built, sent or applied, or in a supervised task, is logged and ends only that. On the way: addresses that are no IP address, and times that timers can't count.

--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -4,7 +4,12 @@
 import { createSystemClock, sleep } from "@banyanspool/types";
 import type { PermitMessage } from "@banyanspool/replica-limits";
 import type { StreamMessage } from "@banyanspool/streams";
-import type { GatewayState } from "@banyanspool/wire";
+import {
+  type GatewayState,
+  toInt64,
+  toUint32,
+  toUint64,
+} from "@banyanspool/wire";
 import type { GatewayContext } from "./context.ts";
 import { type GatewayReport, PeerExchange } from "./peer_exchange.ts";
 import type { EngineController } from "./engine_controller.ts";
@@ -259,7 +264,7 @@
     if (now - this.#heldSince.at >= DEMAND_WAIT_MS) return true;
     return this.#peers.peers.every(({ instance, lastReceivedAt }) =>
       now - lastReceivedAt > RESPONSIVE_MS ||
-      this.#knownByPeer.get(instance)?.token === BigInt(token)
+      this.#knownByPeer.get(instance)?.token === toUint64(token)
     );
   }
 
@@ -281,10 +286,20 @@
     const dueInMs = this.#announcedAt + gapMs - this.#options.ctx.clock.now();
     setTimeout(() => {
       this.#isAnnouncePending = false;
-      if (!this.#isClosed) this.announce();
+      if (!this.#isClosed) this.#announceContained();
     }, Math.max(0, dueInMs));
   }
 
+  /** Nothing above a timer handles an error, so it is logged here. */
+  #announceContained(): void {
+    try {
+      this.announce();
+    } catch (error) {
+      const { log } = this.#options.ctx;
+      log.write("announcement failed", { detail: String(error) });
+    }
+  }
+
   /** Sends all gateways a replica change that this gateway was first to read. */
   publishReplicaChange(change: ReplicaChange): void {
     const now = this.#options.ctx.clock.now();
@@ -366,7 +381,7 @@
   #buildPeerReport(peer: string): Partial<GatewayReport> | undefined {
     const { engineController, lease } = this.#options;
     if (engineController.holdsLease) {
-      const fencingToken = BigInt(lease.fencingToken);
+      const fencingToken = toUint64(lease.fencingToken);
       const known = this.#knownByPeer.get(peer);
       const base = known?.token === fencingToken ? Number(known.version) : 0;
       return {
@@ -379,7 +394,7 @@
           ) => ({
             $typeName: "banyanspool.v1.ModelLoad",
             model,
-            readyInMs,
+            readyInMs: toUint32(readyInMs),
           })),
         },
       };
@@ -394,7 +409,7 @@
       demand: [...this.#ownDemand().values()].map((demand) => ({
         $typeName: "banyanspool.v1.ModelDemandReport",
         name: demand.model,
-        waiting: demand.waiting,
+        waiting: toUint32(demand.waiting),
         fastReplicas: demand.fastReplicas,
         slowReplicas: demand.slowReplicas,
       })),
@@ -410,17 +425,17 @@
       news: this.#recentChanges
         .filter(({ until }) => until > now)
         .map(({ change }) => encodeReplicaChange(change)),
-      configurationVersion: BigInt(version),
-      configurationEpoch: epoch,
-      configurationAgeMs: ageMs === undefined ? undefined : Math.round(ageMs),
+      configurationVersion: toUint64(version),
+      configurationEpoch: toUint32(epoch),
+      configurationAgeMs: ageMs === undefined ? undefined : toUint32(ageMs),
       leaving: ctx.fleet.isStopping,
       dataCentre: this.#options.cfg.data_centre,
       loads: [...ctx.replicaTracker.ownLoad()].map(([replica, load]) => ({
         $typeName: "banyanspool.v1.ReplicaLoad",
         replica,
-        requests: load.requests,
-        prefillTokens: Math.round(load.prefillTokens),
-        kvTokens: load.kvTokens,
+        requests: toUint32(load.requests),
+        prefillTokens: toUint32(load.prefillTokens),
+        kvTokens: toUint32(load.kvTokens),
         adapters: [...load.adapters],
         models: [...load.models].map(([model, requests]) => ({
           $typeName: "banyanspool.v1.ModelInFlight",
@@ -429,7 +444,7 @@
         })),
       })),
       suspected: ctx.replicaTracker.suspected(),
-      listAgeMs: listAge === undefined ? undefined : Math.round(listAge),
+      listAgeMs: listAge === undefined ? undefined : toUint32(listAge),
       listDigest: registry.digest,
       leavingReplicas: registry.leaving,
       knowsWindow: ctx.limits.knowsWindow,
@@ -438,8 +453,8 @@
       ) => ({
         $typeName: "banyanspool.v1.OrganisationUse",
         organisation,
-        tokens: BigInt(Math.round(admitted)),
-        windowTokens: BigInt(Math.round(inWindow)),
+        tokens: toInt64(admitted),
+        windowTokens: toInt64(inWindow),
       })),
       ...encodeQuarantineReport(ctx.quarantine.report()),
       ...encodeReplicaLimits(ctx.replicaLimits.report()),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -209,7 +209,11 @@
       freshness: this.#freshness,
     });
     this.#publicServer = PublicServer.create(this.#ctx);
-    this.#supervisor = Supervisor.create({ name: "gateway", sleep });
+    this.#supervisor = Supervisor.create({
+      name: "gateway",
+      sleep,
+      onTaskError: (task, detail) => log.write("task failed", { task, detail }),
+    });
   }
 
   /** Creates a gateway that is not started. */
--- a/packages/gateway/src/held_models.ts
+++ b/packages/gateway/src/held_models.ts
@@ -1,5 +1,9 @@
 import type { AvailableModels } from "@banyanspool/routing";
-import type { HeldModels, ReplicaHoldings } from "@banyanspool/wire";
+import {
+  type HeldModels,
+  type ReplicaHoldings,
+  toUint64,
+} from "@banyanspool/wire";
 
 /** What the holder of the placement lease knows of one replica. */
 export interface ReplicaModels {
@@ -103,7 +107,7 @@
       replicas.push({
         $typeName: "banyanspool.v1.ReplicaHoldings",
         replica: published.replica,
-        startedAt: BigInt(published.startedAt),
+        startedAt: toUint64(published.startedAt),
         names: [...published.names],
         unknown: published.isUnknown,
       });
--- a/packages/gateway/src/member_table.ts
+++ b/packages/gateway/src/member_table.ts
@@ -29,7 +29,7 @@
 const READ_INTERVAL_MS = 30_000;
 const RETRY_MS = 500;
 
-const memberSchema = z.object({ host: z.string() });
+const memberSchema = z.object({ host: z.ipv4() });
 
 /** Writes this gateway's row and reads the others' until aborted. */
 export async function maintainMembership(
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -57,8 +57,13 @@
   readonly onState: (state: GatewayState) => void;
   /** Called with each message of a peer. */
   readonly onMessage: (instance: string, message: GatewayMessage) => void;
-  /** Called for each datagram; `unreadable` if one can't be decoded. */
-  readonly onDatagram: (direction: "sent" | "received" | "unreadable") => void;
+  /**
+   * Called for each datagram; `unreadable` if one can't be decoded, and `failed`
+   * if one can't be encoded or applied.
+   */
+  readonly onDatagram: (
+    direction: "sent" | "received" | "unreadable" | "failed",
+  ) => void;
 }
 
 interface PeerState {
@@ -144,7 +149,7 @@
   async listen(): Promise<void> {
     const { host, port, log } = this.#options;
     this.#socket.on("message", (bytes, from) => {
-      this.#receive(bytes, from.address);
+      this.#contain("apply report", () => this.#receive(bytes, from.address));
     });
     this.#socket.on("error", (error) => {
       log.write("datagram error", { detail: error.message });
@@ -184,10 +189,12 @@
 
   /** Sends a report to all peers immediately. */
   announce(): void {
-    const report = this.#options.buildReport();
-    const bytes = this.#encode(report);
+    const bytes = this.#contain("encode report", () => this.#encodeReport());
+    if (!bytes) return;
     for (const [instance, { host }] of this.#peers) {
-      this.#send(this.#withPeerReport(bytes, instance), host);
+      this.#contain("send report", () => {
+        this.#send(this.#withPeerReport(bytes, instance), host);
+      });
     }
   }
 
@@ -195,19 +202,23 @@
   announceTo(instance: string): void {
     const peer = this.#peers.get(instance);
     if (!peer) return;
-    const bytes = this.#encode(this.#options.buildReport());
-    this.#send(this.#withPeerReport(bytes, instance), peer.host);
+    this.#contain("send report", () => {
+      const bytes = this.#withPeerReport(this.#encodeReport(), instance);
+      this.#send(bytes, peer.host);
+    });
   }
 
   /** Sends a message to one peer; it may be lost. */
   sendMessage(instance: string, message: GatewayMessage): void {
     const peer = this.#peers.get(instance);
     if (!peer) return;
-    const state = create(GatewayStateSchema, {
-      ...message,
-      instance: this.#options.instance,
+    this.#contain("send message", () => {
+      const state = create(GatewayStateSchema, {
+        ...message,
+        instance: this.#options.instance,
+      });
+      this.#send(toBinary(GatewayStateSchema, state), peer.host);
     });
-    this.#send(toBinary(GatewayStateSchema, state), peer.host);
   }
 
   /** Whether a peer has reported within the last few intervals. */
@@ -259,10 +270,25 @@
     }
   }
 
-  #encode(report: GatewayReport): Uint8Array {
+  /**
+   * Runs one step for a datagram. Timers and socket listeners call these steps,
+   * so an error is logged and ends only the step.
+   */
+  #contain<T>(step: string, run: () => T): T | undefined {
+    const { onDatagram, log } = this.#options;
+    try {
+      return run();
+    } catch (error) {
+      onDatagram("failed");
+      log.write("datagram failed", { step, detail: String(error) });
+      return undefined;
+    }
+  }
+
+  #encodeReport(): Uint8Array {
     this.#sequence += 1n;
     const state = create(GatewayStateSchema, {
-      ...report,
+      ...this.#options.buildReport(),
       instance: this.#options.instance,
       incarnation: BigInt(this.#options.incarnation),
       sequence: this.#sequence,
--- a/packages/gateway/src/quarantine_codec.ts
+++ b/packages/gateway/src/quarantine_codec.ts
@@ -3,9 +3,11 @@
   type QuarantineReport,
   type ReplicaCrash,
 } from "@banyanspool/quarantine";
-import type {
-  GatewayState,
-  ReplicaCrash as EncodedCrash,
+import {
+  type GatewayState,
+  type ReplicaCrash as EncodedCrash,
+  toInt32,
+  toUint32,
 } from "@banyanspool/wire";
 
 type EncodedReport = Pick<
@@ -22,13 +24,13 @@
     completions: completions.map(({ suspect, ageMs }) => ({
       $typeName: "banyanspool.v1.SuspectCompletion",
       suspect,
-      ageMs: Math.round(ageMs),
+      ageMs: toUint32(ageMs),
     })),
     quarantined: quarantined.map(({ suspect, ageMs, remainingMs }) => ({
       $typeName: "banyanspool.v1.QuarantinedSuspect",
       suspect,
-      ageMs: Math.round(ageMs),
-      remainingMs: Math.round(remainingMs),
+      ageMs: toUint32(ageMs),
+      remainingMs: toInt32(remainingMs),
     })),
   };
 }
@@ -65,7 +67,7 @@
       parts: parts.map(indexOf),
     })),
     parts: [...indexes.keys()],
-    ageMs: Math.round(ageMs),
+    ageMs: toUint32(ageMs),
   };
 }
 
--- a/packages/gateway/src/recovery_row.ts
+++ b/packages/gateway/src/recovery_row.ts
@@ -36,7 +36,7 @@
   origins: z.record(z.string(), z.array(z.string())),
   quarantined: z.array(z.object({
     suspect: z.string(),
-    ageMs: z.number(),
+    ageMs: z.number().nonnegative(),
     remainingMs: z.number(),
   })),
 });
--- a/packages/gateway/src/replica_change_codec.ts
+++ b/packages/gateway/src/replica_change_codec.ts
@@ -1,4 +1,4 @@
-import type { ServerNews } from "@banyanspool/wire";
+import { type ServerNews, toUint32, toUint64 } from "@banyanspool/wire";
 import type { ReplicaChange } from "./replica_registry.ts";
 
 /** Converts a replica change to the message that gateways exchange. */
@@ -8,10 +8,10 @@
   const common = {
     $typeName: "banyanspool.v1.ServerNews",
     id,
-    startedAt: BigInt(startedAt),
-    sequence: BigInt(sequence),
-    version: BigInt(position.version),
-    epoch: position.epoch,
+    startedAt: toUint64(startedAt),
+    sequence: toUint64(sequence),
+    version: toUint64(position.version),
+    epoch: toUint32(position.epoch),
   } as const;
   if (change.kind === "gone") {
     return {
@@ -33,7 +33,7 @@
     service,
     address,
     dataCentre,
-    slots,
+    slots: toUint32(slots),
     leaving: draining,
     softwareVersion,
   };
--- a/packages/gateway/src/replica_limit_codec.ts
+++ b/packages/gateway/src/replica_limit_codec.ts
@@ -2,9 +2,10 @@
   LimitObservation,
   PermitMessage,
 } from "@banyanspool/replica-limits";
-import type {
-  GatewayState,
-  PermitMessage as WirePermitMessage,
+import {
+  type GatewayState,
+  type PermitMessage as WirePermitMessage,
+  toUint32,
 } from "@banyanspool/wire";
 
 /** Encodes the limits that replicas named as fields of a datagram. */
@@ -16,7 +17,7 @@
       $typeName: "banyanspool.v1.ReplicaLimit",
       replica,
       ratePerS,
-      ageMs: Math.round(ageMs),
+      ageMs: toUint32(ageMs),
     })),
   };
 }
@@ -34,16 +35,18 @@
       ratePerS: query.ratePerS,
       spare: query.permitClass === "spare",
       organisation: query.requester.organisation,
-      priority: query.requester.priority,
+      priority: toUint32(query.requester.priority),
       request: query.requester.request,
       promiseWithinMs: query.promiseWithinMs === undefined
         ? undefined
-        : Math.round(query.promiseWithinMs),
+        : toUint32(query.promiseWithinMs),
     })),
     answers: answers.map(({ id, result }) => ({
       $typeName: "banyanspool.v1.PermitAnswer",
       id,
-      retryInMs: result.granted ? undefined : Math.ceil(result.retryInMs),
+      retryInMs: result.granted
+        ? undefined
+        : toUint32(Math.ceil(result.retryInMs)),
     })),
   };
 }
--- a/packages/gateway/src/replica_watch.ts
+++ b/packages/gateway/src/replica_watch.ts
@@ -50,6 +50,8 @@
   } = options;
   const health = StoreHealth.create(log, SERVERS_TABLE);
   const backoff = StoreBackoff.create({ random });
+  /** Keys of listed rows that can't be read, each of which is logged once. */
+  const unreadable = new Set<string>();
   while (!signal.aborted) {
     const startedAt = clock.now();
     const res = await store.readTable(SERVERS_TABLE);
@@ -65,9 +67,16 @@
     const { epoch } = position;
     const listed = rows.flatMap((row) => {
       const server = decodeBackendServer(row);
-      const { version } = row;
+      const { key, version } = row;
+      if (server) unreadable.delete(key);
+      else if (!unreadable.has(key)) {
+        unreadable.add(key);
+        log.write("replica row unreadable", { replica: key, version });
+      }
       return server ? [{ server, position: { epoch, version } }] : [];
     });
+    const keys = new Set(rows.map(({ key }) => key));
+    for (const key of unreadable) if (!keys.has(key)) unreadable.delete(key);
     registry.applyList(listed, { position, now: clock.now() });
     onRead();
     readSchedule.recordOwnRead(startedAt);
--- a/packages/supervisor/src/mod.ts
+++ b/packages/supervisor/src/mod.ts
@@ -30,6 +30,8 @@
   readonly sleep: (ms: number, signal?: AbortSignal) => Promise<void>;
   /** Monotonic time in ms; that of the process if absent. */
   readonly now?: () => number;
+  /** Called with each error that ends a task before it is restarted. */
+  readonly onTaskError?: (task: string, detail: string) => void;
 }
 
 const MIN_RESTART_DELAY_MS = 50;
@@ -96,8 +98,11 @@
       return false;
     } catch (error) {
       if (signal.aborted) return false;
-      const text = error instanceof Error ? error.stack : String(error);
+      const text = error instanceof Error
+        ? error.stack ?? error.message
+        : String(error);
       this.#log(`Task "${task.name}" failed: ${text}`);
+      this.#options.onTaskError?.(task.name, text);
       return true;
     }
   }
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -55,6 +55,7 @@
   toWireDemand,
   toWireReport,
 } from "./convert.ts";
+export { toInt32, toInt64, toUint32, toUint64 } from "./numbers.ts";
 export {
   createCredentialInterceptor,
   createCredentialVerifier,
