Daemon: a signal during a start or a stop doesn't end the process

A SIGHUP before the daemon was created ended it too, as its listener came later.

Change: the listener for SIGTERM stays; that for SIGHUP comes first. A second SIGINT still ends a process, as operators expect of it.

--- a/packages/daemon/src/run_until_stopped.ts
+++ b/packages/daemon/src/run_until_stopped.ts
@@ -23,12 +23,15 @@
 }
 
 /**
- * Runs a daemon until SIGTERM or SIGINT. Returns the exit code: 2 for invalid
- * settings, otherwise 0.
+ * Runs a daemon until SIGTERM or SIGINT; a second SIGINT ends it at once. Returns
+ * the exit code: 2 for invalid settings, otherwise 0.
  */
 export async function runUntilStopped<
   C extends { log?: string; instance: string },
 >({ read, build, context }: RunOptions<C>): Promise<number> {
+  // Without a listener SIGHUP ends the process, so it must not come before one.
+  let reload = () => {};
+  process.on("SIGHUP", () => reload());
   let cfg: C;
   try {
     cfg = read();
@@ -40,11 +43,12 @@
   const logPattern = process.env.DEBUG ?? cfg.log;
   if (logPattern !== undefined) enableLogs(logPattern);
   const daemon = await build(cfg);
+  reload = () => daemon.reload?.();
   const stopped = new Promise<void>((resolve) => {
-    process.once("SIGTERM", () => resolve());
+    // A further SIGTERM during a graceful stop must not end the process.
+    process.on("SIGTERM", () => resolve());
     process.once("SIGINT", () => resolve());
   });
-  process.on("SIGHUP", () => daemon.reload?.());
   await daemon.start();
   context.stdout.write(`ready ${cfg.instance}\n`);
   await stopped;
