Streams: the cost of a stream is linear in its bytes, whatever its chunks

Cause: with each chunk, the splitter of event streams copied and searched all bytes since the last event, 64 GiB for the bound of 1 MiB. Ruled out: memory (the stream is 1 MiB when it ends), and the relay's loop by itself (with a linear splitter and the same loop, others are answered).

Change: a buffer that doubles holds pieces; only added bytes are searched; a call's body is read in all that has arrived. The same for plain responses and callers' bodies, which kept an object for each chunk.

--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import { decodeCallerRequest } from "@banyanspool/platform-adapter";
+import { ByteBuffer } from "@banyanspool/responses";
 import { type CallerRequest, refuse } from "@banyanspool/types";
 import { authenticateRequest, rateLimitCost } from "./admit_request.ts";
 import type { GatewayContext } from "./context.ts";
@@ -238,17 +239,16 @@
 ): Promise<Buffer | undefined | "tooLarge" | "broken"> {
   const hasBody = req.headers["content-length"] !== undefined ||
     req.headers["transfer-encoding"] !== undefined;
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const body = ByteBuffer.create({ maxBytes });
   try {
     for await (const chunk of req) {
-      bytes += (chunk as Buffer).length;
-      if (bytes > maxBytes) return "tooLarge";
-      chunks.push(chunk as Buffer);
+      const piece = chunk as Buffer;
+      if (body.length + piece.length > maxBytes) return "tooLarge";
+      body.append(piece);
     }
   } catch {
     // The caller disconnected; no response can be sent.
     return "broken";
   }
-  return hasBody ? Buffer.concat(chunks) : undefined;
+  return hasBody ? body.takeAll() : undefined;
 }
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from "node:http";
 import { selectCallerHeaders } from "@banyanspool/platform-adapter";
 import {
+  ByteBuffer,
   EventStreamSplitter,
   framingOf,
   MAX_EVENT_BYTES,
@@ -39,21 +40,19 @@
   { call, head }: StartedResponse,
 ): Promise<RelayOutcome> {
   const { res } = scope;
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const unsent = ByteBuffer.create();
   const abort = () => call.abort();
   scope.signal.addEventListener("abort", abort);
   try {
     for await (const chunk of call.body()) {
-      bytes += chunk.length;
       if (res.headersSent) {
         await write(res, chunk);
         continue;
       }
-      chunks.push(chunk);
-      if (bytes < MAX_BUFFERED_BYTES) continue;
+      unsent.append(chunk);
+      if (unsent.length < MAX_BUFFERED_BYTES) continue;
       res.writeHead(head.status, selectCallerHeaders(head.headers));
-      await write(res, Buffer.concat(chunks));
+      await write(res, unsent.takeAll());
     }
   } catch (error) {
     if (!(error instanceof ReplicaCallError)) throw error;
@@ -67,9 +66,9 @@
   if (!res.headersSent) {
     res.writeHead(head.status, {
       ...selectCallerHeaders(head.headers),
-      "content-length": String(bytes),
+      "content-length": String(unsent.length),
     });
-    res.write(Buffer.concat(chunks));
+    res.write(unsent.takeAll());
   }
   res.end();
   return { kind: "whole" };
--- a/packages/gateway/src/replica_call.ts
+++ b/packages/gateway/src/replica_call.ts
@@ -1,5 +1,9 @@
 import type { ResponseHeaders } from "@banyanspool/platform-adapter";
-import { framingOf, type ResetDetector } from "@banyanspool/responses";
+import {
+  ByteBuffer,
+  framingOf,
+  type ResetDetector,
+} from "@banyanspool/responses";
 import type { Dispatcher } from "undici";
 import type { ReplicaConnections } from "./connection_pools.ts";
 import type { ReadGuard } from "./read_guard.ts";
@@ -66,8 +70,7 @@
   #resolveHead!: (head: ResponseHead) => void;
   #rejectHead!: (error: ReplicaCallError) => void;
   #controller: Dispatcher.DispatchController | undefined;
-  #chunks: Buffer[] = [];
-  #unreadBytes = 0;
+  readonly #unread: ByteBuffer = ByteBuffer.create();
   #isComplete = false;
   #isAborted = false;
   #error: ReplicaCallError | undefined;
@@ -119,15 +122,15 @@
   }
 
   /**
-   * Yields the body. Throws a {@link ReplicaCallError} if it is not complete.
+   * Yields the body, each time all bytes that have arrived, so that small chunks
+   * cost little. Throws a {@link ReplicaCallError} if it is not complete.
    */
   async *body(): AsyncGenerator<Buffer> {
     while (true) {
-      const chunk = this.#chunks.shift();
-      if (chunk) {
-        this.#unreadBytes -= chunk.length;
-        if (this.#unreadBytes < MAX_UNREAD_BYTES) this.#controller?.resume();
-        yield chunk;
+      if (this.#unread.length > 0) {
+        const bytes = this.#unread.takeAll();
+        this.#controller?.resume();
+        yield bytes;
         continue;
       }
       if (this.#error) throw this.#error;
@@ -169,9 +172,8 @@
     chunk: Buffer,
   ): void {
     this.#readGuard.recordProgress();
-    this.#chunks.push(chunk);
-    this.#unreadBytes += chunk.length;
-    if (this.#unreadBytes >= MAX_UNREAD_BYTES) controller.pause();
+    this.#unread.append(chunk);
+    if (this.#unread.length >= MAX_UNREAD_BYTES) controller.pause();
     this.#notifyReader();
   }
 
--- a/packages/responses/src/event_stream.ts
+++ b/packages/responses/src/event_stream.ts
@@ -1,3 +1,5 @@
+import { ByteBuffer } from "./byte_buffer.ts";
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id:[ ]?(.*)$/;
@@ -19,7 +21,7 @@
  * that is cut off within an event can be resumed without a truncated event.
  */
 export class EventStreamSplitter {
-  #incompleteEvent: Buffer = Buffer.alloc(0);
+  readonly #incomplete: ByteBuffer = ByteBuffer.create();
 
   private constructor() {}
 
@@ -30,37 +32,41 @@
 
   /** Bytes of the event that is not complete yet; empty if there is none. */
   get incompleteEvent(): Buffer {
-    return this.#incompleteEvent;
+    return this.#incomplete.bytes;
   }
 
   /** Whether the bytes so far end within an event or a line. */
   get isInsideEvent(): boolean {
-    return !COMMENTS_AND_BLANK_LINES.test(this.#incompleteEvent.toString());
+    return !COMMENTS_AND_BLANK_LINES.test(this.incompleteEvent.toString());
   }
 
   /**
-   * Adds bytes; returns the events that they complete, or undefined if none.
+   * Adds bytes; returns the events that they complete, or undefined if none. Only
+   * the added bytes are searched, so the cost is linear in the stream's bytes.
    */
   push(chunk: Buffer): CompleteEvents | undefined {
-    const bytes = this.#incompleteEvent.length === 0
-      ? chunk
-      : Buffer.concat([this.#incompleteEvent, chunk]);
-    const end = findLastEventEnd(bytes);
-    this.#incompleteEvent = bytes.subarray(end);
-    if (end === 0) return undefined;
-    const complete = bytes.subarray(0, end);
-    return { bytes: complete, lastId: findLastId(complete) };
+    const end = this.#findLastEventEnd(chunk);
+    this.#incomplete.append(chunk.subarray(0, end));
+    if (end === 0) {
+      this.#incomplete.append(chunk);
+      return undefined;
+    }
+    const bytes = this.#incomplete.takeAll();
+    this.#incomplete.append(chunk.subarray(end));
+    return { bytes, lastId: findLastId(bytes) };
   }
-}
 
-/** Returns the offset after the last blank line, or 0 if there is none. */
-function findLastEventEnd(bytes: Buffer): number {
-  for (let i = bytes.length - 1; i > 0; i -= 1) {
-    if (bytes[i] !== LINE_FEED) continue;
-    const previous = bytes[i - 1] === CARRIAGE_RETURN ? i - 2 : i - 1;
-    if (previous >= 0 && bytes[previous] === LINE_FEED) return i + 1;
+  /** Returns the offset after the last blank line in `chunk`; 0 if none ends. */
+  #findLastEventEnd(chunk: Buffer): number {
+    const before = this.#incomplete.bytes;
+    const byteAt = (i: number) => i >= 0 ? chunk[i] : before[before.length + i];
+    for (let i = chunk.length - 1; i >= 0; i -= 1) {
+      if (chunk[i] !== LINE_FEED) continue;
+      const previous = byteAt(i - 1) === CARRIAGE_RETURN ? i - 2 : i - 1;
+      if (byteAt(previous) === LINE_FEED) return i + 1;
+    }
+    return 0;
   }
-  return 0;
 }
 
 function findLastId(events: Buffer): string | undefined {
--- a/packages/responses/src/event_stream_test.ts
+++ b/packages/responses/src/event_stream_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import fc from "fast-check";
-import { EventStreamSplitter } from "./event_stream.ts";
+import { EventStreamSplitter, MAX_EVENT_BYTES } from "./event_stream.ts";
 
 test("events are returned complete for all chunk sizes", (t) => {
   const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
@@ -38,3 +38,13 @@
   t.is(events?.lastId, "7");
   t.is(splitter.incompleteEvent.toString(), "id: 8\ndata: y");
 });
+
+// Each small chunk copied and searched all bytes of the event that came before it.
+test("an event that arrives in small chunks is as cheap as in one piece", (t) => {
+  const splitter = EventStreamSplitter.create();
+  const chunk = Buffer.from("data: x\n");
+  for (let i = 0; i < MAX_EVENT_BYTES / chunk.length; i += 1) {
+    if (splitter.push(chunk)) return t.fail("no event is complete");
+  }
+  t.is(splitter.push(Buffer.from("\n"))?.bytes.length, MAX_EVENT_BYTES + 1);
+});
