Requests: one that was rejected goes on at once, however the body ends

Cause: the body of a rejection was read to its end, without a bound, after the listeners for the request's end had been removed. Ruled out: that the next attempt waits for the connection (one rejection among free connections is enough).

Change: the rest of such a body is ignored beside the request; its connection is closed after 16 KiB or 100 ms.

--- a/packages/gateway/src/replica_call.ts
+++ b/packages/gateway/src/replica_call.ts
@@ -58,6 +58,9 @@
 
 /** Unread body bytes at which reading from the replica is paused. */
 const MAX_UNREAD_BYTES = 256 * 1024;
+/** Size and time up to which a body that nobody needs is read to its end. */
+const MAX_DISCARDED_BYTES = 16 * 1024;
+const MAX_DISCARD_MS = 100;
 const FIRST_FINAL_STATUS = 200;
 
 /**
@@ -79,6 +82,9 @@
   readonly #readGuard: ReadGuard;
   readonly #maySend: () => boolean;
   #stopTracking: (() => void) | undefined;
+  /** Bytes of the body that may still be discarded; undefined while it is read. */
+  #discardableBytes: number | undefined;
+  #discardTimer: NodeJS.Timeout | undefined;
 
   private constructor({ connections, maySend }: ReplicaCallOptions) {
     const { resetDetector, readGuard } = connections;
@@ -121,6 +127,18 @@
     this.#fail("aborted", new Error("call aborted"));
   }
 
+  /**
+   * Ignores the rest of the body. The connection is used again if the body ends
+   * soon and is short, and closed otherwise.
+   */
+  discard(): void {
+    if (this.#isComplete || this.#error) return;
+    this.#discardableBytes = MAX_DISCARDED_BYTES - this.#unread.length;
+    this.#unread.takeAll();
+    this.#controller?.resume();
+    this.#discardTimer = setTimeout(() => this.abort(), MAX_DISCARD_MS);
+  }
+
   /**
    * Yields the body, each time all bytes that have arrived, so that small chunks
    * cost little. Throws a {@link ReplicaCallError} if it is not complete.
@@ -172,6 +190,11 @@
     chunk: Buffer,
   ): void {
     this.#readGuard.recordProgress();
+    if (this.#discardableBytes !== undefined) {
+      this.#discardableBytes -= chunk.length;
+      if (this.#discardableBytes < 0) this.abort();
+      return;
+    }
     this.#unread.append(chunk);
     if (this.#unread.length >= MAX_UNREAD_BYTES) controller.pause();
     this.#notifyReader();
@@ -185,6 +208,7 @@
       return;
     }
     this.#stopTracking?.();
+    clearTimeout(this.#discardTimer);
     this.#isComplete = true;
     this.#notifyReader();
   }
@@ -200,6 +224,7 @@
   #fail(failure: CallFailure, error: Error): void {
     if (this.#error || this.#isComplete) return;
     this.#stopTracking?.();
+    clearTimeout(this.#discardTimer);
     const { code } = error as { code?: string };
     this.#error = new ReplicaCallError(
       this.#isAborted ? "aborted" : failure,
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -128,7 +128,7 @@
   });
   const asksForPause = facts.pause.kind === "pause";
   if (!facts.notRun) return { kind: "started", call, head, asksForPause };
-  await discardBody(call);
+  call.discard();
   const name = formatModelName(request);
   if (name !== undefined) {
     const reason = facts.misdirected ? "missing" : "busy";
@@ -148,15 +148,6 @@
   return facts.requestId === undefined || facts.requestId === caller.id;
 }
 
-/** Reads the rest of the body, so that the connection can be reused. */
-async function discardBody(call: ReplicaCall): Promise<void> {
-  try {
-    for await (const _ of call.body());
-  } catch {
-    // The connection is closed; the rejection is still valid.
-  }
-}
-
 function outcomeOfFailure(
   scope: RequestScope,
   error: ReplicaCallError,
