Requests: a response is matched with its request before it is believed

Cause: a response was believed by its place on the connection. A rejection without an id, or with the id of a request that was sent to the same replica again, could be a copy; answers to orders and reports, which have no ids, came on the connections of callers' requests; any 2xx without an id was passed on; a replica's own 408, 429 or 503 was passed on as a promise. Ruled out: that the HTTP library repeats a request, and that a refused request is sent later (tests of both pass before and after).

The mismatches are counted and logged.

--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -1,6 +1,7 @@
+import type { Socket } from "node:net";
 import type { BackendServer } from "@banyanspool/types";
-import { ResetDetector } from "@banyanspool/responses";
-import { Pool } from "undici";
+import { ResetDetector, ResponseMatcher } from "@banyanspool/responses";
+import { type Dispatcher, Pool } from "undici";
 import { ReadGuard } from "./read_guard.ts";
 
 /** Connections to one incarnation of a replica. */
@@ -11,6 +12,8 @@
   readonly resetDetector: ResetDetector;
   /** Closes a connection with endless bytes that are no response. */
   readonly readGuard: ReadGuard;
+  /** Matcher of the connection whose bytes are being parsed. */
+  readonly currentMatcher: () => ResponseMatcher;
 }
 
 /** Options of {@link ConnectionPools.create}. */
@@ -32,11 +35,14 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 1200;
 const MAX_KEEP_ALIVE_MS = 30_000;
+/** Calls to one engine are made one after the other, but for a late one. */
+const ENGINE_CONNECTIONS = 2;
 
 /** Connection pools by replica; a restarted replica gets a new pool. */
 export class ConnectionPools {
   readonly #options: ConnectionPoolsOptions;
   readonly #pools: Map<string, ReplicaConnections> = new Map();
+  readonly #enginePools: Map<string, Pool> = new Map();
 
   private constructor(options: ConnectionPoolsOptions) {
     this.#options = options;
@@ -47,7 +53,10 @@
     return new ConnectionPools(options);
   }
 
-  /** Returns the connections to a replica; they are created if needed. */
+  /**
+   * Returns the connections for callers' requests to a replica; they are created
+   * if needed.
+   */
   forReplica(server: BackendServer): ReplicaConnections {
     const key = poolKey(server);
     const existing = this.#pools.get(key);
@@ -67,11 +76,41 @@
       bodyTimeout: 0,
       headersTimeout: 0,
     });
-    const connections = { pool, resetDetector, readGuard };
+    const matchers = new WeakMap<Socket, ResponseMatcher>();
+    const currentMatcher = () => {
+      const socket = readGuard.lastSocket;
+      const known = socket && matchers.get(socket);
+      if (known) return known;
+      const matcher = ResponseMatcher.create();
+      if (socket) matchers.set(socket, matcher);
+      return matcher;
+    };
+    const connections = { pool, resetDetector, readGuard, currentMatcher };
     this.#pools.set(key, connections);
     return connections;
   }
 
+  /**
+   * Returns connections for orders to a replica's engine and reads of its reports.
+   * Their responses have no ids, so a late copy of one must not come where a
+   * caller's request waits.
+   */
+  forEngine(server: BackendServer): Dispatcher {
+    const key = poolKey(server);
+    const existing = this.#enginePools.get(key);
+    if (existing) return existing;
+    const pool = new Pool(`http://${server.address}`, {
+      connections: ENGINE_CONNECTIONS,
+      pipelining: 1,
+      connectTimeout: CONNECT_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+    });
+    this.#enginePools.set(key, pool);
+    return pool;
+  }
+
   /**
    * Closes the pools of all other replicas. Their requests in flight are
    * completed first.
@@ -83,6 +122,11 @@
       this.#pools.delete(key);
       pool.close().catch(() => {});
     }
+    for (const [key, pool] of this.#enginePools) {
+      if (keys.has(key)) continue;
+      this.#enginePools.delete(key);
+      pool.close().catch(() => {});
+    }
   }
 }
 
--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -354,7 +354,7 @@
     const { pools, clock, onNotices } = this.#options;
     const sentAt = clock.now();
     return {
-      dispatcher: pools.forReplica(server).pool,
+      dispatcher: pools.forEngine(server),
       onHead: (facts) => onNotices(server, { facts, sentAt, isRequest: false }),
     };
   }
--- a/packages/gateway/src/finish_attempt.ts
+++ b/packages/gateway/src/finish_attempt.ts
@@ -19,6 +19,8 @@
  * Rejections don't count as attempts, as no replica has run the request.
  */
 const MAX_REJECTIONS = 3;
+/** Statuses by which a response promises that the request hasn't run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Time left below which no further attempt is made, in ms. */
 const MIN_ATTEMPT_MS = 20;
 
@@ -77,6 +79,17 @@
       observation: response.asksForPause ? undefined : "failure",
     });
   }
+  if (
+    scope.route.retrySafety === "never" &&
+    NOT_RUN_STATUSES.has(response.head.status)
+  ) {
+    // The replica doesn't state it, so the caller must not be told.
+    response.call.abort();
+    if (!response.asksForPause) {
+      recordObservation(execution, selection, "failure");
+    }
+    return endTruncated(scope, progress);
+  }
   if (scope.res.headersSent && !isEventStream(response)) {
     // Anything else would end the caller's stream as if it were complete.
     response.call.abort();
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -34,6 +34,8 @@
   readonly reportReads: Counter;
   /** Datagrams exchanged with other gateways, by direction. */
   readonly datagrams: Counter;
+  /** Responses that weren't those to the request that waited, by reason. */
+  readonly mismatchedResponses: Counter;
   /** Outlier ejections of replicas by service. */
   readonly ejections: Counter;
   /** Requests and prompt parts put into quarantine. */
@@ -84,6 +86,11 @@
     this.datagrams = counter("gateway_datagrams_total", "Datagrams", [
       "direction",
     ]);
+    this.mismatchedResponses = counter(
+      "replica_response_mismatches_total",
+      "Responses that didn't match the request that waited",
+      ["reason"],
+    );
     this.ejections = counter("replica_ejections_total", "Ejections", [
       "service",
     ]);
--- a/packages/gateway/src/member_table_test.ts
+++ b/packages/gateway/src/member_table_test.ts
@@ -39,7 +39,7 @@
   return {
     ...options,
     instance,
-    host: `host-${instance}`,
+    host: `10.0.0.${instance.charCodeAt(0)}`,
     isStopping: () => false,
     restoredSignal: ChangeSignal.create(),
     log: SILENT_LOG,
--- a/packages/gateway/src/read_guard.ts
+++ b/packages/gateway/src/read_guard.ts
@@ -14,6 +14,7 @@
 export class ReadGuard {
   readonly #unproductiveBytes: WeakMap<Socket, number> = new WeakMap();
   #lastRead: { readonly socket: Socket; readonly bytes: number } | undefined;
+  #lastSocket: Socket | undefined;
 
   private constructor() {}
 
@@ -22,12 +23,21 @@
     return new ReadGuard();
   }
 
+  /**
+   * Connection that was read last; while the parser reports a part of a response,
+   * the one that it came on.
+   */
+  get lastSocket(): Socket | undefined {
+    return this.#lastSocket;
+  }
+
   /** Counts the bytes that are read from a connection. */
   watch(socket: Socket): void {
     const read = socket.read.bind(socket);
     socket.read = (size?: number) => {
       this.#settleLastRead();
       const chunk = read(size);
+      this.#lastSocket = socket;
       if (chunk instanceof Buffer) {
         this.#lastRead = { socket, bytes: chunk.length };
       }
--- a/packages/gateway/src/replica_call.ts
+++ b/packages/gateway/src/replica_call.ts
@@ -1,8 +1,13 @@
-import type { ResponseHeaders } from "@banyanspool/platform-adapter";
+import {
+  decodeReplicaResponse,
+  type ReplicaResponseInfo,
+  type ResponseHeaders,
+} from "@banyanspool/platform-adapter";
 import {
   ByteBuffer,
   framingOf,
   type ResetDetector,
+  type ResponseMatch,
 } from "@banyanspool/responses";
 import type { Dispatcher } from "undici";
 import type { ReplicaConnections } from "./connection_pools.ts";
@@ -14,6 +19,10 @@
   readonly status: number;
   /** Headers by lower-case name. */
   readonly headers: ResponseHeaders;
+  /** What the headers say. */
+  readonly facts: ReplicaResponseInfo;
+  /** What the response means for the request. */
+  readonly match: ResponseMatch;
 }
 
 /** Why a call ended without a complete response. */
@@ -52,6 +61,11 @@
   readonly headers: string[];
   /** Body, or undefined for none. */
   readonly body?: Buffer;
+  /**
+   * Id of the caller's request, empty if it has none. Undefined for a call whose
+   * responses aren't matched.
+   */
+  readonly requestId?: string;
   /** Whether the call may still be sent, once a connection is free. */
   readonly maySend?: () => boolean;
 }
@@ -81,13 +95,23 @@
   readonly #resetDetector: ResetDetector;
   readonly #readGuard: ReadGuard;
   readonly #maySend: () => boolean;
+  readonly #match: (
+    facts: ReplicaResponseInfo,
+    status: number,
+  ) => ResponseMatch;
   #stopTracking: (() => void) | undefined;
   /** Bytes of the body that may still be discarded; undefined while it is read. */
   #discardableBytes: number | undefined;
   #discardTimer: NodeJS.Timeout | undefined;
 
-  private constructor({ connections, maySend }: ReplicaCallOptions) {
-    const { resetDetector, readGuard } = connections;
+  private constructor(
+    { connections, maySend, requestId }: ReplicaCallOptions,
+  ) {
+    const { resetDetector, readGuard, currentMatcher } = connections;
+    this.#match = (facts, status) =>
+      requestId === undefined
+        ? { kind: "answer" }
+        : currentMatcher().match(requestId, { ...facts, status });
     this.#resetDetector = resetDetector;
     this.#readGuard = readGuard;
     this.#maySend = maySend ?? (() => true);
@@ -119,12 +143,16 @@
     return call;
   }
 
-  /** Aborts the call and closes its connection. */
+  /**
+   * Aborts the call and closes its connection. A call that waits for a connection
+   * is never sent.
+   */
   abort(): void {
     if (this.#isComplete || this.#error || this.#isAborted) return;
     this.#isAborted = true;
     this.#controller?.abort(new Error("call aborted"));
-    this.#fail("aborted", new Error("call aborted"));
+    const failure = this.#controller ? "aborted" : "notSent";
+    this.#fail(failure, new Error("call aborted"));
   }
 
   /**
@@ -161,13 +189,18 @@
 
   /** Called by the transport before it writes the first byte. */
   onRequestStart(controller: Dispatcher.DispatchController): void {
-    if (!this.#maySend()) {
+    if (this.#controller) {
+      // The transport would send the request a second time.
+      controller.abort(new Error("call not repeated"));
+      this.#fail("broken", new Error("connection lost"));
+      return;
+    }
+    if (this.#isAborted || !this.#maySend()) {
       this.#fail("notSent", new Error("replica takes no requests now"));
       controller.abort(new Error("call not sent"));
       return;
     }
     this.#controller = controller;
-    if (this.#isAborted) controller.abort(new Error("call aborted"));
   }
 
   /** Called by the transport with the head of the response. */
@@ -181,7 +214,13 @@
     if (framingOf(headers) === "close") {
       this.#stopTracking = this.#resetDetector.trackCloseDelimited();
     }
-    this.#resolveHead({ status, headers });
+    const facts = decodeReplicaResponse(status, headers);
+    const match = this.#match(facts, status);
+    this.#resolveHead({ status, headers, facts, match });
+    const mustClose = match.kind === "mismatch" ||
+      (match.kind === "notRun" && !match.mayReuse);
+    // In this turn, so that no other request is written to the connection.
+    if (mustClose) this.abort();
   }
 
   /** Called by the transport with a chunk of the body. */
@@ -218,6 +257,7 @@
     _controller: Dispatcher.DispatchController,
     error: Error,
   ): void {
+    if (this.#isAborted) return;
     this.#fail(this.#controller ? "broken" : "notSent", error);
   }
 
@@ -226,10 +266,7 @@
     this.#stopTracking?.();
     clearTimeout(this.#discardTimer);
     const { code } = error as { code?: string };
-    this.#error = new ReplicaCallError(
-      this.#isAborted ? "aborted" : failure,
-      code ?? error.message,
-    );
+    this.#error = new ReplicaCallError(failure, code ?? error.message);
     this.#rejectHead(this.#error);
     this.#notifyReader();
   }
--- a/packages/gateway/src/response_framing_test.ts
+++ b/packages/gateway/src/response_framing_test.ts
@@ -34,7 +34,8 @@
  */
 async function writePart(
   socket: Socket,
-  { body, framing, bytes, ending }: {
+  { id, body, framing, bytes, ending }: {
+    id: string;
     body: Buffer;
     framing: Framing;
     bytes: number;
@@ -43,7 +44,7 @@
 ): Promise<void> {
   const part = body.subarray(0, bytes);
   const head = `HTTP/1.1 200 OK\r\ncontent-type: ${EVENT_STREAM}\r\n` +
-    "response-stamp: stamp\r\n";
+    `response-stamp: stamp\r\nrequest-id: ${id}\r\n`;
   const framingHeader = {
     length: `content-length: ${body.length}\r\n`,
     chunked: "transfer-encoding: chunked\r\n",
@@ -62,11 +63,14 @@
 }
 
 function answerWith(
-  options: Omit<Parameters<typeof writePart>[1], "body"> & { body: string },
+  options: Omit<Parameters<typeof writePart>[1], "body" | "id"> & {
+    body: string;
+  },
 ): ReplicaHandler {
   const body = Buffer.from(options.body);
-  return (_req, res) => {
-    if (res.socket) void writePart(res.socket, { ...options, body });
+  return (req, res) => {
+    const id = String(req.headers["request-id"]);
+    if (res.socket) void writePart(res.socket, { ...options, id, body });
   };
 }
 
@@ -170,9 +174,10 @@
 // had been written.
 test("a caller receives the events that came in one packet with the end of a stream", async (t) => {
   const body = event(1) + "id: 2\nda";
-  const answer: ReplicaHandler = (_req, res) => {
+  const answer: ReplicaHandler = (req, res) => {
     const head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n" +
-      `content-type: ${EVENT_STREAM}\r\n\r\n`;
+      `request-id: ${req.headers["request-id"]}\r\n` +
+      `response-stamp: stamp\r\ncontent-type: ${EVENT_STREAM}\r\n\r\n`;
     const chunk = `${body.length.toString(16)}\r\n${body}\r\n`;
     res.socket?.end(`${head}${chunk}0\r\n\r\n`);
   };
--- a/packages/gateway/src/run_attempts_test.ts
+++ b/packages/gateway/src/run_attempts_test.ts
@@ -1,5 +1,6 @@
 import { Quarantine } from "@banyanspool/quarantine";
 import { ReplicaPauses } from "@banyanspool/replica-limits";
+import { ResponseMatcher } from "@banyanspool/responses";
 import { RetryBudget } from "@banyanspool/retry";
 import { ReplicaTracker } from "@banyanspool/routing";
 import { type BackendServer, incarnationOf } from "@banyanspool/types";
@@ -79,9 +80,11 @@
   /** Requests in flight at each arrival, with its time in ms. */
   const inFlightAt: { at: number; requests: number }[] = [];
   const dispatch = (
-    behaviour: Behaviour,
+    { headers }: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
+    behaviour: Behaviour,
   ) => {
+    const requestId = (headers as string[])[1]!;
     const { id, afterMs, status, pauseMs } = behaviour;
     arrivals.set(id, arrivals.get(id)! + 1);
     const { requests } = replicaTracker.loadAt(id);
@@ -105,12 +108,15 @@
       if (isRejected) {
         handler.onResponseStart?.(controller, 503, {
           "content-length": "0",
+          "request-id": requestId,
           "not-executed": "1",
           "retry-after": String(pauseMs / 1000),
         });
       } else {
         handler.onResponseStart?.(controller, status, {
           "content-length": "0",
+          "request-id": requestId,
+          "response-stamp": "stamp",
         });
       }
       handler.onResponseEnd?.(controller, {});
@@ -140,9 +146,17 @@
       forReplica: ({ id }: BackendServer) => ({
         readGuard: { recordProgress: ignore },
         resetDetector: { isReset: false },
+        currentMatcher: ResponseMatcher.create,
         pool: {
-          dispatch: (_: unknown, handler: Dispatcher.DispatchHandler) =>
-            dispatch(behaviours.find((each) => each.id === id)!, handler),
+          dispatch: (
+            options: Dispatcher.DispatchOptions,
+            handler: Dispatcher.DispatchHandler,
+          ) =>
+            dispatch(
+              options,
+              handler,
+              behaviours.find((each) => each.id === id)!,
+            ),
         },
       }),
     },
@@ -168,7 +182,11 @@
       progress,
       budget,
       scope: {
-        req: { method: "GET", rawHeaders: [], socket: {} },
+        req: {
+          method: "GET",
+          rawHeaders: ["Request-Id", id],
+          socket: {},
+        },
         res: { ...res, setHeader: ignore, destroyed: false },
         caller: { id, target: "/", promptParts: [] },
         route: {
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -1,8 +1,4 @@
-import {
-  decodeReplicaResponse,
-  encodeForwardedHeaders,
-  type ReplicaResponseInfo,
-} from "@banyanspool/platform-adapter";
+import { encodeForwardedHeaders } from "@banyanspool/platform-adapter";
 import type { ReplicaSelection, SelectionRequest } from "@banyanspool/routing";
 import { formatModelName } from "@banyanspool/routing";
 import { incarnationOf } from "@banyanspool/types";
@@ -80,6 +76,7 @@
       bodyBytes: scope.body?.length,
     }),
     body: scope.body,
+    requestId: scope.caller.id,
     maySend: () => ctx.replicaPauses.remainingMs(replica) === 0,
   });
   try {
@@ -116,10 +113,18 @@
   } finally {
     for (const each of signals) each.removeEventListener("abort", abort);
   }
-  const facts = decodeReplicaResponse(head.status, head.headers);
-  if (!hasRequestId(scope, facts)) {
-    call.abort();
-    return { kind: "unknown", reason: "response to another request" };
+  const { match, facts, status } = head;
+  if (match.kind === "mismatch") {
+    const { reason } = match;
+    ctx.metrics.mismatchedResponses.inc({ reason });
+    ctx.log.write("response mismatch", {
+      id: scope.caller.id,
+      replica: selection.server.id,
+      reason,
+      status,
+      named_id: facts.requestId,
+    });
+    return { kind: "unknown", reason: `response with ${reason}` };
   }
   recordReplicaNotices(ctx, selection.server, {
     facts,
@@ -127,25 +132,16 @@
     isRequest: true,
   });
   const asksForPause = facts.pause.kind === "pause";
-  if (!facts.notRun) return { kind: "started", call, head, asksForPause };
+  if (match.kind === "answer") {
+    return { kind: "started", call, head, asksForPause };
+  }
   call.discard();
   const name = formatModelName(request);
   if (name !== undefined) {
     const reason = facts.misdirected ? "missing" : "busy";
     ctx.replicaTracker.markRejected(selection.server.id, { name, reason });
   }
-  return { kind: "notRun", reason: `status ${head.status}`, sent: true };
-}
-
-/**
- * Whether the response has the request's id. A response without an id can't be
- * checked and is accepted.
- */
-function hasRequestId(
-  { caller }: RequestScope,
-  facts: ReplicaResponseInfo,
-): boolean {
-  return facts.requestId === undefined || facts.requestId === caller.id;
+  return { kind: "notRun", reason: `status ${status}`, sent: true };
 }
 
 function outcomeOfFailure(
--- a/packages/responses/src/mod.ts
+++ b/packages/responses/src/mod.ts
@@ -9,3 +9,9 @@
 export { framingOf } from "./framing.ts";
 export type { FramingHeaders, ResponseFraming } from "./framing.ts";
 export { ResetDetector } from "./reset_detector.ts";
+export { ResponseMatcher } from "./response_matcher.ts";
+export type {
+  MismatchReason,
+  ResponseClaim,
+  ResponseMatch,
+} from "./response_matcher.ts";
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -7,7 +7,11 @@
 } from "@banyanspool/platform-adapter/testing";
 import { type Random, sleep } from "@banyanspool/types";
 import { pick } from "./schedule.ts";
-import { parseStreamEvents, STREAM_EVENTS } from "./stream_events.ts";
+import {
+  parseStreamEvents,
+  STREAM_EVENTS,
+  STREAMING_ROUTES,
+} from "./stream_events.ts";
 import { LIMITED_KEY, type SoakFleet } from "./soak_fleet.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
 
@@ -31,7 +35,7 @@
 const MAX_PAUSE_MS = 40;
 /** Attempts to take up one stream. */
 const MAX_RESUMPTIONS = 3;
-const ROUTES = ["book", "look", "open", "chat"] as const;
+const ROUTES = ["book", "look", "open", "chat", "draft"] as const;
 const ADAPTER_SHARE = 0.3;
 const PLAIN_MODELS = ["m1", "m2"];
 /** More adapters than all replicas together can hold. */
@@ -149,7 +153,7 @@
 ): GatewayRequest {
   const route = pick(ROUTES, random);
   const key = random() < 0.5 ? keys[0] : pick(keys, random);
-  const isModelCall = route === "chat";
+  const isModelCall = STREAMING_ROUTES.has(route);
   return {
     id,
     route,
--- a/packages/soak/src/commands/soak.ts
+++ b/packages/soak/src/commands/soak.ts
@@ -48,7 +48,7 @@
       "defect to inject: runTwice, passKeyOn, oldConfiguration, waitsOnly, " +
       "ignoreVersion, guessVersion, versionAlone, fenceFromStore, " +
       "ignoreEpoch, issueAlone, countAlone, " +
-      "forgetRepeats, ignoreLeaving or ignorePause",
+      "forgetRepeats, ignoreLeaving, ignorePause or trustResponses",
   });
 
   /** Runs all seeds; the exit code is 1 if any of them has violations. */
--- a/packages/soak/src/injected_fault.ts
+++ b/packages/soak/src/injected_fault.ts
@@ -24,7 +24,9 @@
   /** What a replica says of its leaving is ignored. */
   | "ignoreLeaving"
   /** The time for which a replica turns requests away is ignored. */
-  | "ignorePause";
+  | "ignorePause"
+  /** What comes on a connection is taken for the answer that is waited for. */
+  | "trustResponses";
 
 /** Environment variable that passes an injected defect to a gateway. */
 export const INJECTED_FAULT_VARIABLE = "BANYANSPOOL_SOAK_PLANTED";
--- a/packages/soak/src/invariant_checker.ts
+++ b/packages/soak/src/invariant_checker.ts
@@ -6,7 +6,11 @@
   guaranteesNotRun,
   PLAIN_TOKENS,
 } from "@banyanspool/platform-adapter/testing";
-import { parseStreamEvents, STREAM_EVENTS } from "./stream_events.ts";
+import {
+  parseStreamEvents,
+  STREAM_EVENTS,
+  STREAMING_ROUTES,
+} from "./stream_events.ts";
 import { type LimitedRun, TokenWindow } from "./token_window.ts";
 
 /** A violated invariant. */
@@ -21,7 +25,7 @@
 export interface SentRequest {
   /** Unique request id; the replica reports it for each run. */
   readonly id: string;
-  /** Route name; `book` alone is not idempotent, `open` needs no key. */
+  /** Route name; `book` and `draft` are not idempotent, `open` needs no key. */
   readonly route: string;
   /** API key; undefined if the request was sent without one. */
   readonly key?: string;
@@ -84,6 +88,8 @@
   readonly tokens: number;
 }
 
+/** Routes whose requests may run at most once. */
+const ROUTES_RUN_ONCE: ReadonlySet<string> = new Set(["book", "draft"]);
 /** Span in which the requests of a replica with a limit are counted. */
 const LIMIT_WINDOW_MS = 4000;
 /** Multiple of the limit, and further requests, that a span may have. */
@@ -220,7 +226,7 @@
       const detail = `${received.id} ran for "${received.organisation}"`;
       this.#fail("a request runs for the organisation of its key", detail);
     }
-    if (request.route === "book" && runs.length > 1) {
+    if (ROUTES_RUN_ONCE.has(request.route) && runs.length > 1) {
       const replicas = runs.map((run) => run.replica).join(", ");
       this.#fail(
         "a non-idempotent request runs at most once",
@@ -320,14 +326,15 @@
     const { status, isComplete, stamp, text, isLeaving } = response;
     if (isLeaving) this.#recordLeaving(id, stamp);
     this.#checkNotRun(id);
-    if (status === 200 && this.#requests.get(id)?.route === "chat") {
+    const isStream = STREAMING_ROUTES.has(this.#requests.get(id)?.route ?? "");
+    if (status === 200 && isStream) {
       this.#checkStream(id, response);
     }
     if (status !== 200 || !isComplete) return;
     const runs = this.#runs.get(id) ?? [];
     const hasRun = runs.some(({ replica }) => stamp === `stamp-of-${replica}`);
     if (!hasRun) this.#fail("a replica sends each 200", `${id}: ${stamp}`);
-    if (this.#requests.get(id)?.route === "chat") return;
+    if (isStream) return;
     const parts = text.match(/\S+ (begins|ends)/g) ?? [];
     if (parts.join() !== `${id} begins,${id} ends`) {
       this.#fail(
@@ -392,8 +399,8 @@
   #checkNotRun(id: string): void {
     const res = this.#responses.get(id);
     const runs = this.#runs.get(id);
-    const isIdempotent = this.#requests.get(id)?.route !== "book";
-    if (!res || !runs || isIdempotent || !guaranteesNotRun(res)) return;
+    const runsOnce = ROUTES_RUN_ONCE.has(this.#requests.get(id)?.route ?? "");
+    if (!res || !runs || !runsOnce || !guaranteesNotRun(res)) return;
     this.#fail(
       "a request reported as not run has not run",
       `${id} got ${res.status}`,
--- a/packages/soak/src/planted_schedule.ts
+++ b/packages/soak/src/planted_schedule.ts
@@ -1,5 +1,6 @@
 import type { InjectedFault } from "./injected_fault.ts";
 import type { FaultStep } from "./schedule.ts";
+import { REPLICA_SERVICES } from "./soak_fleet.ts";
 
 type Step = Pick<FaultStep, "atMs" | "durationMs" | "kind" | "target">;
 
@@ -77,6 +78,13 @@
       ];
     case "ignorePause":
       return [{ atMs: 0, durationMs: 3000, kind: "replicaPause", target: 0 }];
+    case "trustResponses":
+      return REPLICA_SERVICES.map((_, target) => ({
+        atMs: 0,
+        durationMs: 8000,
+        kind: "replicaRepeats",
+        target,
+      }));
     default:
       return EARLY_WITHDRAWALS;
   }
--- a/packages/soak/src/preload.ts
+++ b/packages/soak/src/preload.ts
@@ -18,6 +18,7 @@
 import { StoreClient } from "@banyanspool/platform-adapter";
 import { SlidingWindowLimiter } from "@banyanspool/limits";
 import { ReplicaPauses, ReplicaPermits } from "@banyanspool/replica-limits";
+import { ResponseMatcher } from "@banyanspool/responses";
 import { ReplicaTracker } from "@banyanspool/routing";
 import { StreamOrigins } from "@banyanspool/streams";
 import { ok } from "@banyanspool/types";
@@ -90,6 +91,10 @@
     case "ignorePause":
       ReplicaPauses.prototype.record = () => {};
       return;
+    case "trustResponses":
+      ResponseMatcher.prototype.match = (_id, { notRun }) =>
+        notRun ? { kind: "notRun", mayReuse: true } : { kind: "answer" };
+      return;
   }
 }
 
--- a/packages/soak/src/replica_faults.ts
+++ b/packages/soak/src/replica_faults.ts
@@ -56,3 +56,27 @@
   replica.isLeaving = false;
   await fleet.replaceReplica(replica);
 }
+
+/** Each how many responses of a replica that repeats them come twice. */
+const REPEATED_EVERY = 2;
+
+/**
+ * Lets a replica turn some requests away, and send a second copy of some of its
+ * responses, late.
+ */
+export async function repeatResponses(
+  { target, durationMs }: FaultStep,
+  { fleet }: Run,
+): Promise<void> {
+  const replica = fleet.replicas[target]!;
+  const { standin } = replica;
+  let responses = 0;
+  standin.repeats = () => {
+    responses += 1;
+    return responses % REPEATED_EVERY === 0;
+  };
+  replica.isRepeating = true;
+  await sleep(durationMs);
+  replica.isRepeating = false;
+  standin.repeats = () => false;
+}
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -8,7 +8,11 @@
 import { parseStreamEvents } from "./stream_events.ts";
 import type { InjectedFault } from "./injected_fault.ts";
 import { createPlantedSchedule } from "./planted_schedule.ts";
-import { leaveByWord, repeatCrashingRequest } from "./replica_faults.ts";
+import {
+  leaveByWord,
+  repeatCrashingRequest,
+  repeatResponses,
+} from "./replica_faults.ts";
 import { drawSchedule, type FaultStep } from "./schedule.ts";
 import { REPLICA_SERVICES, SoakFleet, type SoakGateway } from "./soak_fleet.ts";
 import { InvariantChecker, type Violation } from "./invariant_checker.ts";
@@ -215,6 +219,8 @@
         fleet.replicas[target]!,
         durationMs + MIN_LIMIT_MS,
       );
+    case "replicaRepeats":
+      return await repeatResponses(step, run);
     case "replicaLink":
       fleet.replicas[target]!.proxy.injectFault(linkFault);
       await sleep(durationMs);
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -52,6 +52,8 @@
   | "replicaLeaving"
   /** Lets a replica turn requests away, and name a time for it. */
   | "replicaPause"
+  /** Lets a replica send second copies of responses, late. */
+  | "replicaRepeats"
   /** Lets a replica limit its requests; the limit is kept for some seconds. */
   | "replicaLimit"
   /** Drains a replica and replaces it by a new one. */
@@ -121,6 +123,7 @@
   "replicaLeaving",
   "replicaPause",
   "replicaLimit",
+  "replicaRepeats",
   "replicaDrain",
   "lateOrders",
   "withdrawKey",
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -53,6 +53,8 @@
   isLeaving: boolean;
   /** Whether it turns requests away for a time. */
   isPaused: boolean;
+  /** Whether it turns some requests away and sends responses twice. */
+  isRepeating: boolean;
   /** Whether it has crashed and isn't back yet. */
   isCrashed: boolean;
   /** Requests a second that it takes, while it limits them. */
@@ -118,6 +120,8 @@
 const CRASHED_MS = 1500;
 /** Time for which a paused replica wants nothing, in seconds. */
 const PAUSE_S = 3;
+/** Each how many requests a replica that repeats responses turns away. */
+const REJECTED_EVERY = 3;
 /** Time between two parts of a response. */
 const RESPONSE_GAP_MS = 20;
 
@@ -389,6 +393,7 @@
       isDraining: false,
       isLeaving: false,
       isPaused: false,
+      isRepeating: false,
       isCrashed: false,
     };
     this.replicas.push(replica);
@@ -407,6 +412,7 @@
     >,
     holds: readonly string[] = [],
   ): Promise<ReplicaStandin> {
+    let requests = 0;
     return await ReplicaStandin.create({
       id,
       service,
@@ -425,6 +431,14 @@
           res.writeHead(503).end();
           return;
         }
+        if (replica?.isRepeating) {
+          requests += 1;
+          if (requests % REJECTED_EVERY === 0) {
+            if (requests % 2 === 0) res.removeHeader("request-id");
+            res.writeHead(503, { "not-executed": "1" }).end();
+            return;
+          }
+        }
         checker.recordRun(received, id, now());
         if (replica && received.target.includes("/fatal-")) {
           checker.recordCrash(received, now());
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -36,6 +36,7 @@
   ignoreLeaving: "a replica that says that it leaves receives no requests",
   ignorePause:
     "a replica that turns requests away for a time gets none until then",
+  trustResponses: "a non-idempotent request runs at most once",
 } as const;
 
 for (
@@ -54,6 +55,7 @@
     "forgetRepeats",
     "ignoreLeaving",
     "ignorePause",
+    "trustResponses",
   ] as const
 ) {
   test.serial(`the injected defect ${fault} is detected`, async (t) => {
--- a/packages/soak/src/stream_events.ts
+++ b/packages/soak/src/stream_events.ts
@@ -1,6 +1,12 @@
 /** Number of events in a stream of the stand-in replicas. */
 export const STREAM_EVENTS = 6;
 
+/** Routes whose responses are streams; only those of `chat` may be resumed. */
+export const STREAMING_ROUTES: ReadonlySet<string> = new Set([
+  "chat",
+  "draft",
+]);
+
 /** An event of a stream, as a stand-in replica wrote it. */
 export interface StreamEvent {
   /** Position in the stream, from 1. */
