Requests: connections on which a replica is silent are retired

Cause: only the connection of the request that got no answer was closed; the pool gave the others to the next requests.

Change: a request that ends after half a second or more, in which the replica sent nothing on any connection, retires the connections that are open. Requests in flight on them go on.

--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -90,6 +90,17 @@
     return connections;
   }
 
+  /**
+   * Takes connections out of use, as open ones may have gone silent without
+   * notice. Requests in flight on them are completed.
+   */
+  retire(server: BackendServer, used: ReplicaConnections): void {
+    const key = poolKey(server);
+    if (this.#pools.get(key) !== used) return;
+    this.#pools.delete(key);
+    used.pool.close().catch(() => {});
+  }
+
   /**
    * Returns connections for orders to a replica's engine and reads of its reports.
    * Their responses have no ids, so a late copy of one must not come where a
--- a/packages/gateway/src/read_guard.ts
+++ b/packages/gateway/src/read_guard.ts
@@ -15,6 +15,7 @@
   readonly #unproductiveBytes: WeakMap<Socket, number> = new WeakMap();
   #lastRead: { readonly socket: Socket; readonly bytes: number } | undefined;
   #lastSocket: Socket | undefined;
+  #reads = 0;
 
   private constructor() {}
 
@@ -31,6 +32,11 @@
     return this.#lastSocket;
   }
 
+  /** Number of reads from all connections that returned bytes. */
+  get reads(): number {
+    return this.#reads;
+  }
+
   /** Counts the bytes that are read from a connection. */
   watch(socket: Socket): void {
     const read = socket.read.bind(socket);
@@ -39,6 +45,7 @@
       const chunk = read(size);
       this.#lastSocket = socket;
       if (chunk instanceof Buffer) {
+        this.#reads += 1;
         this.#lastRead = { socket, bytes: chunk.length };
       }
       return chunk;
--- a/packages/gateway/src/run_attempts_test.ts
+++ b/packages/gateway/src/run_attempts_test.ts
@@ -143,8 +143,9 @@
     }),
     crashWatch: { recordCutOff: ignore },
     pools: {
+      retire: ignore,
       forReplica: ({ id }: BackendServer) => ({
-        readGuard: { recordProgress: ignore },
+        readGuard: { recordProgress: ignore, reads: 0 },
         resetDetector: { isReset: false },
         currentMatcher: ResponseMatcher.create,
         pool: {
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -46,6 +46,11 @@
   readonly signal: AbortSignal;
 }
 
+/**
+ * Time without a byte from a replica, in ms, after which its open connections are
+ * no longer used.
+ */
+const MIN_SILENCE_MS = 500;
 /** Engine priorities range from 0, the highest, to 9. */
 const LOWEST_ENGINE_PRIORITY = 9;
 
@@ -60,8 +65,10 @@
   if (signal.aborted) return { kind: "superseded" };
   const sentAt = ctx.clock.now();
   const replica = incarnationOf(selection.server);
+  const connections = ctx.pools.forReplica(selection.server);
+  const readsBefore = connections.readGuard.reads;
   const call = ReplicaCall.create({
-    connections: ctx.pools.forReplica(selection.server),
+    connections,
     origin: `http://${selection.server.address}`,
     method: scope.req.method ?? "GET",
     target: scope.caller.target,
@@ -90,6 +97,10 @@
       ctx.replicaTracker.markUnreachable(selection.server.id);
     }
     return outcomeOfFailure(scope, callError);
+  } finally {
+    const isSilent = connections.readGuard.reads === readsBefore &&
+      ctx.clock.now() - sentAt >= MIN_SILENCE_MS;
+    if (isSilent) ctx.pools.retire(selection.server, connections);
   }
 }
 
