Exchange: a gateway that starts again is heard and followed at once

Cause: the order of two lives of a process was taken from the wall clock of their starts alone, and that of a holder's messages from a count that began at 0 in each life. Ruled out: that the fencing token tells the lives apart (it is kept within a lease).

Change: a lower incarnation is accepted once the last one is silent; the count of a life begins at its start, and a view begins anew with each life.

Tests: peer_exchange_test.ts (red before) and two in held_models_test.ts, which could not be written against the old interface.

--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -92,7 +92,7 @@
   readonly #peers: PeerExchange;
   readonly #demand: FleetDemandTable;
   readonly #holder: PlacementHolder;
-  readonly #heldModels: HeldModelsPublisher = HeldModelsPublisher.create();
+  readonly #heldModels: HeldModelsPublisher;
   readonly #knownModels: HeldModelsView = HeldModelsView.create();
   /** Version of the lease holder's models that each gateway knows. */
   readonly #knownByPeer: Map<string, { token: bigint; version: bigint }> =
@@ -110,9 +110,13 @@
     this.#demand = FleetDemandTable.create({ clock: ctx.clock });
     this.#holder = PlacementHolder.create({ clock: ctx.clock });
     const { host, port } = splitAddress(cfg.peer_listen);
+    const incarnation = ctx.clock.wall();
+    this.#heldModels = HeldModelsPublisher.create({
+      firstVersion: incarnation,
+    });
     this.#peers = PeerExchange.create({
       instance: cfg.instance,
-      incarnation: Date.now(),
+      incarnation,
       host,
       port,
       clock: createSystemClock(),
@@ -568,7 +572,8 @@
       new Map(heldModels.loads.map((load) => [load.model, load.readyInMs])),
     );
     const versionBefore = this.#knownModels.version;
-    if (!this.#knownModels.apply(heldModels)) return;
+    const publisher = `${instance} ${state.incarnation}`;
+    if (!this.#knownModels.apply(heldModels, publisher)) return;
     ctx.replicaTracker.updateAvailableModels(this.#knownModels.replicas);
     if (this.#knownModels.version !== versionBefore || isNewHolder) {
       ctx.fleet.changed.notify();
--- a/packages/gateway/src/held_models.ts
+++ b/packages/gateway/src/held_models.ts
@@ -30,18 +30,26 @@
  */
 export class HeldModelsPublisher {
   readonly #replicas: Map<string, PublishedReplica> = new Map();
-  #version = 0;
+  #version: number;
   /** Changes since an older version are no longer complete. */
-  #completeSince = 0;
+  #completeSince: number;
 
-  private constructor() {}
+  private constructor(firstVersion: number) {
+    this.#version = firstVersion;
+    this.#completeSince = firstVersion;
+  }
 
-  /** Creates a publisher without replicas. */
-  static create(): HeldModelsPublisher {
-    return new HeldModelsPublisher();
+  /**
+   * Creates a publisher without replicas. Versions are counted from
+   * `firstVersion`, which is above those of the process's earlier lives.
+   */
+  static create(
+    { firstVersion = 0 }: { firstVersion?: number } = {},
+  ): HeldModelsPublisher {
+    return new HeldModelsPublisher(firstVersion);
   }
 
-  /** Newest version; 0 if nothing was published. */
+  /** Newest version. */
   get version(): number {
     return this.#version;
   }
@@ -98,7 +106,10 @@
   changesSince(
     version: number,
   ): Pick<HeldModels, "version" | "baseVersion" | "replicas"> {
-    const baseVersion = version < this.#completeSince ? 0 : version;
+    // A version above the newest one is from an earlier life, before which the
+    // wall clock was set back.
+    const isKnown = version >= this.#completeSince && version <= this.#version;
+    const baseVersion = isKnown ? version : 0;
     const replicas: ReplicaHoldings[] = [];
     if (baseVersion === this.#version) return this.#describe(version, replicas);
     for (const published of this.#replicas.values()) {
@@ -142,6 +153,7 @@
 /** Available models as a gateway knows them from the lease holder's messages. */
 export class HeldModelsView {
   #fencingToken = 0n;
+  #publisher: string | undefined;
   #version = 0n;
   #replicas: Map<string, AvailableModels> = new Map();
   /**
@@ -180,14 +192,19 @@
   }
 
   /**
-   * Applies a message. Returns false if it can't be applied, because the view
-   * lacks changes before the message's base or the message is older.
+   * Applies a message of a publisher, which is named with its incarnation: a
+   * holder that starts again within its lease counts versions anew. Returns false
+   * if the message can't be applied, because the view lacks changes before its
+   * base or the message is older.
    */
-  apply(message: HeldModels): boolean {
+  apply(message: HeldModels, publisher: string): boolean {
     const { fencingToken, version, baseVersion, replicas } = message;
     if (fencingToken < this.#fencingToken) return false;
-    if (fencingToken > this.#fencingToken) {
+    if (
+      fencingToken > this.#fencingToken || publisher !== this.#publisher
+    ) {
       this.#fencingToken = fencingToken;
+      this.#publisher = publisher;
       this.#version = 0n;
       for (const [id, models] of this.#replicas) this.#earlier.set(id, models);
       this.#replicas = new Map();
--- a/packages/gateway/src/held_models_test.ts
+++ b/packages/gateway/src/held_models_test.ts
@@ -8,6 +8,7 @@
 } from "./held_models.ts";
 
 const SEED = 20_261_204;
+const PUBLISHER = "gateway-1 1";
 
 function message(
   publisher: HeldModelsPublisher,
@@ -38,11 +39,11 @@
   const publisher = HeldModelsPublisher.create();
   const view = HeldModelsView.create();
   publisher.update([models("r1", ["a"]), models("r2", ["b"])]);
-  view.apply(message(publisher, view.version));
+  view.apply(message(publisher, view.version), PUBLISHER);
   publisher.update([models("r1", ["a", "c"]), models("r2", ["b"])]);
   const change = message(publisher, view.version);
   t.deepEqual(change.replicas.map(({ replica }) => replica), ["r1"]);
-  t.true(view.apply(change));
+  t.true(view.apply(change, PUBLISHER));
   t.deepEqual(contents(view), [models("r1", ["a", "c"]), models("r2", ["b"])]);
 });
 
@@ -50,11 +51,11 @@
   const publisher = HeldModelsPublisher.create();
   const view = HeldModelsView.create();
   publisher.update([models("r1", ["a"])]);
-  t.true(view.apply(message(publisher, 0n, 2n)));
-  t.false(view.apply(message(publisher, 0n, 1n)));
+  t.true(view.apply(message(publisher, 0n, 2n), PUBLISHER));
+  t.false(view.apply(message(publisher, 0n, 1n), PUBLISHER));
   publisher.update([models("r1", ["a", "b"])]);
   publisher.update([models("r1", ["b"])]);
-  t.false(view.apply(message(publisher, 2n, 2n)));
+  t.false(view.apply(message(publisher, 2n, 2n), PUBLISHER));
   t.deepEqual(contents(view), [models("r1", ["a"])]);
 });
 
@@ -88,7 +89,10 @@
         } else if (next.kind === "send") {
           inTransit.push(message(publisher, acknowledged));
         } else if (inTransit.length > 0) {
-          view.apply(inTransit[next.index % inTransit.length]!);
+          view.apply(
+            inTransit[next.index % inTransit.length]!,
+            PUBLISHER,
+          );
           acknowledged = view.version;
         }
         const known = published[Number(view.version)] ?? [];
@@ -96,7 +100,7 @@
           return false;
         }
       }
-      view.apply(message(publisher, view.version));
+      view.apply(message(publisher, view.version), PUBLISHER);
       return Number(view.version) === published.length - 1;
     }),
     { seed: SEED, numRuns: 1000 },
@@ -118,10 +122,10 @@
   const first = HeldModelsPublisher.create();
   const view = HeldModelsView.create();
   first.update([models("r1", ["a"]), models("r2", ["b"])]);
-  view.apply(message(first, 0n, 1n));
+  view.apply(message(first, 0n, 1n), PUBLISHER);
   const second = HeldModelsPublisher.create();
   second.update([models("r1", ["c"])]);
-  t.true(view.apply(message(second, 0n, 2n)));
+  t.true(view.apply(message(second, 0n, 2n), PUBLISHER));
   t.deepEqual(contents(view), [models("r1", ["c"]), models("r2", ["b"])]);
 });
 
@@ -129,12 +133,12 @@
   const publisher = HeldModelsPublisher.create();
   const view = HeldModelsView.create();
   publisher.update([models("r0", ["a"])]);
-  view.apply(message(publisher, 0n));
+  view.apply(message(publisher, 0n), PUBLISHER);
   const acknowledged = view.version;
   for (let i = 1; i <= 3000; i += 1) publisher.update([models(`r${i}`, ["a"])]);
   const change = message(publisher, acknowledged);
   t.true(change.replicas.length <= 101);
-  t.true(view.apply(change));
+  t.true(view.apply(change, PUBLISHER));
   t.deepEqual(contents(view), [models("r3000", ["a"])]);
 });
 
@@ -142,8 +146,28 @@
   const first = HeldModelsPublisher.create();
   const view = HeldModelsView.create();
   first.update([models("r1", ["a"]), models("r2", ["b"])]);
-  view.apply(message(first, 0n, 1n));
-  view.apply(message(HeldModelsPublisher.create(), 0n, 2n));
+  view.apply(message(first, 0n, 1n), PUBLISHER);
+  view.apply(message(HeldModelsPublisher.create(), 0n, 2n), PUBLISHER);
   view.retainEarlier(new Set(["r2"]));
   t.deepEqual(contents(view), [models("r2", ["b"])]);
 });
+
+for (
+  const [clock, firstVersion] of [["on", 2000], ["set back", 500]] as const
+) {
+  // Its messages were skipped until it had published as often as before.
+  test(`a holder that starts again within its lease is followed at once, its clock ${clock}`, (t) => {
+    const view = HeldModelsView.create();
+    const before = HeldModelsPublisher.create({ firstVersion: 1000 });
+    before.update([models("r1", ["a"])]);
+    before.update([models("r1", ["a", "b"])]);
+    t.true(view.apply(message(before, 0n), PUBLISHER));
+    const after = HeldModelsPublisher.create({ firstVersion });
+    after.update([models("r1", ["c"])]);
+    t.true(view.apply(message(after, view.version), "gateway-1 2"));
+    t.deepEqual(contents(view), [models("r1", ["c"])]);
+    after.update([models("r1", ["c", "d"])]);
+    t.true(view.apply(message(after, view.version), "gateway-1 2"));
+    t.deepEqual(contents(view), [models("r1", ["c", "d"])]);
+  });
+}
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -312,6 +312,17 @@
     this.#socket.send(bytes, this.#options.port, host);
   }
 
+  /**
+   * Whether a report is older than the last one. A lower incarnation is that of a
+   * later start if the last one is silent: the wall clock was set back between.
+   */
+  #isOutdated(state: GatewayState, known: PeerState): boolean {
+    if (state.incarnation === known.incarnation) {
+      return state.sequence <= known.sequence;
+    }
+    return state.incarnation < known.incarnation && this.#isResponsive(known);
+  }
+
   #receive(bytes: Uint8Array, host: string): void {
     const { onState, onDatagram, log, clock } = this.#options;
     let state: GatewayState;
@@ -328,7 +339,7 @@
       return;
     }
     const known = this.#peers.get(state.instance);
-    if (known && isOlder(state, known)) return;
+    if (known && this.#isOutdated(state, known)) return;
     const now = clock.now();
     const isNew = known?.incarnation !== state.incarnation;
     if (!known?.isLive || now - known.lastReceivedAt > LOST_AFTER_MS) {
@@ -352,10 +363,3 @@
     if (isNew) this.announceTo(state.instance);
   }
 }
-
-function isOlder(state: GatewayState, known: PeerState): boolean {
-  if (state.incarnation !== known.incarnation) {
-    return state.incarnation < known.incarnation;
-  }
-  return state.sequence <= known.sequence;
-}
--- a/packages/gateway/src/peer_exchange_test.ts
+++ b/packages/gateway/src/peer_exchange_test.ts
@@ -1,7 +1,30 @@
 import test from "ava";
 import { createSystemClock } from "@banyanspool/types";
-import { PeerExchange } from "./peer_exchange.ts";
-import { findFreePort } from "./testing/running_gateway.ts";
+import { type GatewayReport, PeerExchange } from "./peer_exchange.ts";
+import { findFreePort, waitFor } from "./testing/running_gateway.ts";
+
+const SILENT_LOG = { write: () => {}, dropped: () => 0, flush: () => {} };
+const REPORT = {
+  configurationVersion: 1n,
+  configurationEpoch: 0,
+  leaving: false,
+  loads: [],
+  use: [],
+  demand: [],
+  news: [],
+  knowsWindow: true,
+  suspected: [],
+  knownFencingToken: 0n,
+  knownHeldVersion: 0n,
+  listDigest: 0n,
+  crashes: [],
+  completions: [],
+  quarantined: [],
+  dataCentre: "north",
+  streamNeeds: [],
+  replicaLimits: [],
+  leavingReplicas: [],
+} satisfies GatewayReport;
 
 test("an exchange whose port is in use fails to start", async (t) => {
   const port = await findFreePort();
@@ -26,3 +49,50 @@
   t.teardown(() => first!.close());
   await t.throwsAsync(() => second!.listen(), { code: "EADDRINUSE" });
 });
+
+// Its reports were ignored for a minute, and its use of rate limits with them.
+test("a gateway that starts again with an earlier wall clock is heard once its earlier life is silent", async (t) => {
+  const port = await findFreePort();
+  let nowMs = 0;
+  const heard: bigint[] = [];
+  let received = 0;
+  const start = async (host: string, incarnation: number) => {
+    const exchange = PeerExchange.create({
+      instance: host,
+      incarnation,
+      host,
+      port,
+      clock: { now: () => nowMs, wall: () => nowMs },
+      log: SILENT_LOG,
+      buildReport: () => REPORT,
+      buildPeerReport: () => undefined,
+      onState: ({ incarnation }) => {
+        if (host === "127.0.0.1") heard.push(incarnation);
+      },
+      onMessage: () => {},
+      onDatagram: (direction) => {
+        if (host === "127.0.0.1" && direction === "received") received += 1;
+      },
+    });
+    await exchange.listen();
+    return exchange;
+  };
+  const listener = await start("127.0.0.1", 1);
+  t.teardown(() => listener.close());
+  const before = await start("127.0.0.2", 100);
+  before.addPeer("127.0.0.1", "127.0.0.1");
+  before.announce();
+  // Its report, and another one in reply to the listener's first.
+  await waitFor(() => received === 2);
+  before.close();
+  const after = await start("127.0.0.2", 50);
+  t.teardown(() => after.close());
+  after.addPeer("127.0.0.1", "127.0.0.1");
+  after.announce();
+  await waitFor(() => received === 3);
+  t.false(heard.includes(50n), "it may be a late datagram of an earlier life");
+  nowMs = 600;
+  after.announce();
+  await waitFor(() => heard.includes(50n));
+  t.pass();
+});
