Metrics: the delay of the event loop is observed and logged

The delay of the timer of periodic reports is a histogram now, and a log line from 0.25 s on. A timer of its own would wake the process more often; what ran meanwhile isn't told.

--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -81,6 +81,9 @@
 const MIN_ANNOUNCE_GAP_MS = 5;
 /** Added to that time for each peer, in ms. */
 const ANNOUNCE_GAP_PER_PEER_MS = 1;
+/** Delay of the event loop that is logged, in ms. */
+const LONG_DELAY_MS = 250;
+const MS_PER_S = 1000;
 const NO_DEMAND = { fastReplicas: 0, slowReplicas: 0, waiting: 0 };
 
 /**
@@ -212,14 +215,25 @@
 
   /** Sends reports periodically until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options.ctx;
     while (!signal.aborted) {
       this.announce();
       this.#peers.expirePeers();
       this.#forgetAbsent();
+      const dueAt = clock.now() + this.#peers.intervalMs;
       await sleep(this.#peers.intervalMs, signal).catch(() => {});
+      if (!signal.aborted) this.#recordDelay(clock.now() - dueAt);
     }
   }
 
+  /** Records by how much a timer was late, as whatever ran kept it waiting. */
+  #recordDelay(delayMs: number): void {
+    const { metrics, log } = this.#options.ctx;
+    metrics.eventLoopDelay.observe(Math.max(0, delayMs) / MS_PER_S);
+    if (delayMs < LONG_DELAY_MS) return;
+    log.write("event loop delayed", { delay_ms: Math.round(delayMs) });
+  }
+
   #forgetAbsent(): void {
     const { registry } = this.#options;
     this.#knownModels.retainEarlier(
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -26,6 +26,8 @@
   readonly firstByte: Histogram;
   /** Time that requests waited for a replica. */
   readonly wait: Histogram;
+  /** Delay of a timer of the event loop, beyond its time. */
+  readonly eventLoopDelay: Histogram;
   /** Store calls by call and outcome. */
   readonly storeCalls: Counter;
   /** Load and unload orders to engines by operation and outcome. */
@@ -70,6 +72,11 @@
       "route",
     ]);
     this.wait = histogram("gateway_wait_seconds", "Wait for a replica", []);
+    this.eventLoopDelay = histogram(
+      "event_loop_delay_seconds",
+      "Delay of a periodic timer",
+      [],
+    );
     this.storeCalls = counter("store_calls_total", "Store calls", [
       "call",
       "outcome",
