Logs: unreadable lines are counted, prefixed ones are read, and slow causes told apart

Operators saw "0 of 0 requests" and exit code 0 for a log of which no line could be read; lines with a time or an instance before their JSON, as collectors write them, were skipped without a word; and "slower than predicted" stood for a replica that sent nothing, one that began late and a stream that was slow.

Cause: a line was JSON from its first character or dropped, and only one of the two commands knew how many were.

Change: a line is read from its first brace; both commands read logs the same way, count what they skip, and end with an error that names a file without a structured line. The cause is no response, late first byte or slow stream.

Tests: two in logs_test.ts and one in follow_request_test.ts, which takes the place of the count that followRequest returned.

--- a/packages/audit/src/attribute_causes.ts
+++ b/packages/audit/src/attribute_causes.ts
@@ -6,7 +6,12 @@
   | "rate limit short of the rate"
   | "model not resident"
   | "replicas full"
-  | "slower than predicted"
+  /** The replica sent nothing. */
+  | "no response"
+  /** The response began too late. */
+  | "late first byte"
+  /** It began in time and without a long pause, and didn't end in time. */
+  | "slow stream"
   | "pause in the stream"
   | "replica lost"
   | "gateway restarted"
@@ -154,13 +159,17 @@
   if (
     typeof firstByteMs === "number" && !isOver(firstByteMs, fields.target_ms)
   ) {
-    return "pause in the stream";
+    return isOver(fields.longest_pause_ms, fields.pause_target_ms)
+      ? "pause in the stream"
+      : "slow stream";
   }
   const tookMs = typeof firstByteMs === "number"
     ? firstByteMs
     : numberOf(line, "took_ms");
   const hasWaited = numberOf(line, "waited_ms") > tookMs * WAITED_SHARE;
-  if (!hasWaited) return "slower than predicted";
+  if (!hasWaited) {
+    return typeof firstByteMs === "number" ? "late first byte" : "no response";
+  }
   return aroundCause(line, surroundings) ?? "model not resident";
 }
 
--- a/packages/audit/src/attribute_causes_test.ts
+++ b/packages/audit/src/attribute_causes_test.ts
@@ -42,11 +42,15 @@
       request(5000, "answered", { ...late, waited_ms: 800 }),
       request(6000, "answered", { ...late, waited_ms: 0 }),
       request(7000, "answered", { first_byte_ms: 50, longest_pause_ms: 300 }),
+      request(8000, "left", { first_byte_ms: 50, longest_pause_ms: 90 }),
+      request(9000, "deadline_passed", { took_ms: 500 }),
     ]),
     [
       "late: model not resident",
-      "late: slower than predicted",
+      "late: late first byte",
       "late: pause in the stream",
+      "cut off: slow stream",
+      "failed: no response",
     ],
   );
 });
--- a/packages/audit/src/follow_request.ts
+++ b/packages/audit/src/follow_request.ts
@@ -16,8 +16,6 @@
   readonly own: readonly EventLine[];
   /** State changes that may have affected the request, in order of time. */
   readonly around: readonly EventLine[];
-  /** Number of lines that could not be parsed. */
-  readonly unreadable: number;
 }
 
 /** State changes are included from this long before the request. */
@@ -45,11 +43,16 @@
   "placement lease lost",
 ]);
 
-/** Parses one line of a log; undefined if it is not a structured line. */
+/**
+ * Parses one line of a log, which may begin with what a log collector puts before
+ * it, such as a time; undefined if it is not a structured line.
+ */
 export function parseEventLine(text: string): EventLine | undefined {
+  const start = text.indexOf("{");
+  if (start < 0) return undefined;
   let value: unknown;
   try {
-    value = JSON.parse(text);
+    value = JSON.parse(text.slice(start));
   } catch {
     return undefined;
   }
@@ -69,24 +72,16 @@
  */
 export function followRequest(
   id: string,
-  lines: Iterable<string>,
+  lines: Iterable<EventLine>,
 ): RequestTrail {
-  const events: EventLine[] = [];
-  let unreadable = 0;
-  for (const text of lines) {
-    if (text.trim() === "") continue;
-    const line = parseEventLine(text);
-    if (line) events.push(line);
-    else unreadable += 1;
-  }
-  events.sort((a, b) => a.time - b.time);
+  const events = [...lines].sort((a, b) => a.time - b.time);
   const own = events.filter(({ fields }) => fields.id === id);
-  if (own.length === 0) return { own, around: [], unreadable };
+  if (own.length === 0) return { own, around: [] };
   const subject = collectSubject(own);
   const around = events.filter((line) =>
     line.fields.id === undefined && isRelated(line, subject)
   );
-  return { own, around, unreadable };
+  return { own, around };
 }
 
 interface RequestSubject {
--- a/packages/audit/src/follow_request_test.ts
+++ b/packages/audit/src/follow_request_test.ts
@@ -1,15 +1,26 @@
 import test from "ava";
-import { followRequest } from "./follow_request.ts";
+import {
+  type EventLine,
+  followRequest,
+  parseEventLine,
+} from "./follow_request.ts";
 
 function line(
   time: number,
   event: string,
   fields: Record<string, unknown> = {},
-): string {
-  return JSON.stringify({ level: 30, time, instance: "g-1", event, ...fields });
+): EventLine {
+  const text = JSON.stringify({
+    level: 30,
+    time,
+    instance: "g-1",
+    event,
+    ...fields,
+  });
+  return parseEventLine(text)!;
 }
 
-function events(lines: string[]): string[] {
+function events(lines: EventLine[]): string[] {
   return followRequest("r1", lines).around.map(({ event }) => event);
 }
 
@@ -73,15 +84,14 @@
   );
 });
 
-test("lines that are not JSON are counted and skipped", (t) => {
-  const { own, unreadable } = followRequest("r1", [
-    REQUEST,
-    "ready g-1",
-    '{"half":',
-    "",
-  ]);
-  t.is(own.length, 1);
-  t.is(unreadable, 2);
+test("lines that aren't structured are unreadable, and what comes before one is skipped", (t) => {
+  for (const text of ["", "ready g-1", "{", "[1]", '{"time":1}', "null"]) {
+    t.is(parseEventLine(text), undefined, text);
+  }
+  const text = '{"time":7,"instance":"g-1","event":"start"}';
+  for (const prefix of ["", "12.007 s  gateway-1  ", "2026-12-05T12:00:00Z "]) {
+    t.is(parseEventLine(prefix + text)?.time, 7, prefix);
+  }
 });
 
 test("an id that no line has gives an empty trail", (t) => {
--- a/packages/cli/src/commands/logs_causes.ts
+++ b/packages/cli/src/commands/logs_causes.ts
@@ -1,13 +1,9 @@
 import { writeFile } from "node:fs/promises";
-import {
-  attributeCauses,
-  type CauseReport,
-  parseEventLine,
-} from "@banyanspool/audit";
+import { attributeCauses, type CauseReport } from "@banyanspool/audit";
 import { Command, Option, type Usage } from "clipanion";
 import { EXIT_CODES } from "../client_command.ts";
 import { formatTable } from "../format_table.ts";
-import { readLogLines } from "../read_log_lines.ts";
+import { describeSkipped, readLogLines } from "../read_log_lines.ts";
 
 const MS_PER_S = 1000;
 const RESULTS = ["late", "refused", "failed", "cut off"] as const;
@@ -48,9 +44,8 @@
     }
     const lines = await readLogLines(this.files, this.context);
     if (!lines) return EXIT_CODES.badUsage;
-    const events = lines.flatMap((text) => parseEventLine(text) ?? [])
-      .sort((a, b) => a.time - b.time);
-    const report = attributeCauses(events, {
+    this.context.stderr.write(describeSkipped(lines));
+    const report = attributeCauses(lines.events, {
       limitWindowMs: windowS * MS_PER_S,
     });
     if (this.svg !== undefined) {
--- a/packages/cli/src/commands/logs_follow.ts
+++ b/packages/cli/src/commands/logs_follow.ts
@@ -2,7 +2,7 @@
 import { type EventLine, followRequest } from "@banyanspool/audit";
 import { EXIT_CODES } from "../client_command.ts";
 import { formatTable } from "../format_table.ts";
-import { readLogLines } from "../read_log_lines.ts";
+import { describeSkipped, readLogLines } from "../read_log_lines.ts";
 
 const MS_PER_S = 1000;
 
@@ -30,14 +30,15 @@
   async execute(): Promise<number> {
     const lines = await readLogLines(this.files, this.context);
     if (!lines) return EXIT_CODES.badUsage;
-    const trail = followRequest(this.id, lines);
+    this.context.stderr.write(describeSkipped(lines));
+    const trail = followRequest(this.id, lines.events);
     if (this.json) {
       this.context.stdout.write(`${JSON.stringify(trail, null, 2)}\n`);
       return trail.own.length > 0 ? EXIT_CODES.success : EXIT_CODES.failed;
     }
     if (trail.own.length === 0) {
       this.context.stderr.write(
-        `No line of ${lines.length} is about request "${this.id}"\n`,
+        `No line of ${lines.events.length} is about request "${this.id}"\n`,
       );
       return EXIT_CODES.failed;
     }
--- a/packages/system-tests/src/logs_test.ts
+++ b/packages/system-tests/src/logs_test.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import test, { type ExecutionContext } from "ava";
@@ -48,3 +48,34 @@
   t.is(missing.code, 2);
   t.regex(missing.stderr, /Cannot read log "none"/);
 });
+
+// It printed "0 of 0 requests" for a file without a line that it could read.
+test("logs causes: a log without structured lines is an error that names it", async (t) => {
+  const [file = ""] = writeLogs(t);
+  writeFileSync(file, "ready g-1\nsome text\n");
+  const { code, stdout, stderr } = await runClient(undefined, [
+    "logs",
+    "causes",
+    file,
+  ]);
+  t.is(code, 2);
+  t.is(stdout, "");
+  t.true(stderr.includes(`Cannot read log "${file}"`), stderr);
+});
+
+// Lines with a time before their JSON were skipped without a word.
+test("logs causes: lines with a prefix are read, and skipped ones are counted", async (t) => {
+  const files = writeLogs(t);
+  for (const file of files) {
+    const prefixed = readFileSync(file, "utf8").replaceAll(/^/gm, "0.1 s g-1 ");
+    writeFileSync(file, prefixed);
+  }
+  const { code, stdout, stderr } = await runClient(undefined, [
+    "logs",
+    "causes",
+    ...files,
+  ]);
+  t.is(code, 0);
+  t.regex(stdout, /of 1 requests/);
+  t.regex(stderr, /lines skipped/);
+});
