Streams: bytes in pieces are joined once, and the cost of a byte is measured

Change: large pieces are kept and joined once, small ones are copied into blocks; the search and that for the last id work on bytes.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,7 @@
 import { Builtins, Cli } from "clipanion";
 import { CompareCommand } from "./commands/compare.ts";
 import { ConfigurationCommand } from "./commands/configuration.ts";
+import { RelayCommand } from "./commands/relay.ts";
 import { ReplaySiteCommand } from "./commands/replay_site.ts";
 import { SlopesCommand } from "./commands/slopes.ts";
 import { TracesCommand } from "./commands/traces.ts";
@@ -14,6 +15,7 @@
   const command of [
     CompareCommand,
     ConfigurationCommand,
+    RelayCommand,
     ReplaySiteCommand,
     SlopesCommand,
     TracesCommand,
--- a/packages/bench/src/plot.ts
+++ b/packages/bench/src/plot.ts
@@ -1,6 +1,7 @@
 import { parse, View } from "vega";
 import { compile, type TopLevelSpec } from "vega-lite";
 import type { ReplayRecord } from "@banyanspool/trace";
+import type { RelayCost } from "./relay_costs.ts";
 
 const WIDTH = 700;
 const HEIGHT = 260;
@@ -75,6 +76,34 @@
   });
 }
 
+/** Draws an SVG of the cost of a byte over the size of events. */
+export async function plotRelayCosts(
+  costs: readonly RelayCost[],
+): Promise<string> {
+  return await draw({
+    title: "Processor time of relaying a byte",
+    width: WIDTH,
+    height: HEIGHT,
+    data: { values: [...costs] },
+    mark: { type: "line", point: true },
+    encoding: {
+      x: {
+        field: "eventBytes",
+        type: "quantitative",
+        title: "size of an event in bytes",
+        scale: { type: "log", base: 2 },
+      },
+      y: {
+        field: "nsPerByte",
+        type: "quantitative",
+        title: "ns for a byte",
+        scale: { type: "log" },
+      },
+      color: { field: "chunkBytes", type: "ordinal", title: "chunk in bytes" },
+    },
+  });
+}
+
 async function draw(spec: TopLevelSpec): Promise<string> {
   const view = new View(parse(compile(spec).spec), { renderer: "none" });
   return await view.toSVG();
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -239,7 +239,7 @@
 ): Promise<Buffer | undefined | "tooLarge" | "broken"> {
   const hasBody = req.headers["content-length"] !== undefined ||
     req.headers["transfer-encoding"] !== undefined;
-  const body = ByteBuffer.create({ maxBytes });
+  const body = ByteBuffer.create();
   try {
     for await (const chunk of req) {
       const piece = chunk as Buffer;
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -116,12 +116,12 @@
     kind: "broken",
     reason,
     lastEventId,
-    incompleteBytes: splitter.incompleteEvent.length,
+    incompleteBytes: splitter.incompleteBytes,
   });
   try {
     for await (const chunk of call.body()) {
       const events = splitter.push(chunk);
-      if (!events && splitter.incompleteEvent.length > MAX_EVENT_BYTES) {
+      if (!events && splitter.incompleteBytes > MAX_EVENT_BYTES) {
         call.abort();
         return broken("event too long");
       }
@@ -155,7 +155,7 @@
   if (!res.headersSent) {
     res.writeHead(head.status, selectCallerHeaders(head.headers));
   }
-  if (splitter.incompleteEvent.length > 0) res.write(splitter.incompleteEvent);
+  if (splitter.incompleteBytes > 0) res.write(splitter.incompleteEvent);
   res.end();
   return { kind: "whole" };
 }
--- a/packages/responses/src/byte_buffer.ts
+++ b/packages/responses/src/byte_buffer.ts
@@ -1,77 +1,97 @@
-const MIN_CAPACITY_BYTES = 1024;
-
-/** Options of {@link ByteBuffer.create}. */
-export interface ByteBufferOptions {
-  /** Largest number of bytes that are ever appended, if it is known. */
-  readonly maxBytes?: number;
-}
+/** Size from which a piece is kept as it is; smaller ones are copied. */
+const LARGE_PIECE_BYTES = 512;
+const MIN_BLOCK_BYTES = 256;
+const MAX_BLOCK_BYTES = 64 * 1024;
+const EMPTY = Buffer.alloc(0);
 
 /**
- * Bytes that arrive in pieces, kept in one piece. The storage doubles when it is
- * full, so the cost of appending is linear in the bytes, however small the pieces
- * are, and none of the pieces is kept.
+ * Bytes that arrive in pieces. Small pieces are copied into blocks, so that none
+ * of them is kept as an object, and the cost of all operations together is linear
+ * in the bytes, however small the pieces are.
  */
 export class ByteBuffer {
-  readonly #maxBytes: number;
-  #storage: Buffer = Buffer.alloc(0);
-  #length = 0;
-  /** False while the storage is a piece that belongs to the caller. */
-  #isOwned = true;
+  /** Large pieces and full blocks, in order. */
+  #segments: Buffer[] = [];
+  #segmentBytes = 0;
+  /** Block that small pieces are copied to, after the segments. */
+  #block: Buffer = EMPTY;
+  #blockBytes = 0;
 
-  private constructor({ maxBytes = Infinity }: ByteBufferOptions) {
-    this.#maxBytes = maxBytes;
-  }
+  private constructor() {}
 
   /** Creates an empty buffer. */
-  static create(options: ByteBufferOptions = {}): ByteBuffer {
-    return new ByteBuffer(options);
+  static create(): ByteBuffer {
+    return new ByteBuffer();
   }
 
   /** Number of bytes. */
   get length(): number {
-    return this.#length;
+    return this.#segmentBytes + this.#blockBytes;
   }
 
   /** Size of the storage, in bytes. */
-  get capacity(): number {
-    return this.#storage.length;
-  }
-
-  /** The bytes; valid until the next change. */
-  get bytes(): Buffer {
-    return this.#storage.subarray(0, this.#length);
+  get storageBytes(): number {
+    return this.#segmentBytes + this.#block.length;
   }
 
   /** Adds a piece, which must not be changed afterwards. */
   append(piece: Buffer): void {
-    if (piece.length === 0) return;
-    if (this.#length === 0 && this.#storage.length < piece.length) {
-      this.#storage = piece;
-      this.#length = piece.length;
-      this.#isOwned = false;
+    if (piece.length >= LARGE_PIECE_BYTES) {
+      this.#sealBlock();
+      this.#pushSegment(piece);
       return;
     }
-    this.#reserve(this.#length + piece.length);
-    piece.copy(this.#storage, this.#length);
-    this.#length += piece.length;
+    if (this.#blockBytes + piece.length > this.#block.length) {
+      this.#sealBlock();
+      const doubled = Math.max(MIN_BLOCK_BYTES, this.#segmentBytes);
+      const size = Math.min(MAX_BLOCK_BYTES, doubled);
+      this.#block = Buffer.allocUnsafe(size);
+    }
+    piece.copy(this.#block, this.#blockBytes);
+    this.#blockBytes += piece.length;
+  }
+
+  /** Returns the byte at an offset from the end, from 1; undefined before all. */
+  byteFromEnd(offset: number): number | undefined {
+    if (offset <= this.#blockBytes) {
+      return this.#block[this.#blockBytes - offset];
+    }
+    let before = offset - this.#blockBytes;
+    for (let i = this.#segments.length - 1; i >= 0; i -= 1) {
+      const segment = this.#segments[i]!;
+      if (before <= segment.length) return segment[segment.length - before];
+      before -= segment.length;
+    }
+    return undefined;
+  }
+
+  /** Returns the bytes, and keeps them. */
+  join(): Buffer {
+    this.#sealBlock();
+    if (this.#segments.length > 1) {
+      this.#segments = [Buffer.concat(this.#segments, this.#segmentBytes)];
+    }
+    return this.#segments[0] ?? EMPTY;
   }
 
   /** Returns the bytes and leaves the buffer empty. */
   takeAll(): Buffer {
-    const { bytes } = this;
-    this.#storage = Buffer.alloc(0);
-    this.#length = 0;
-    this.#isOwned = true;
+    const bytes = this.join();
+    this.#segments = [];
+    this.#segmentBytes = 0;
     return bytes;
   }
 
-  #reserve(bytes: number): void {
-    if (this.#isOwned && bytes <= this.#storage.length) return;
-    const doubled = Math.max(2 * this.#length, MIN_CAPACITY_BYTES);
-    const capacity = Math.max(bytes, Math.min(doubled, this.#maxBytes));
-    const storage = Buffer.allocUnsafeSlow(capacity);
-    this.bytes.copy(storage);
-    this.#storage = storage;
-    this.#isOwned = true;
+  #sealBlock(): void {
+    if (this.#blockBytes > 0) {
+      this.#pushSegment(this.#block.subarray(0, this.#blockBytes));
+    }
+    this.#block = EMPTY;
+    this.#blockBytes = 0;
+  }
+
+  #pushSegment(segment: Buffer): void {
+    this.#segments.push(segment);
+    this.#segmentBytes += segment.length;
   }
 }
--- a/packages/responses/src/event_stream.ts
+++ b/packages/responses/src/event_stream.ts
@@ -2,7 +2,8 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_LINE = /^id:[ ]?(.*)$/;
+const ID_FIELD = Buffer.from("id:");
+const ID_LINE = /^id:[ ]?(.*?)\r?$/;
 const COMMENTS_AND_BLANK_LINES = /^(?::[^\r\n]*\r?\n|\r?\n)*$/;
 
 /** Size from which bytes without the end of an event are no event. */
@@ -32,7 +33,12 @@
 
   /** Bytes of the event that is not complete yet; empty if there is none. */
   get incompleteEvent(): Buffer {
-    return this.#incomplete.bytes;
+    return this.#incomplete.join();
+  }
+
+  /** Number of bytes of the event that is not complete yet. */
+  get incompleteBytes(): number {
+    return this.#incomplete.length;
   }
 
   /** Whether the bytes so far end within an event or a line. */
@@ -46,34 +52,46 @@
    */
   push(chunk: Buffer): CompleteEvents | undefined {
     const end = this.#findLastEventEnd(chunk);
-    this.#incomplete.append(chunk.subarray(0, end));
     if (end === 0) {
       this.#incomplete.append(chunk);
       return undefined;
     }
-    const bytes = this.#incomplete.takeAll();
-    this.#incomplete.append(chunk.subarray(end));
+    const completed = chunk.subarray(0, end);
+    const bytes = this.#incomplete.length === 0
+      ? completed
+      : this.#takeWith(completed);
+    if (end < chunk.length) this.#incomplete.append(chunk.subarray(end));
     return { bytes, lastId: findLastId(bytes) };
   }
 
+  #takeWith(completed: Buffer): Buffer {
+    this.#incomplete.append(completed);
+    return this.#incomplete.takeAll();
+  }
+
   /** Returns the offset after the last blank line in `chunk`; 0 if none ends. */
   #findLastEventEnd(chunk: Buffer): number {
-    const before = this.#incomplete.bytes;
-    const byteAt = (i: number) => i >= 0 ? chunk[i] : before[before.length + i];
-    for (let i = chunk.length - 1; i >= 0; i -= 1) {
-      if (chunk[i] !== LINE_FEED) continue;
-      const previous = byteAt(i - 1) === CARRIAGE_RETURN ? i - 2 : i - 1;
-      if (byteAt(previous) === LINE_FEED) return i + 1;
+    const byteAt = (i: number) =>
+      i >= 0 ? chunk[i] : this.#incomplete.byteFromEnd(-i);
+    let end = chunk.lastIndexOf(LINE_FEED);
+    while (end >= 0) {
+      const previous = byteAt(end - 1) === CARRIAGE_RETURN ? end - 2 : end - 1;
+      if (byteAt(previous) === LINE_FEED) return end + 1;
+      if (end === 0) return 0;
+      end = chunk.lastIndexOf(LINE_FEED, end - 1);
     }
     return 0;
   }
 }
 
 function findLastId(events: Buffer): string | undefined {
-  const lines = events.toString("utf8").split(/\r?\n/);
-  for (const line of lines.reverse()) {
-    const match = ID_LINE.exec(line);
-    if (match) return match[1];
+  let at = events.lastIndexOf(ID_FIELD);
+  while (at > 0 && events[at - 1] !== LINE_FEED) {
+    at = events.lastIndexOf(ID_FIELD, at - 1);
   }
-  return undefined;
+  if (at < 0) return undefined;
+  const lineEnd = events.indexOf(LINE_FEED, at);
+  const end = lineEnd < 0 ? events.length : lineEnd;
+  const line = events.toString("utf8", at, end);
+  return ID_LINE.exec(line)?.[1];
 }
--- a/packages/responses/src/event_stream_test.ts
+++ b/packages/responses/src/event_stream_test.ts
@@ -48,3 +48,13 @@
   }
   t.is(splitter.push(Buffer.from("\n"))?.bytes.length, MAX_EVENT_BYTES + 1);
 });
+
+test("the id of the last event that has one is found, whatever the data holds", (t) => {
+  const lastId = (text: string) =>
+    EventStreamSplitter.create().push(Buffer.from(text))?.lastId;
+  t.is(lastId("id: 7\ndata: x\n\ndata: id: 9\n\n"), "7");
+  t.is(lastId("id:8\r\ndata: xid: 1\r\n\r\n"), "8");
+  t.is(lastId("data: id: 3\n\n"), undefined);
+  t.is(lastId("id\ndata: x\n\n"), undefined);
+  t.is(lastId("data: y\nid: 5 6\n\n"), "5 6");
+});
--- a/packages/responses/src/mod.ts
+++ b/packages/responses/src/mod.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-export { ByteBuffer, type ByteBufferOptions } from "./byte_buffer.ts";
+export { ByteBuffer } from "./byte_buffer.ts";
 export { EventStreamSplitter, MAX_EVENT_BYTES } from "./event_stream.ts";
 export type { CompleteEvents } from "./event_stream.ts";
 export { framingOf } from "./framing.ts";
