Requests: one that may have run says so in its own words, and one that wasn't sent is tested

A request that ends while it waits for a connection counts as not sent since the responses are matched; replica_call_test.ts shows it now (aborted, before). A replica's 503 that doesn't say "not run" was told to the caller as a response that was cut off.

--- a/packages/gateway/src/final_responses.ts
+++ b/packages/gateway/src/final_responses.ts
@@ -64,6 +64,25 @@
   );
 }
 
+/**
+ * Ends a request whose replica's status promises that it hasn't run, which the
+ * replica doesn't state.
+ */
+export function endUnproven(
+  scope: RequestScope,
+  progress: RequestProgress,
+): RequestOutcome {
+  return refuseRequest(
+    scope,
+    refuse(
+      "outcome_unknown",
+      "The replica didn't say whether it has run the request",
+      { ran: "unknown" },
+    ),
+    progress,
+  );
+}
+
 /** Ends a request whose response was cut off and can't be resumed elsewhere. */
 export function endTruncated(
   scope: RequestScope,
--- a/packages/gateway/src/finish_attempt.ts
+++ b/packages/gateway/src/finish_attempt.ts
@@ -2,6 +2,7 @@
 import {
   endAborted,
   endTruncated,
+  endUnproven,
   endWithoutRetry,
   refusalForFailedAttempt,
   summariseProgress,
@@ -83,12 +84,11 @@
     scope.route.retrySafety === "never" &&
     NOT_RUN_STATUSES.has(response.head.status)
   ) {
-    // The replica doesn't state it, so the caller must not be told.
     response.call.abort();
     if (!response.asksForPause) {
       recordObservation(execution, selection, "failure");
     }
-    return endTruncated(scope, progress);
+    return endUnproven(scope, progress);
   }
   if (scope.res.headersSent && !isEventStream(response)) {
     // Anything else would end the caller's stream as if it were complete.
--- a/packages/gateway/src/replica_call_test.ts
+++ b/packages/gateway/src/replica_call_test.ts
@@ -1,4 +1,5 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
+import { setImmediate } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
 import type { BackendServer } from "@banyanspool/types";
 import { ConnectionPools } from "./connection_pools.ts";
@@ -179,3 +180,24 @@
   t.is(arrivals, 4, "one for each connection");
   t.deepEqual(failures, Array.from({ length: 5 }, () => "notSent"));
 });
+
+// Its caller was told that it may have run, and couldn't send it again.
+test("a call that is aborted while it waits for a connection is not sent", async (t) => {
+  const busy: Socket[] = [];
+  const replica = await startReplica(t, (socket) => busy.push(socket));
+  const pools = createPools(t);
+  const running = Array.from({ length: 4 }, () => call(pools, replica));
+  while (busy.length < running.length) await setImmediate();
+  const aborted = call(pools, replica);
+  const next = call(pools, replica);
+  aborted.abort();
+  t.is(await failureOf(aborted), "notSent");
+  const answer = (socket: Socket) =>
+    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  for (const socket of busy.splice(0)) answer(socket);
+  for (const each of running) t.is(await readAll(each), "");
+  while (busy.length === 0) await setImmediate();
+  answer(busy[0]!);
+  t.is(await readAll(next), "");
+  t.is(busy.length, 1, "only the next call arrived");
+});
