Streams: pieces of 257 to 511 bytes are kept whole

The test of pieces drew them by fast-check's default sizes, few of which reach 257 bytes; no test sent bodies of such sizes through a gateway. Ruled out by the rule's report (a body that was changed before it reached the replica): the response's way alone.

Change: the smallest block holds any piece that is copied.

--- a/packages/responses/src/byte_buffer.ts
+++ b/packages/responses/src/byte_buffer.ts
@@ -1,6 +1,7 @@
 /** Size from which a piece is kept as it is; smaller ones are copied. */
 const LARGE_PIECE_BYTES = 512;
-const MIN_BLOCK_BYTES = 256;
+/** Holds any piece that is copied. */
+const MIN_BLOCK_BYTES = LARGE_PIECE_BYTES;
 const MAX_BLOCK_BYTES = 64 * 1024;
 const EMPTY = Buffer.alloc(0);
 
--- a/packages/responses/src/byte_buffer_test.ts
+++ b/packages/responses/src/byte_buffer_test.ts
@@ -4,8 +4,14 @@
 
 test("pieces of any size are returned as they came", (t) => {
   const operation = fc.oneof(
-    fc.uint8Array({ maxLength: 3000 }),
-    fc.constant("take"),
+    { weight: 2, arbitrary: fc.uint8Array({ maxLength: 20 }) },
+    {
+      weight: 4,
+      arbitrary: fc.integer({ min: 0, max: 3000 }).map((size) =>
+        Uint8Array.from({ length: size }, (_, i) => i * 7 + size)
+      ),
+    },
+    { weight: 1, arbitrary: fc.constant("take") },
   );
   fc.assert(
     fc.property(fc.array(operation), (operations) => {
