Streams: pieces of all sizes take at most twice their bytes

Read in the diff: a small piece between two large ones took a block of up to 64 KiB for itself, so that 1 MiB of an event in alternating pieces of 1 and 512 bytes would have taken 128 MiB. The code before had no count of its storage, so the new test can't be shown red on it.

Change: a piece that fits goes into the block that is begun, whatever its size; a block is left only for a piece that is larger than what is free in it.

--- a/packages/responses/src/byte_buffer.ts
+++ b/packages/responses/src/byte_buffer.ts
@@ -1,4 +1,4 @@
-/** Size from which a piece is kept as it is; smaller ones are copied. */
+/** Size from which a piece may be kept as it is; smaller ones are copied. */
 const LARGE_PIECE_BYTES = 512;
 /** Holds any piece that is copied. */
 const MIN_BLOCK_BYTES = LARGE_PIECE_BYTES;
@@ -8,12 +8,15 @@
 /**
  * Bytes that arrive in pieces. Small pieces are copied into blocks, so that none
  * of them is kept as an object, and the cost of all operations together is linear
- * in the bytes, however small the pieces are.
+ * in the bytes, however small the pieces are. The storage is at most twice the
+ * bytes, and a block.
  */
 export class ByteBuffer {
-  /** Large pieces and full blocks, in order. */
+  /** Large pieces and used parts of blocks, in order. */
   #segments: Buffer[] = [];
   #segmentBytes = 0;
+  /** Size of the large pieces and of all blocks that the segments are parts of. */
+  #sealedBytes = 0;
   /** Block that small pieces are copied to, after the segments. */
   #block: Buffer = EMPTY;
   #blockBytes = 0;
@@ -32,21 +35,20 @@
 
   /** Size of the storage, in bytes. */
   get storageBytes(): number {
-    return this.#segmentBytes + this.#block.length;
+    return this.#sealedBytes + this.#block.length;
   }
 
   /** Adds a piece, which must not be changed afterwards. */
   append(piece: Buffer): void {
-    if (piece.length >= LARGE_PIECE_BYTES) {
-      this.#sealBlock();
-      this.#pushSegment(piece);
+    const isFull = this.#blockBytes + piece.length > this.#block.length;
+    if (isFull) this.#sealBlock();
+    if (isFull && piece.length >= LARGE_PIECE_BYTES) {
+      this.#pushSegment(piece, piece.length);
       return;
     }
-    if (this.#blockBytes + piece.length > this.#block.length) {
-      this.#sealBlock();
+    if (isFull) {
       const doubled = Math.max(MIN_BLOCK_BYTES, this.#segmentBytes);
-      const size = Math.min(MAX_BLOCK_BYTES, doubled);
-      this.#block = Buffer.allocUnsafe(size);
+      this.#block = Buffer.allocUnsafe(Math.min(MAX_BLOCK_BYTES, doubled));
     }
     piece.copy(this.#block, this.#blockBytes);
     this.#blockBytes += piece.length;
@@ -71,6 +73,7 @@
     this.#sealBlock();
     if (this.#segments.length > 1) {
       this.#segments = [Buffer.concat(this.#segments, this.#segmentBytes)];
+      this.#sealedBytes = this.#segmentBytes;
     }
     return this.#segments[0] ?? EMPTY;
   }
@@ -80,19 +83,22 @@
     const bytes = this.join();
     this.#segments = [];
     this.#segmentBytes = 0;
+    this.#sealedBytes = 0;
     return bytes;
   }
 
   #sealBlock(): void {
     if (this.#blockBytes > 0) {
-      this.#pushSegment(this.#block.subarray(0, this.#blockBytes));
+      const used = this.#block.subarray(0, this.#blockBytes);
+      this.#pushSegment(used, this.#block.length);
     }
     this.#block = EMPTY;
     this.#blockBytes = 0;
   }
 
-  #pushSegment(segment: Buffer): void {
+  #pushSegment(segment: Buffer, storageBytes: number): void {
     this.#segments.push(segment);
     this.#segmentBytes += segment.length;
+    this.#sealedBytes += storageBytes;
   }
 }
--- a/packages/responses/src/byte_buffer_test.ts
+++ b/packages/responses/src/byte_buffer_test.ts
@@ -54,3 +54,27 @@
   }
   t.is(buffer.length, 1_000_000);
 });
+
+// Small pieces between large ones took a block of 64 KiB each.
+test("the storage is at most twice the bytes and a block, for pieces of all sizes", (t) => {
+  const size = fc.oneof(
+    fc.constantFrom(1, 10, 511, 512),
+    fc.integer({ min: 1, max: 70_000 }),
+  );
+  fc.assert(
+    fc.property(
+      fc.array(size, { minLength: 1, maxLength: 6 }),
+      (sizes) => {
+        const pieces = sizes.map((size) => Buffer.alloc(size));
+        const buffer = ByteBuffer.create();
+        for (let i = 0; buffer.length < 400_000 && i < 4000; i += 1) {
+          buffer.append(pieces[i % pieces.length]!);
+          if (buffer.storageBytes > 2 * buffer.length + 64 * 1024) return false;
+        }
+        return true;
+      },
+    ),
+    { seed: 20261205 },
+  );
+  t.pass();
+});
