Placement: a load is ordered when the engine has carried out the unload before it

Engines refuse orders until the last request for an unloaded model has ended and its weights are dropped. The lease holder knows the requests in flight: it waits for their end and for the time of an unload, bounded, before it orders the load.

model_scheduler_test.ts is red before: the engine refuses the first load.

--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -63,6 +63,14 @@
 /** Minimum time between the load and the unload of a model, in ms. */
 const MIN_RESIDENCY_MS = 6000;
 
+/**
+ * Time that an engine takes to drop a model without requests, in ms, and the
+ * interval at which the requests that it waits for are counted again.
+ */
+const UNLOAD_MS = 50;
+/** Longest wait for the requests of a model that is being unloaded, in ms. */
+const MAX_UNLOAD_WAIT_MS = 5000;
+
 /** Assumed time of a load from a local copy, in ms. */
 const LOCAL_LOAD_MS = 700;
 /** Time from the end of a load until all gateways know of it, in ms. */
@@ -304,10 +312,26 @@
         state.models.delete(name);
         state.adapters.delete(name);
       }
+      await this.#awaitUnload(state, model);
     }
     return true;
   }
 
+  /**
+   * Waits until an engine has probably dropped a model: it takes no other order
+   * before the last request for the model has ended.
+   */
+  async #awaitUnload({ server }: EngineState, model: string): Promise<void> {
+    const { clock, sleep, replicaTracker } = this.#options;
+    const waitUntil = clock.now() + MAX_UNLOAD_WAIT_MS;
+    do {
+      await sleep(UNLOAD_MS);
+    } while (
+      (replicaTracker.loadAt(server.id).models.get(model) ?? 0) > 0 &&
+      clock.now() < waitUntil
+    );
+  }
+
   async #loadModel(
     state: EngineState,
     model: string,
--- /dev/null
+++ b/packages/gateway/src/model_scheduler_test.ts
@@ -0,0 +1,100 @@
+import test from "ava";
+import type { ReplicaTracker } from "@banyanspool/routing";
+import type { BackendServer, EngineSpec } from "@banyanspool/types";
+import type { EngineController, PlacementOrder } from "./engine_controller.ts";
+import { createEngineState } from "./engine_state.ts";
+import { ModelScheduler } from "./model_scheduler.ts";
+
+const HELD = ["held-1", "held-2", "held-3"];
+const ENGINE: EngineSpec = {
+  slots: 64,
+  kvCapacityTokens: 200_000,
+  weightsMb: 220,
+  adapterSlots: 0,
+  modelLoadsPerS: 10,
+  models: new Map(
+    [...HELD, "wanted"].map((name) => [
+      name,
+      { name, weightsMb: 70, modelLoadMs: 1000, adapterMb: 0 },
+    ]),
+  ),
+};
+const SERVER: BackendServer = {
+  id: "r1",
+  service: "pool",
+  address: "127.0.0.1:1",
+  dataCentre: "north",
+  slots: 64,
+  draining: false,
+  softwareVersion: "v1",
+  startedAt: 1,
+  sequence: 1,
+  models: [],
+};
+/** Time that the engine takes to drop a model without requests, in ms. */
+const DROP_MS = 30;
+
+/**
+ * Swaps the models of an engine whose last requests for the old ones end at
+ * a given time. Returns the orders, and whether the engine refused each.
+ */
+async function swapModels({ requestsEndAt = 0 }) {
+  let now = 0;
+  const clock = { now: () => now, wall: () => now };
+  const state = createEngineState(SERVER, 0);
+  for (const model of HELD) state.models.add(model);
+  state.isSynced = true;
+  let busyUntil = 0;
+  let work = Promise.resolve();
+  const orders: { operation: string; isRefused: boolean }[] = [];
+  const controller = {
+    get: () => state,
+    notifyAvailableModelsChange: () => {},
+    enqueue: (_state: unknown, task: () => Promise<void>) => {
+      work = task();
+    },
+    orderWhenIdle: (_state: unknown, { operation }: PlacementOrder) => {
+      orders.push({ operation, isRefused: now < busyUntil });
+      busyUntil = Math.max(now, requestsEndAt) + DROP_MS;
+      return Promise.resolve("accepted");
+    },
+    awaitEffect: () => Promise.resolve(true),
+  } as unknown as EngineController;
+  const scheduler = ModelScheduler.create({
+    engineController: controller,
+    clock,
+    sleep: (ms) => {
+      now += ms;
+      return Promise.resolve();
+    },
+    replicaTracker: {
+      loadAt: () => ({
+        models: new Map(
+          now < requestsEndAt ? HELD.map((model) => [model, 1]) : [],
+        ),
+        adapters: new Set(),
+      }),
+    } as unknown as ReplicaTracker,
+    demand: () =>
+      new Map([[
+        "wanted",
+        { model: "wanted", fastReplicas: 0.1, slowReplicas: 0.1, waiting: 1 },
+      ]]),
+    streamNeeds: () => [],
+    isLimited: () => false,
+    log: { write: () => {}, dropped: () => 0, flush: () => {} },
+  });
+  scheduler.plan(ENGINE, [SERVER]);
+  await work;
+  return orders;
+}
+
+// Engines refused the first order after each unload, as they were still busy.
+test("a load follows an unload when the engine has dropped the model", async (t) => {
+  const accepted = [
+    { operation: "unload", isRefused: false },
+    { operation: "load", isRefused: false },
+  ];
+  t.deepEqual(await swapModels({}), accepted);
+  t.deepEqual(await swapModels({ requestsEndAt: 700 }), accepted);
+});
