Placement: rarely requested models don't replace each other

The averages of the demand forget a request after 20 to 40 s, so which idle model was unloaded followed from its place in the list, and idle models were loaded in place of others.

The lease holder keeps an average over minutes; an unload of a last copy counts the load that it will probably cause, and a model that nobody requests replaces no last copy. New tests of plan_test.ts and protected_models_test.ts are red before.

--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -3,6 +3,7 @@
   assemblePlacementPlan,
   fitsModel,
   type GroupNeed,
+  LongTermDemand,
   type PlacementMove,
 } from "@banyanspool/placement";
 import type { ReplicaTracker } from "@banyanspool/routing";
@@ -81,10 +82,12 @@
   readonly #options: ModelSchedulerOptions;
   readonly #moves: Map<string, MoveInProgress> = new Map();
   readonly #modelLoadLimiter: ModelLoadLimiter;
+  readonly #longTermDemand: LongTermDemand;
 
   private constructor(options: ModelSchedulerOptions) {
     this.#options = options;
     this.#modelLoadLimiter = ModelLoadLimiter.create({ clock: options.clock });
+    this.#longTermDemand = LongTermDemand.create({ clock: options.clock });
   }
 
   /** Creates a scheduler without moves in progress. */
@@ -132,9 +135,12 @@
       !engineController.get(replica)!.isBusy &&
       (!limitedReplicas.has(replica) ||
         limitedReplicas.size === servers.length);
+    const demand = this.#options.demand();
+    this.#longTermDemand.record(demand);
     const plan = assemblePlacementPlan({
       models: buildPlacementModels(engine, {
-        demand: this.#options.demand(),
+        demand,
+        longTermDemand: (model) => this.#longTermDemand.of(model),
         reports,
         adaptersInUse: this.#listAdaptersInUse(reports),
         limitedReplicas,
--- a/packages/gateway/src/placement_models.ts
+++ b/packages/gateway/src/placement_models.ts
@@ -30,12 +30,20 @@
   readonly adaptersInUse: ReadonlySet<string>;
   /** Ids of the replicas that limit their requests. */
   readonly limitedReplicas: ReadonlySet<string>;
+  /** Demand for a model averaged over minutes; 0 for all if absent. */
+  readonly longTermDemand?: (model: string) => number;
 }
 
 /** Builds the planner's models of one engine, with the demand for each. */
 export function buildPlacementModels(
   engine: EngineSpec,
-  { demand, reports, adaptersInUse, limitedReplicas }: ModelListInput,
+  {
+    demand,
+    reports,
+    adaptersInUse,
+    limitedReplicas,
+    longTermDemand = () => 0,
+  }: ModelListInput,
 ): PlacementModel[] {
   const requiredAdapters = new Set(adaptersInUse);
   const waiting = new Map<string, number>();
@@ -55,6 +63,7 @@
       demand: maxDemand(demand.get(name)),
       waitingRequests: waiting.get(name) ?? 0,
       isResident: residentModels.has(name),
+      longTermDemand: longTermDemand(name),
       neededReplicas: countNeededReplicas({
         demand: maxDemand(demand.get(name)),
         adapters: adapterCounts.get(name) ?? 0,
@@ -82,6 +91,7 @@
       waitingRequests: waiting.get(name),
       fastReplicas: fast,
       slowReplicas: slow,
+      longTermReplicas: longTermDemand(name),
     };
   });
 }
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -15,6 +15,8 @@
 export type { AdapterHost, AdapterLoadPlan } from "./adapter_plan.ts";
 export { DemandMeter } from "./demand_meter.ts";
 export type { DemandMeterOptions } from "./demand_meter.ts";
+export { LongTermDemand } from "./long_term_demand.ts";
+export type { LongTermDemandOptions } from "./long_term_demand.ts";
 export { fitsAdapter, fitsModel } from "./memory_fit.ts";
 export type { MemorySizes, ResidentSet } from "./memory_fit.ts";
 export { chooseProtectedModels } from "./protected_models.ts";
--- a/packages/placement/src/model_load_target.ts
+++ b/packages/placement/src/model_load_target.ts
@@ -38,10 +38,16 @@
 /** Cost of a load from the weight store instead of a local copy, in replicas. */
 const STORE_LOAD_LOSS = 0.5;
 
+/** Time ahead for which requests for an unloaded model count, in s. */
+const RETURN_HORIZON_S = 30;
+/** Assumed time for which one request keeps a replica busy, in s. */
+const REQUEST_BUSY_S = 0.1;
+
 /**
  * Finds the replica that can load a model at the least loss. The loss is the
  * demand that unloads displace, a cost for each unload and for a load from the
- * weight store, and the growth of the sum of squared busy shares. A model with
+ * weight store, the loads that unloaded models are expected to need again, and
+ * the growth of the sum of squared busy shares. A model with
  * no more ready replicas than its minimum is never unloaded.
  */
 export function findModelLoadTarget(
@@ -70,9 +76,9 @@
     });
     if (!unloads) continue;
     const { weightsMib } = report;
-    const { unload, displacedDemand } = unloads;
+    const { unload, displacedDemand, reloadLoss } = unloads;
     const busyShare = sumDemand(report, { modelsByName, counts, unload });
-    const loss = displacedDemand + unload.length * UNLOAD_LOSS +
+    const loss = displacedDemand + unload.length * UNLOAD_LOSS + reloadLoss +
       (input.localCopies?.has(`${report.replica} ${model}`)
         ? 0
         : STORE_LOAD_LOSS) +
@@ -108,10 +114,13 @@
     keepResident: ReadonlySet<string> | undefined;
     inUse: ReadonlyMap<string, number> | undefined;
   },
-): { unload: string[]; displacedDemand: number } | undefined {
+):
+  | { unload: string[]; displacedDemand: number; reloadLoss: number }
+  | undefined {
   let freeMib = report.memoryMib - report.weightsMib;
   const unload: string[] = [];
   let displacedDemand = 0;
+  let totalReloadLoss = 0;
   const candidates = report.readyModels
     .map((name) => modelsByName.get(name))
     .filter((entry) => entry !== undefined)
@@ -121,17 +130,32 @@
       const requests = inUse?.get(`${report.replica} ${entry.name}`) ?? 0;
       const demand = demandPerReplica(entry, counts) +
         (requests > 0 ? IN_USE_LOSS : 0) + requests * IN_FLIGHT_REQUEST_LOSS;
-      return { entry, demand };
+      return { entry, demand, reloadLoss: expectReloadLoss(entry, counts) };
     })
-    .sort((a, b) => a.demand - b.demand);
-  for (const { entry, demand } of candidates) {
+    .sort((a, b) => a.demand + a.reloadLoss - b.demand - b.reloadLoss);
+  for (const { entry, demand, reloadLoss } of candidates) {
     if (freeMib >= requiredMib) break;
     freeMib += entry.weightsMib;
     unload.push(entry.name);
     displacedDemand += demand;
+    totalReloadLoss += reloadLoss;
   }
   if (freeMib < requiredMib) return undefined;
-  return { unload, displacedDemand };
+  return { unload, displacedDemand, reloadLoss: totalReloadLoss };
+}
+
+/**
+ * Cost of a load, in replicas, times the probability that a model whose last
+ * copy is unloaded is soon requested again.
+ */
+function expectReloadLoss(
+  entry: PlacementModel,
+  counts: ReadonlyMap<string, number>,
+): number {
+  if ((counts.get(entry.name) ?? 0) > 1) return 0;
+  const expectedRequests = (entry.longTermReplicas ?? 0) * RETURN_HORIZON_S /
+    REQUEST_BUSY_S;
+  return STORE_LOAD_LOSS * (1 - Math.exp(-expectedRequests));
 }
 
 /**
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -22,6 +22,8 @@
   readonly slowReplicas: number;
   /** Requests waiting for the model or one of its adapters; 0 if absent. */
   readonly waitingRequests?: number;
+  /** Demand averaged over minutes, in replicas kept busy; 0 if absent. */
+  readonly longTermReplicas?: number;
 }
 
 /** Input of a placement plan. */
@@ -134,7 +136,8 @@
       working,
       options: { kvShare },
     });
-    if (found) addMove(moves, { working, target: found, load: model, reason });
+    if (!found || isPointlessSwap(model, { target: found, working })) continue;
+    addMove(moves, { working, target: found, load: model, reason });
   }
   while (remainingMoves() > 0) {
     const copy = findBestCopy(input, working, options);
@@ -215,6 +218,17 @@
   );
 }
 
+/** Whether a model that nobody requests would replace the last copy of another. */
+function isPointlessSwap(
+  name: string,
+  { target, working }: { target: ModelLoadTarget; working: WorkingState },
+): boolean {
+  const model = working.models.get(name)!;
+  if (demandOf(model) > 0 || (model.waitingRequests ?? 0) > 0) return false;
+  const counts = countReadyReplicas([...working.replicas.values()]);
+  return target.unload.some((unloaded) => (counts.get(unloaded) ?? 0) <= 1);
+}
+
 function findTarget(
   model: string,
   candidates: readonly ReplicaReport[],
--- a/packages/placement/src/plan_test.ts
+++ b/packages/placement/src/plan_test.ts
@@ -199,3 +199,35 @@
   t.like(planFor("r2"), [{ replica: "r2", load: "a", reason: "group" }]);
   t.deepEqual(planFor("gone"), []);
 });
+
+// The last copies of two models without requests replaced each other, each at
+// the price of a load from the weight store.
+test("a model that nobody requests replaces no last copy of another one", (t) => {
+  const models = ["a", "b", "c"].map((name) =>
+    createModel(name, { minReplicas: name === "c" ? 1 : 0 })
+  );
+  const full = [createReport("r1", ["a", "b"])];
+  t.deepEqual(plan(models, full), []);
+  const wanted = { ...models[2]!, waitingRequests: 1 };
+  t.is(plan([...models.slice(0, 2), wanted], full).length, 1);
+});
+
+// A model that is requested every few seconds was unloaded for one that nobody
+// had requested for minutes, and loaded again for its next request.
+test("of two models without requests now, the one that is rarely requested is unloaded", (t) => {
+  const rarelyRequested = { minReplicas: 0, longTermReplicas: 0.0001 };
+  const models = [
+    createModel("frequent", { minReplicas: 0, longTermReplicas: 0.01 }),
+    createModel("rare", rarelyRequested),
+    createModel("rarer", rarelyRequested),
+    createModel("busy", { minReplicas: 1 }),
+    createModel("wanted", { waitingRequests: 1 }),
+  ];
+  const [here] = plan(models, [createReport("r1", ["frequent", "rare"])]);
+  t.deepEqual(here?.unload, ["rare"]);
+  const [elsewhere] = plan(models, [
+    createReport("r1", ["busy", "frequent"]),
+    createReport("r2", ["rare", "rarer"]),
+  ]);
+  t.is(elsewhere?.replica, "r2");
+});
--- a/packages/placement/src/protected_models.ts
+++ b/packages/placement/src/protected_models.ts
@@ -12,6 +12,8 @@
   readonly isResident: boolean;
   /** Replicas needed for its demand and its adapters; 1 if absent. */
   readonly neededReplicas?: number;
+  /** Demand averaged over minutes, in replicas kept busy; 0 if absent. */
+  readonly longTermDemand?: number;
 }
 
 /** Fraction of all model slots for protected models; copies need the rest. */
@@ -25,7 +27,8 @@
  * Chooses how many replicas each model must keep, given the number of model
  * slots over all replicas. With enough slots, every model keeps one. Otherwise
  * models are ranked by waiting requests plus demand, so that models without
- * recent requests are unloaded first. A model that needs several replicas
+ * recent requests are unloaded first. Among these, resident ones and those with
+ * more demand in the last minutes are kept. A model that needs several replicas
  * competes for further ones by the method of highest averages: its n-th replica
  * ranks by an n-th of the model's value.
  */
@@ -38,22 +41,34 @@
   const rankedReplicas = candidates.flatMap((candidate) => {
     const value = valueOf(candidate);
     return Array.from({ length: candidate.neededReplicas ?? 1 }, (_, i) => ({
-      name: candidate.name,
+      candidate,
       value: canProtectAll && i === 0 ? Infinity : value / (i + 1),
     }));
   });
-  rankedReplicas.sort((a, b) => b.value - a.value);
+  rankedReplicas.sort((a, b) =>
+    a.value === b.value
+      ? compareUnrequested(a.candidate, b.candidate)
+      : b.value - a.value
+  );
   const count = Math.max(
     Math.floor(modelSlots * PROTECTED_SLOT_SHARE),
     canProtectAll ? candidates.length : 0,
   );
   const chosen = new Map<string, number>();
-  for (const { name } of rankedReplicas.slice(0, count)) {
+  for (const { candidate: { name } } of rankedReplicas.slice(0, count)) {
     chosen.set(name, (chosen.get(name) ?? 0) + 1);
   }
   return chosen;
 }
 
+function compareUnrequested(
+  a: ProtectionCandidate,
+  b: ProtectionCandidate,
+): number {
+  return Number(b.isResident) - Number(a.isResident) ||
+    (b.longTermDemand ?? 0) - (a.longTermDemand ?? 0);
+}
+
 function valueOf(
   { demand, waitingRequests, isResident }: ProtectionCandidate,
 ): number {
--- a/packages/placement/src/protected_models_test.ts
+++ b/packages/placement/src/protected_models_test.ts
@@ -62,3 +62,22 @@
   const chosen = chooseProtectedModels(candidates, 4);
   t.deepEqual(Object.fromEntries(chosen), { hot: 1, a: 1, b: 1 });
 });
+
+// Models that nobody had requested for a minute replaced each other.
+test("of models without requests, resident ones and those requested in the last minutes are kept", (t) => {
+  const idle = (name: string, fields = {}) => ({
+    name,
+    demand: 0,
+    waitingRequests: 0,
+    isResident: true,
+    ...fields,
+  });
+  const candidates = [
+    idle("gone", { isResident: false, longTermDemand: 0.9 }),
+    idle("forgotten"),
+    idle("rare", { longTermDemand: 0.001 }),
+    idle("rarer", { longTermDemand: 0.0005 }),
+  ];
+  const chosen = chooseProtectedModels(candidates, 3);
+  t.deepEqual([...chosen.keys()], ["rare", "rarer"]);
+});
