Placement: the average over minutes holds rare models, and idle ones find room

The average is taken once a second. Last copies aren't candidates for an idle model unless it had over twice the demand in the last minutes. The wait ends after a second or with the lease. Counts of replicas are taken once a move, not for each model.

--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -69,8 +69,11 @@
  * interval at which the requests that it waits for are counted again.
  */
 const UNLOAD_MS = 50;
-/** Longest wait for the requests of a model that is being unloaded, in ms. */
-const MAX_UNLOAD_WAIT_MS = 5000;
+/**
+ * Longest wait for the requests of a model that is being unloaded, in ms. Those of
+ * other gateways are counted by reports that may be as old.
+ */
+const MAX_UNLOAD_WAIT_MS = 1000;
 
 /** Assumed time of a load from a local copy, in ms. */
 const LOCAL_LOAD_MS = 700;
@@ -140,7 +143,7 @@
     const plan = assemblePlacementPlan({
       models: buildPlacementModels(engine, {
         demand,
-        longTermDemand: (model) => this.#longTermDemand.of(model),
+        longTermDemand: (model) => this.#longTermDemand.averageOf(model),
         reports,
         adaptersInUse: this.#listAdaptersInUse(reports),
         limitedReplicas,
@@ -327,14 +330,16 @@
    * Waits until an engine has probably dropped a model: it takes no other order
    * before the last request for the model has ended.
    */
-  async #awaitUnload({ server }: EngineState, model: string): Promise<void> {
-    const { clock, sleep, replicaTracker } = this.#options;
+  async #awaitUnload(state: EngineState, model: string): Promise<void> {
+    const { clock, sleep, replicaTracker, engineController } = this.#options;
+    const { id } = state.server;
     const waitUntil = clock.now() + MAX_UNLOAD_WAIT_MS;
     do {
       await sleep(UNLOAD_MS);
     } while (
-      (replicaTracker.loadAt(server.id).models.get(model) ?? 0) > 0 &&
-      clock.now() < waitUntil
+      (replicaTracker.loadAt(id).models.get(model) ?? 0) > 0 &&
+      clock.now() < waitUntil && engineController.holdsLease &&
+      engineController.get(id) === state
     );
   }
 
--- a/packages/gateway/src/model_scheduler_test.ts
+++ b/packages/gateway/src/model_scheduler_test.ts
@@ -34,11 +34,17 @@
 /** Time that the engine takes to drop a model without requests, in ms. */
 const DROP_MS = 30;
 
+/** Longest time for which an idle engine may wait for the next order, in ms. */
+const MAX_IDLE_MS = 100;
+
 /**
  * Swaps the models of an engine whose last requests for the old ones end at
- * a given time. Returns the orders, and whether the engine refused each.
+ * a given time, while the lease is held until another one. Returns the orders
+ * with their times, and whether the engine refused each.
  */
-async function swapModels({ requestsEndAt = 0 }) {
+async function swapModels(
+  { requestsEndAt = 0, leaseEndsAt = Infinity },
+) {
   let now = 0;
   const clock = { now: () => now, wall: () => now };
   const state = createEngineState(SERVER, 0);
@@ -46,15 +52,18 @@
   state.isSynced = true;
   let busyUntil = 0;
   let work = Promise.resolve();
-  const orders: { operation: string; isRefused: boolean }[] = [];
+  const orders: { operation: string; isRefused: boolean; at: number }[] = [];
   const controller = {
+    get holdsLease() {
+      return now < leaseEndsAt;
+    },
     get: () => state,
     notifyAvailableModelsChange: () => {},
     enqueue: (_state: unknown, task: () => Promise<void>) => {
       work = task();
     },
     orderWhenIdle: (_state: unknown, { operation }: PlacementOrder) => {
-      orders.push({ operation, isRefused: now < busyUntil });
+      orders.push({ operation, isRefused: now < busyUntil, at: now });
       busyUntil = Math.max(now, requestsEndAt) + DROP_MS;
       return Promise.resolve("accepted");
     },
@@ -90,11 +99,20 @@
 }
 
 // Engines refused the first order after each unload, as they were still busy.
-test("a load follows an unload when the engine has dropped the model", async (t) => {
-  const accepted = [
-    { operation: "unload", isRefused: false },
-    { operation: "load", isRefused: false },
-  ];
-  t.deepEqual(await swapModels({}), accepted);
-  t.deepEqual(await swapModels({ requestsEndAt: 700 }), accepted);
+for (const requestsEndAt of [0, 700]) {
+  test(`a load follows an unload soon after the engine has dropped the model, whose requests end after ${requestsEndAt} ms`, async (t) => {
+    const orders = await swapModels({ requestsEndAt });
+    t.deepEqual(orders.map(({ operation }) => operation), ["unload", "load"]);
+    t.false(orders.some(({ isRefused }) => isRefused));
+    const idleAt = Math.max(orders[0]!.at, requestsEndAt) + DROP_MS;
+    t.true(orders[1]!.at - idleAt <= MAX_IDLE_MS);
+  });
+}
+
+test("a load isn't put off for long by a request that doesn't end, nor without the lease", async (t) => {
+  const requestsEndAt = Infinity;
+  const [, load] = await swapModels({ requestsEndAt });
+  t.true(load!.at <= 1100);
+  const [, unleased] = await swapModels({ requestsEndAt, leaseEndsAt: 10 });
+  t.true(unleased!.at <= MAX_IDLE_MS);
 });
--- a/packages/placement/src/long_term_demand.ts
+++ b/packages/placement/src/long_term_demand.ts
@@ -2,7 +2,10 @@
 
 /** Window of the average, in ms. */
 const WINDOW_MS = 300_000;
-const NEGLIGIBLE_DEMAND_REPLICAS = 0.000_01;
+/** Shortest time between two records, and the time that one stands for, in ms. */
+const RECORD_INTERVAL_MS = 1000;
+/** An average below this is forgotten, in replicas. */
+const NEGLIGIBLE_DEMAND_REPLICAS = 0.000_001;
 
 /** Options of {@link LongTermDemand.create}. */
 export interface LongTermDemandOptions {
@@ -30,25 +33,31 @@
     return new LongTermDemand(clock);
   }
 
-  /** Records the demand since the last call, by model. */
+  /**
+   * Records the present demand, by model, at most once a second. After a longer
+   * pause it stands for one second too, as the demand meanwhile isn't known.
+   */
   record(demand: ReadonlyMap<string, ModelDemand>): void {
     const now = this.#clock.now();
-    const weight = 1 - Math.exp((this.#recordedAt - now) / WINDOW_MS);
+    const elapsedMs = now - this.#recordedAt;
+    if (elapsedMs < RECORD_INTERVAL_MS) return;
     this.#recordedAt = now;
+    const remainingShare = Math.exp(-elapsedMs / WINDOW_MS);
     for (const [model, average] of this.#averages) {
-      const rest = average * (1 - weight);
-      if (rest < NEGLIGIBLE_DEMAND_REPLICAS) this.#averages.delete(model);
-      else this.#averages.set(model, rest);
+      this.#averages.set(model, average * remainingShare);
     }
+    const weight = 1 - Math.exp(-RECORD_INTERVAL_MS / WINDOW_MS);
     for (const [model, { slowReplicas }] of demand) {
-      if (slowReplicas <= 0) continue;
-      const rest = this.#averages.get(model) ?? 0;
-      this.#averages.set(model, rest + slowReplicas * weight);
+      const average = this.#averages.get(model) ?? 0;
+      this.#averages.set(model, average + slowReplicas * weight);
+    }
+    for (const [model, average] of this.#averages) {
+      if (average < NEGLIGIBLE_DEMAND_REPLICAS) this.#averages.delete(model);
     }
   }
 
   /** Average demand for a model, in replicas kept busy. */
-  of(model: string): number {
+  averageOf(model: string): number {
     return this.#averages.get(model) ?? 0;
   }
 }
--- a/packages/placement/src/long_term_demand_test.ts
+++ b/packages/placement/src/long_term_demand_test.ts
@@ -2,22 +2,39 @@
 import { LongTermDemand } from "./long_term_demand.ts";
 
 const MINUTE_MS = 60_000;
+const ROUND_MS = 100;
 
-function demandFor(model: string, slowReplicas: number) {
-  return new Map([[model, { model, fastReplicas: 0, slowReplicas }]]);
+function createLongTermDemand() {
+  let now = 0;
+  const clock = { now: () => now, wall: () => now };
+  const longTerm = LongTermDemand.create({ clock });
+  /** Records a demand in each planning round for a time. */
+  const recordFor = (ms: number, slowReplicas: number) => {
+    const demand = slowReplicas > 0
+      ? new Map([["m", { model: "m", fastReplicas: 0, slowReplicas }]])
+      : new Map();
+    for (const end = now + ms; now < end; now += ROUND_MS) {
+      longTerm.record(demand);
+    }
+  };
+  return { longTerm, recordFor, pause: (ms: number) => now += ms };
 }
 
-test("the average of a model's demand over minutes outlasts its requests, and ends", (t) => {
-  let now = 0;
-  const longTerm = LongTermDemand.create({
-    clock: { now: () => now, wall: () => now },
-  });
-  for (; now < MINUTE_MS; now += 1000) longTerm.record(demandFor("m", 0.1));
-  t.true(longTerm.of("m") > 0.01 && longTerm.of("m") < 0.1);
-  now += MINUTE_MS;
-  longTerm.record(new Map());
-  t.true(longTerm.of("m") > 0.01);
-  now += 60 * MINUTE_MS;
-  longTerm.record(new Map());
-  t.is(longTerm.of("m"), 0);
+// Rounds follow each other so quickly that the share of one was negligible.
+test("the average of a rare model's demand outlasts its requests by minutes, and ends", (t) => {
+  const { longTerm, recordFor } = createLongTermDemand();
+  recordFor(2 * MINUTE_MS, 0.002);
+  const average = longTerm.averageOf("m");
+  t.true(average > 0.0005 && average < 0.002, `${average}`);
+  recordFor(MINUTE_MS, 0);
+  t.true(longTerm.averageOf("m") > average / 2);
+  recordFor(60 * MINUTE_MS, 0);
+  t.is(longTerm.averageOf("m"), 0);
+});
+
+test("a burst after a pause without records doesn't count for the pause", (t) => {
+  const { longTerm, recordFor, pause } = createLongTermDemand();
+  pause(30 * MINUTE_MS);
+  recordFor(1000, 0.3);
+  t.true(longTerm.averageOf("m") < 0.003);
 });
--- a/packages/placement/src/model_load_target.ts
+++ b/packages/placement/src/model_load_target.ts
@@ -40,6 +40,8 @@
 
 /** Time ahead for which requests for an unloaded model count, in s. */
 const RETURN_HORIZON_S = 30;
+/** Hysteresis of swaps between models without requests. */
+const IDLE_SWAP_FACTOR = 2;
 /** Assumed time for which one request keeps a replica busy, in s. */
 const REQUEST_BUSY_S = 0.1;
 
@@ -71,6 +73,7 @@
       requiredMib,
       modelsByName,
       counts,
+      mayReplaceLast: createLastCopyRule(wantedModel),
       keepResident,
       inUse,
     });
@@ -107,10 +110,18 @@
 
 function chooseUnloads(
   report: ReplicaReport,
-  { requiredMib, modelsByName, counts, keepResident, inUse }: {
+  {
+    requiredMib,
+    modelsByName,
+    counts,
+    mayReplaceLast,
+    keepResident,
+    inUse,
+  }: {
     requiredMib: number;
     modelsByName: ReadonlyMap<string, PlacementModel>;
     counts: ReadonlyMap<string, number>;
+    mayReplaceLast: (entry: PlacementModel) => boolean;
     keepResident: ReadonlySet<string> | undefined;
     inUse: ReadonlyMap<string, number> | undefined;
   },
@@ -126,11 +137,18 @@
     .filter((entry) => entry !== undefined)
     .filter(({ name }) => !keepResident?.has(`${report.replica} ${name}`))
     .filter((entry) => (counts.get(entry.name) ?? 0) > entry.minReplicas)
+    .filter((entry) =>
+      (counts.get(entry.name) ?? 0) > 1 || mayReplaceLast(entry)
+    )
     .map((entry) => {
       const requests = inUse?.get(`${report.replica} ${entry.name}`) ?? 0;
       const demand = demandPerReplica(entry, counts) +
         (requests > 0 ? IN_USE_LOSS : 0) + requests * IN_FLIGHT_REQUEST_LOSS;
-      return { entry, demand, reloadLoss: expectReloadLoss(entry, counts) };
+      return {
+        entry,
+        demand,
+        reloadLoss: computeExpectedReloadLoss(entry, counts),
+      };
     })
     .sort((a, b) => a.demand + a.reloadLoss - b.demand - b.reloadLoss);
   for (const { entry, demand, reloadLoss } of candidates) {
@@ -144,11 +162,26 @@
   return { unload, displacedDemand, reloadLoss: totalReloadLoss };
 }
 
+/**
+ * Returns whether a model may replace the last copy of another one: a model
+ * without requests now only if it had far more in the last minutes.
+ */
+function createLastCopyRule(
+  wanted: PlacementModel,
+): (entry: PlacementModel) => boolean {
+  if (demandOf(wanted) > 0 || (wanted.waitingRequests ?? 0) > 0) {
+    return () => true;
+  }
+  const wantedReplicas = wanted.longTermReplicas ?? 0;
+  return ({ longTermReplicas = 0 }) =>
+    wantedReplicas > longTermReplicas * IDLE_SWAP_FACTOR;
+}
+
 /**
  * Cost of a load, in replicas, times the probability that a model whose last
  * copy is unloaded is soon requested again.
  */
-function expectReloadLoss(
+function computeExpectedReloadLoss(
   entry: PlacementModel,
   counts: ReadonlyMap<string, number>,
 ): number {
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -90,6 +90,8 @@
 interface WorkingState {
   readonly models: ReadonlyMap<string, PlacementModel>;
   readonly replicas: Map<string, ReplicaReport>;
+  /** Number of ready replicas by model. */
+  counts: ReadonlyMap<string, number>;
 }
 
 /** Demand that one waiting request stands for, in replicas kept busy. */
@@ -136,8 +138,7 @@
       working,
       options: { kvShare },
     });
-    if (!found || isPointlessSwap(model, { target: found, working })) continue;
-    addMove(moves, { working, target: found, load: model, reason });
+    if (found) addMove(moves, { working, target: found, load: model, reason });
   }
   while (remainingMoves() > 0) {
     const copy = findBestCopy(input, working, options);
@@ -162,7 +163,8 @@
   const replicas = new Map(
     input.replicas.map((report) => [report.replica, report]),
   );
-  const working = { models, replicas };
+  const counts = countReadyReplicas([...replicas.values()]);
+  const working = { models, replicas, counts };
   for (const move of input.pendingMoves) applyMove(working, move);
   return working;
 }
@@ -184,6 +186,7 @@
     ],
     weightsMib: report.weightsMib - freedMib + loadedMib,
   });
+  working.counts = countReadyReplicas([...working.replicas.values()]);
 }
 
 interface MissingReplica {
@@ -196,7 +199,7 @@
  * serve: the n-th replica of a model ranks by an n-th of the model's demand.
  */
 function findMissingReplicas(working: WorkingState): readonly MissingReplica[] {
-  const counts = countReadyReplicas([...working.replicas.values()]);
+  const { counts } = working;
   const missing: (MissingReplica & { servedDemand: number })[] = [];
   for (const model of working.models.values()) {
     const demand = demandOf(model) +
@@ -218,17 +221,6 @@
   );
 }
 
-/** Whether a model that nobody requests would replace the last copy of another. */
-function isPointlessSwap(
-  name: string,
-  { target, working }: { target: ModelLoadTarget; working: WorkingState },
-): boolean {
-  const model = working.models.get(name)!;
-  if (demandOf(model) > 0 || (model.waitingRequests ?? 0) > 0) return false;
-  const counts = countReadyReplicas([...working.replicas.values()]);
-  return target.unload.some((unloaded) => (counts.get(unloaded) ?? 0) <= 1);
-}
-
 function findTarget(
   model: string,
   candidates: readonly ReplicaReport[],
@@ -241,7 +233,7 @@
   return findModelLoadTarget(model, {
     models: working.models,
     replicas: candidates,
-    readyReplicaCounts: countReadyReplicas([...working.replicas.values()]),
+    readyReplicaCounts: working.counts,
     kvShare: options.kvShare,
     keepResident: input.keepResident,
     inUse: input.inUse,
--- a/packages/placement/src/plan_test.ts
+++ b/packages/placement/src/plan_test.ts
@@ -200,16 +200,44 @@
   t.deepEqual(planFor("gone"), []);
 });
 
+function createIdleModels(names: string, fields = {}): PlacementModel[] {
+  return [...names].map((name) =>
+    createModel(name, { minReplicas: name === "c" ? 1 : 0, ...fields })
+  );
+}
+
 // The last copies of two models without requests replaced each other, each at
 // the price of a load from the weight store.
 test("a model that nobody requests replaces no last copy of another one", (t) => {
-  const models = ["a", "b", "c"].map((name) =>
-    createModel(name, { minReplicas: name === "c" ? 1 : 0 })
-  );
   const full = [createReport("r1", ["a", "b"])];
-  t.deepEqual(plan(models, full), []);
-  const wanted = { ...models[2]!, waitingRequests: 1 };
-  t.is(plan([...models.slice(0, 2), wanted], full).length, 1);
+  t.deepEqual(plan(createIdleModels("abc"), full), []);
+  const wanted = createModel("c", { waitingRequests: 1 });
+  t.is(plan([...createIdleModels("ab"), wanted], full).length, 1);
+});
+
+test("a model that nobody requests is loaded where there is room or a spare copy", (t) => {
+  const full = createReport("r1", ["a", "b"]);
+  const localCopies = new Set(["r1 c"]);
+  const planWith = (replicas: ReplicaReport[]) =>
+    assemblePlacementPlan({
+      models: createIdleModels("abcd"),
+      replicas,
+      pendingMoves: [],
+      localCopies,
+    }, OPTIONS)[0];
+  t.is(planWith([full, createReport("r2", ["d"])])?.replica, "r2");
+  const spare = ["r2", "r3"].map((id) => createReport(id, ["d", "d"]));
+  t.deepEqual(planWith([full, ...spare])?.unload, ["d"]);
+});
+
+test("a frequently requested model whose replica leaves is loaded in place of a rarely requested one", (t) => {
+  const models = [
+    ...createIdleModels("ab"),
+    createModel("c", { longTermReplicas: 0.01 }),
+  ];
+  const leaving = { ...createReport("r1", ["c"]), leaving: true };
+  const [move] = plan(models, [leaving, createReport("r2", ["a", "b"])]);
+  t.is(move?.load, "c");
 });
 
 // A model that is requested every few seconds was unloaded for one that nobody
--- a/packages/placement/src/protected_models.ts
+++ b/packages/placement/src/protected_models.ts
@@ -42,12 +42,13 @@
     const value = valueOf(candidate);
     return Array.from({ length: candidate.neededReplicas ?? 1 }, (_, i) => ({
       candidate,
+      index: i,
       value: canProtectAll && i === 0 ? Infinity : value / (i + 1),
     }));
   });
   rankedReplicas.sort((a, b) =>
     a.value === b.value
-      ? compareUnrequested(a.candidate, b.candidate)
+      ? a.index - b.index || compareEqualValues(a.candidate, b.candidate)
       : b.value - a.value
   );
   const count = Math.max(
@@ -61,7 +62,7 @@
   return chosen;
 }
 
-function compareUnrequested(
+function compareEqualValues(
   a: ProtectionCandidate,
   b: ProtectionCandidate,
 ): number {
