Gateway: a stop accepts the connections that wait before it stops listening

Callers saw ECONNRESET: after a stall of the process, the timer that ends a stop fires before the event loop accepts the connections that came in the meantime, and the system resets those when the listener closes. Node.js 20 accepts one connection in each iteration of the event loop, so one more iteration isn't enough.

Change: before a gateway stops listening, it accepts connections until none has come for 50 ms, for 0.5 s at most from then on.

Test: waiting_connections_test.ts connects 8 callers and stalls the process beyond the end of the balancer's removal; without the change seven are reset and one gets 503, with it all get 200.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -262,6 +262,7 @@
       sleep(BALANCER_REMOVAL_MS),
     ]);
     await sleep(Math.max(0, startedAt + BALANCER_REMOVAL_MS - clock.now()));
+    await this.#publicServer.acceptWaiting();
     this.#publicServer.stopAccepting();
     while (this.#publicServer.inFlight > 0 && clock.now() < endAt) {
       await sleep(STOP_POLL_MS);
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -4,6 +4,10 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import {
+  setImmediate as nextLoopIteration,
+  setTimeout as sleep,
+} from "node:timers/promises";
 import { decodeCallerRequest } from "@banyanspool/platform-adapter";
 import { ByteBuffer } from "@banyanspool/responses";
 import { type CallerRequest, refuse } from "@banyanspool/types";
@@ -27,12 +31,17 @@
 const CONFIGURATION_WAIT_SHARE = 0.3;
 /** Maximum number of connections that wait to be accepted. */
 const MAX_BACKLOG = 1024;
+/** Time without a new connection after which none is expected to wait, in ms. */
+const NO_CONNECTION_MS = 50;
+/** Time for which a stop is put off while connections still come, in ms. */
+const MAX_ACCEPT_WAITING_MS = 500;
 
 /** HTTP server for callers' requests. */
 export class PublicServer {
   readonly #ctx: GatewayContext;
   readonly #server: Server;
   #inFlight = 0;
+  #acceptedCount = 0;
   #isClosed = false;
   readonly #abortControllers: Set<AbortController> = new Set();
 
@@ -44,6 +53,9 @@
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
       noDelay: true,
     }, (req, res) => void this.#handle(req, res));
+    this.#server.on("connection", () => {
+      this.#acceptedCount += 1;
+    });
   }
 
   /** Creates a server that is not listening. */
@@ -64,6 +76,22 @@
     });
   }
 
+  /**
+   * Accepts the connections that wait, until none has come for some ms. The
+   * system resets those that still wait when the server stops listening.
+   */
+  async acceptWaiting(): Promise<void> {
+    const { clock } = this.#ctx;
+    const until = clock.now() + MAX_ACCEPT_WAITING_MS;
+    let before: number;
+    do {
+      before = this.#acceptedCount;
+      await sleep(NO_CONNECTION_MS);
+      // After a stall the timer fires before waiting connections are accepted.
+      await nextLoopIteration();
+    } while (this.#acceptedCount > before && clock.now() < until);
+  }
+
   /** Accepts no further connections and closes the idle ones. */
   stopAccepting(): void {
     if (this.#isClosed) return;
