Tests: the test of a model loaded elsewhere names arrivals and orders

It failed once in five whole runs of its file beside load 20 to 30: 503 replica_limit_reached for the requests 31 to 57 of the last three seconds. The message names the arrivals at both replicas and the orders now, which tell whether the other replica lost the model or had none yet.

--- a/packages/gateway/src/replica_limit_test.ts
+++ b/packages/gateway/src/replica_limit_test.ts
@@ -284,7 +284,11 @@
     responses = await sendLoad(gateways, send, 1000);
   } while (countStatus(responses, 200) < responses.length);
   responses = await sendLoad(gateways, send, 3000);
-  t.deepEqual(failuresOf(responses), []);
+  t.deepEqual(
+    failuresOf(responses),
+    [],
+    `At i-1: ${limited.arrivals}; i-2: ${other.arrivals}; orders: ${other.standin.orders}`,
+  );
   t.deepEqual(limited.standin.orders, []);
   t.true(other.standin.residentModels.has("m1"));
   isWithinLimit(t, limited);
