Routing: predict the first byte in a module of its own

The tracker of replicas holds state, selection and prediction in 680 lines. FirstBytePredictor takes over what is measured and predicted, selection.ts the types that both share. No change of behaviour.

--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -16,16 +16,12 @@
   Observation,
   OutlierDetectorOptions,
 } from "./outlier_detector.ts";
-export {
-  formatModelName,
-  listModelNames,
-  ReplicaTracker,
-} from "./replica_tracker.ts";
+export { formatModelName } from "./selection.ts";
+export type { ReplicaSelection, SelectionRequest } from "./selection.ts";
+export { listModelNames, ReplicaTracker } from "./replica_tracker.ts";
 export type {
   AvailableModels,
-  ReplicaSelection,
   ReplicaTrackerOptions,
-  SelectionRequest,
   SelectOptions,
   TrackedRequest,
 } from "./replica_tracker.ts";
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -1,12 +1,15 @@
-import type {
-  BackendServer,
-  Clock,
-  PromptPart,
-  Random,
-} from "@banyanspool/types";
-import type { PermitClass, PermitState } from "@banyanspool/replica-limits";
+import type { BackendServer, Clock, Random } from "@banyanspool/types";
+import type { PermitState } from "@banyanspool/replica-limits";
+import {
+  FirstBytePredictor,
+  PREFERRED_REPLICAS,
+} from "./first_byte_prediction.ts";
+import {
+  formatModelName,
+  type ReplicaSelection,
+  type SelectionRequest,
+} from "./selection.ts";
 import { OutlierDetector } from "./outlier_detector.ts";
-import { PrefixHistory } from "./prefix_history.ts";
 import { rankByAffinity } from "./affinity.ts";
 import {
   type InFlightLoad,
@@ -22,42 +25,6 @@
   readonly names: ReadonlySet<string>;
 }
 
-/** Properties of a request by which a replica is selected. */
-export interface SelectionRequest {
-  /** Service name. */
-  readonly service: string;
-  /** Model, or undefined for a plain service. */
-  readonly model?: string;
-  /** Adapter of the model, if any. */
-  readonly adapter?: string;
-  /** Prompt length, in tokens. */
-  readonly promptTokens: number;
-  /** Most output tokens that the request allows. */
-  readonly outputTokens: number;
-  /** Parts of the prompt, in order; the last identifies the session. */
-  readonly promptParts: readonly PromptPart[];
-  /** Replicas that must not be selected, such as those already tried. */
-  readonly excluded: ReadonlySet<string>;
-  /** Software version that the replica must run; undefined for any. */
-  readonly softwareVersion?: string;
-}
-
-/** A replica selected for one request. */
-export interface ReplicaSelection {
-  /** Selected replica. */
-  readonly server: BackendServer;
-  /** Predicted time to the first byte, in ms. */
-  readonly predictedMs: number;
-  /** Part of `predictedMs` spent waiting for other requests, in ms. */
-  readonly waitMs: number;
-  /** Prompt tokens to prefill, less those that are probably cached. */
-  readonly uncachedTokens: number;
-  /** Requests in flight at the replica, from all entries. */
-  readonly inFlight: number;
-  /** Permit that the request needs; undefined if the replica has no limit. */
-  readonly permit?: PermitClass;
-}
-
 /** A request in flight at a replica, for its sender to mark its progress. */
 export interface TrackedRequest {
   /** Marks that the first byte of the response has arrived. */
@@ -118,37 +85,14 @@
 const UNREACHABLE_SKIP_MS = 600;
 /** Longest time for which a replica is skipped after a crash. */
 const CRASHED_SKIP_MS = 5000;
-/** Assumed prefill speed before a measurement, in tokens per ms. */
-const INITIAL_PREFILL_TOKENS_PER_MS = 30;
-/** Weight of the newest measurement in the moving averages. */
-const SMOOTHING = 0.05;
-/** A prefill of fewer tokens is too short to measure the prefill speed. */
-const MIN_MEASURED_TOKENS = 1000;
-/** Assumed time of a request before a measurement, in ms. */
-const INITIAL_SERVICE_TIME_MS = 30;
-const INITIAL_GENERATION_TIME_MS = 1000;
-/** Round trip and first decode step, in ms. */
-const BASE_LATENCY_MS = 8;
-/** Delay that each request in flight adds to another one, in ms. */
-const DELAY_PER_REQUEST_MS = 1.2;
 /** Cost of a replica in another data centre, in ms. */
 const OTHER_DATA_CENTRE_COST_MS = 1;
-/** Share of the KV cache in use above which engines preempt requests. */
-const KV_PRESSURE_SHARE = 0.85;
-/** Added to the expected wait at a replica above that share, in ms. */
-const KV_PRESSURE_WAIT_MS = 1000;
 /** A request is overdue after this time without a first byte, in ms. */
 const OVERDUE_AFTER_MS = 1500;
 /** Cost of a replica for each overdue request at it, in ms. */
 const OVERDUE_COST_MS = 2000;
-const MAX_PREFIXES = 20_000;
 /** Replicas whose cost differs from the best by less than this are equal. */
 const EQUAL_COST_MARGIN_MS = 3;
-/**
- * Share of the known prompt parts assumed cached at the replicas that all
- * entries prefer for them, the most preferred first.
- */
-const PREFERRED_CACHED_SHARES = [0.8, 0.4];
 /**
  * Number of entries from which on each compares a sample of the replicas only.
  * Reports are then so old that all would send to the same idle replica. Source:
@@ -167,19 +111,13 @@
   /** Detector of replicas that fail more often than others. */
   readonly outliers: OutlierDetector;
   readonly #options: ReplicaTrackerOptions;
-  readonly #prefixes: PrefixHistory = PrefixHistory.create({
-    maxBlocks: MAX_PREFIXES,
-  });
   readonly #loads: ReplicaLoads;
+  readonly #firstBytes: FirstBytePredictor;
   /** Requests of this entry without a first byte, by replica. */
   readonly #unstarted: Map<string, Set<InFlightRequest>> = new Map();
   /** Monotonic time until which a replica is skipped, as `replica name`. */
   readonly #skipUntil: Map<string, number> = new Map();
   readonly #unreachableUntil: Map<string, number> = new Map();
-  /** Measured prefill speed, by model. */
-  readonly #prefillTokensPerMs: Map<string, number> = new Map();
-  /** Measured time of a request, by service. */
-  readonly #serviceTimeMs: Map<string, number> = new Map();
   #servers: Map<string, BackendServer> = new Map();
   #availableModels: ReadonlyMap<string, AvailableModels> = new Map();
   #availableModelsAt = -Infinity;
@@ -189,6 +127,7 @@
     this.#options = options;
     this.#loads = ReplicaLoads.create({ clock: options.clock });
     this.outliers = OutlierDetector.create({ clock: options.clock });
+    this.#firstBytes = FirstBytePredictor.create(options);
   }
 
   /** Creates a tracker without replicas. */
@@ -437,7 +376,11 @@
       : this.#sample(candidates, preferred);
     for (const server of compared) {
       const preference = preferred.indexOf(server);
-      const selection = this.#predict(server, request, preference);
+      const selection = this.#firstBytes.predict(request, {
+        server,
+        load: this.#loads.countsAt(server.id),
+        preference,
+      });
       const cost = this.#costOf(selection);
       if (cost >= bestCost - EQUAL_COST_MARGIN_MS) {
         if (cost >= bestCost + EQUAL_COST_MARGIN_MS) continue;
@@ -488,24 +431,23 @@
     this.#loads.addRequest(server.id, inFlight);
     const unstarted = this.#unstarted.get(server.id) ?? new Set();
     this.#unstarted.set(server.id, unstarted.add(inFlight));
-    const name = formatModelName(request);
-    if (name !== undefined) {
-      const ids = request.promptParts.map(({ id }) => id);
-      this.#prefixes.record(name, ids, server.id);
-    }
+    this.#firstBytes.recordSent(request, server.id);
     return {
       started: () => {
         if (inFlight.isStarted) return;
         inFlight.isStarted = true;
         this.#loads.removePrefill(server.id, inFlight);
         this.#removeUnstarted(inFlight);
-        this.#updatePrefillSpeed(request, selection, inFlight.sentAt);
+        this.#firstBytes.recordStart(request, {
+          selection,
+          sentAt: inFlight.sentAt,
+        });
       },
       finished: () => {
         const { isStarted } = inFlight;
         this.#loads.removeRequest(server.id, inFlight, { isStarted });
         this.#removeUnstarted(inFlight);
-        this.#updateServiceTime(inFlight);
+        this.#firstBytes.recordEnd(inFlight);
       },
     };
   }
@@ -535,58 +477,6 @@
     if (unstarted?.size === 0) this.#unstarted.delete(id);
   }
 
-  #predict(
-    server: BackendServer,
-    request: SelectionRequest,
-    preference: number,
-  ): ReplicaSelection {
-    const load = this.#loads.countsAt(server.id);
-    const inFlight = load.requests;
-    const serviceTimeMs = this.#serviceTimeMsOf(request);
-    const queuedRequests = Math.max(0, inFlight + 1 - server.slots);
-    const slotWaitMs = queuedRequests * serviceTimeMs / server.slots;
-    if (request.model === undefined) {
-      const crowdingMs = inFlight / server.slots * serviceTimeMs * 0.2;
-      const waitMs = slotWaitMs;
-      const predictedMs = waitMs + crowdingMs + serviceTimeMs;
-      return { server, predictedMs, waitMs, uncachedTokens: 0, inFlight };
-    }
-    const tokensPerMs = this.#prefillTokensPerMsOf(request.model);
-    const uncachedTokens = Math.max(
-      0,
-      request.promptTokens - this.#cachedTokens(server, request, preference),
-    );
-    let waitMs = load.prefillTokens / tokensPerMs +
-      inFlight * DELAY_PER_REQUEST_MS + slotWaitMs;
-    const capacity = this.#options.kvCapacityOf(server.service) ?? Infinity;
-    const kvTokens = load.kvTokens + request.promptTokens;
-    if (kvTokens > capacity * KV_PRESSURE_SHARE) waitMs += KV_PRESSURE_WAIT_MS;
-    const predictedMs = BASE_LATENCY_MS + waitMs + uncachedTokens / tokensPerMs;
-    return { server, predictedMs, waitMs, uncachedTokens, inFlight };
-  }
-
-  #prefillTokensPerMsOf(model: string): number {
-    return this.#prefillTokensPerMs.get(model) ?? INITIAL_PREFILL_TOKENS_PER_MS;
-  }
-
-  /** Leading prompt tokens that are probably cached at a replica. */
-  #cachedTokens(
-    server: BackendServer,
-    request: SelectionRequest,
-    preference: number,
-  ): number {
-    const ids = request.promptParts.map(({ id }) => id);
-    const blocks = this.#prefixes.countBlocks(
-      formatModelName(request)!,
-      ids,
-      server.id,
-    );
-    const recordedTokens = sumTokens(request.promptParts.slice(0, blocks));
-    const share = PREFERRED_CACHED_SHARES[preference] ?? 0;
-    const partTokens = sumTokens(request.promptParts);
-    return Math.max(recordedTokens, partTokens * share);
-  }
-
   /** Returns the replicas that all entries prefer for the request's session. */
   #preferredFor(
     request: SelectionRequest,
@@ -597,57 +487,10 @@
     return rankByAffinity(
       `${formatModelName(request)} ${session.id}`,
       candidates,
-    ).slice(0, PREFERRED_CACHED_SHARES.length);
-  }
-
-  #updatePrefillSpeed(
-    request: SelectionRequest,
-    selection: ReplicaSelection,
-    sentAt: number,
-  ): void {
-    const { model } = request;
-    if (model === undefined) return;
-    const tokens = selection.uncachedTokens +
-      (selection.waitMs * this.#prefillTokensPerMsOf(model));
-    if (tokens < MIN_MEASURED_TOKENS) return;
-    const elapsedMs = Math.max(
-      1,
-      this.#options.clock.now() - sentAt - BASE_LATENCY_MS,
-    );
-    const before = this.#prefillTokensPerMsOf(model);
-    const measured = Math.min(tokens / elapsedMs, before * 4);
-    this.#prefillTokensPerMs.set(
-      model,
-      before + SMOOTHING * (measured - before),
-    );
-  }
-
-  #serviceTimeMsOf(
-    { service, model }: { service: string; model?: string },
-  ): number {
-    return this.#serviceTimeMs.get(service) ??
-      (model === undefined
-        ? INITIAL_SERVICE_TIME_MS
-        : INITIAL_GENERATION_TIME_MS);
-  }
-
-  #updateServiceTime({ server, model, sentAt }: InFlightRequest): void {
-    const { service } = server;
-    const elapsedMs = this.#options.clock.now() - sentAt;
-    const before = this.#serviceTimeMsOf({ service, model });
-    const measured = Math.min(elapsedMs, before * 4);
-    this.#serviceTimeMs.set(service, before + SMOOTHING * (measured - before));
+    ).slice(0, PREFERRED_REPLICAS);
   }
 }
 
-/** Formats a model or adapter as `model` or `model/adapter`. */
-export function formatModelName(
-  { model, adapter }: { model?: string; adapter?: string },
-): string | undefined {
-  if (model === undefined || adapter === undefined) return model;
-  return `${model}/${adapter}`;
-}
-
 /** Names by row: a row is replaced when it changes, never modified. */
 const NAMES_BY_SERVER: WeakMap<BackendServer, ReadonlySet<string>> =
   new WeakMap();
@@ -665,10 +508,6 @@
   return names;
 }
 
-function sumTokens(parts: readonly PromptPart[]): number {
-  return parts.reduce((sum, { tokens }) => sum + tokens, 0);
-}
-
 /** Whether a replica may serve a request, whatever it has loaded. */
 function isEligible(
   server: BackendServer,
--- a/packages/routing/src/replica_tracker_test.ts
+++ b/packages/routing/src/replica_tracker_test.ts
@@ -1,7 +1,8 @@
 import test from "ava";
 import type { PermitState } from "@banyanspool/replica-limits";
 import type { BackendServer } from "@banyanspool/types";
-import { ReplicaTracker, type SelectionRequest } from "./replica_tracker.ts";
+import { ReplicaTracker } from "./replica_tracker.ts";
+import type { SelectionRequest } from "./selection.ts";
 
 function server(id: string, options: Partial<BackendServer> = {}) {
   return {
