Routing: replicas are selected by their present speed and reported load

Prefill speed was kept by model and the time of a request by service, so that a slow replica got as much as a fast one, and the load that replicas state was dropped. The header is decoded once; replica_speed.ts learns a lasting slowdown from each replica's times and forecasts the passing one from the stated figure over the time that the work takes. reported_backlog.ts bounds what others have in flight by what the replica reports, without counting a request twice. A request that ends without a response counts as slow once it is later than predicted, never as fast. The fake metrics of run_attempts_test.ts get the new histogram.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -1,5 +1,5 @@
 import type { SlidingWindowLimiter } from "@banyanspool/limits";
-import type { EventLog } from "@banyanspool/logger";
+import type { EventFields, EventLog } from "@banyanspool/logger";
 import type { DemandMeter } from "@banyanspool/placement";
 import type { RetryBudget } from "@banyanspool/retry";
 import type { Quarantine } from "@banyanspool/quarantine";
@@ -36,6 +36,8 @@
   readonly replicaPermits: ReplicaPermits;
   /** Pauses that replicas asked this gateway for. */
   readonly replicaPauses: ReplicaPauses;
+  /** Logs a stated load that can't be read, at a bounded rate. */
+  readonly logUnreadableLoad: (fields: EventFields) => void;
   /** Records that a replica said in a response that it leaves. */
   readonly markLeaving: (server: BackendServer) => void;
   /** Rate limits of organisations, shared by all gateways. */
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -29,6 +29,7 @@
 import type { FleetState } from "./fleet_state.ts";
 import { rankByDataCentre, type RankedGateway } from "./gateway_ranking.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
+import { throttleEvent } from "./throttled_log.ts";
 import { WaitingRequestCounts } from "./waiting_request_counts.ts";
 
 /** Options of {@link createContext}. */
@@ -76,6 +77,8 @@
 /** Share of a replica's connections that the gateways use together. */
 const CONNECTION_SHARE = 0.8;
 const MIN_CONNECTIONS = 8;
+/** Shortest time between two lines on loads that can't be read. */
+const UNREADABLE_LOAD_LOG_INTERVAL_MS = 10_000;
 /** Time for which callers may take up a stream that was cut off. */
 const RESUMPTION_WINDOW_MS = 30_000;
 
@@ -139,6 +142,11 @@
     replicaLimits,
     replicaPermits,
     replicaPauses,
+    logUnreadableLoad: throttleEvent("server load unreadable", {
+      log,
+      clock,
+      intervalMs: UNREADABLE_LOAD_LOG_INTERVAL_MS,
+    }),
     markLeaving: options.markLeaving,
     limits: SlidingWindowLimiter.create({
       clock,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -14,6 +14,8 @@
   20,
 ];
 
+const SLOWDOWN_BUCKETS = [0.5, 0.7, 0.85, 1, 1.2, 1.5, 2, 3, 5];
+
 /** Prometheus metrics of a gateway. */
 export class GatewayMetrics {
   /** Registry of all metrics of this process. */
@@ -38,6 +40,10 @@
   readonly datagrams: Counter;
   /** Responses that weren't those to the request that waited, by reason. */
   readonly mismatchedResponses: Counter;
+  /** Loads that replicas stated in responses, by whether they were read. */
+  readonly statedLoads: Counter;
+  /** How long work was expected to take at replicas that got requests. */
+  readonly slowdown: Histogram;
   /** Outlier ejections of replicas by service. */
   readonly ejections: Counter;
   /** Requests and prompt parts put into quarantine. */
@@ -98,6 +104,18 @@
       "Responses that didn't match the request that waited",
       ["reason"],
     );
+    this.statedLoads = counter(
+      "replica_stated_loads_total",
+      "Loads that replicas stated in responses",
+      ["outcome"],
+    );
+    this.slowdown = new Histogram({
+      name: "banyanspool_replica_slowdown",
+      help: "Time of work at the selected replica, 1 on average",
+      labelNames: ["service"],
+      buckets: SLOWDOWN_BUCKETS,
+      registers,
+    });
     this.ejections = counter("replica_ejections_total", "Ejections", [
       "service",
     ]);
--- a/packages/gateway/src/pending_attempt.ts
+++ b/packages/gateway/src/pending_attempt.ts
@@ -22,6 +22,8 @@
   ) {
     const { ctx, scope, progress, request } = execution;
     this.selection = selection;
+    const { server, slowdown } = selection;
+    ctx.metrics.slowdown.observe({ service: server.service }, slowdown);
     this.trackedRequest = ctx.replicaTracker.dispatch(request, selection);
     this.settled = sendAttempt(ctx, scope, {
       selection,
--- a/packages/gateway/src/replica_notices.ts
+++ b/packages/gateway/src/replica_notices.ts
@@ -1,5 +1,6 @@
 import type { ReplicaResponseInfo } from "@banyanspool/platform-adapter";
 import { type BackendServer, incarnationOf } from "@banyanspool/types";
+import type { ReplicaTracker } from "@banyanspool/routing";
 import type { GatewayContext } from "./context.ts";
 
 /** What the head of a response tells of its replica. */
@@ -12,15 +13,24 @@
   readonly isRequest: boolean;
 }
 
+type StatedLoadContext =
+  & Pick<GatewayContext, "metrics" | "logUnreadableLoad">
+  & { replicaTracker: Pick<ReplicaTracker, "recordStatedLoad"> };
+
 /**
  * Applies what a replica says of itself in the head of a response, whatever the
  * call. A misdirected response is another replica's.
  */
 export function recordReplicaNotices(
-  ctx: Pick<
-    GatewayContext,
-    "replicaLimits" | "replicaPauses" | "markLeaving" | "log"
-  >,
+  ctx:
+    & Pick<
+      GatewayContext,
+      | "replicaLimits"
+      | "replicaPauses"
+      | "markLeaving"
+      | "log"
+    >
+    & StatedLoadContext,
   server: BackendServer,
   { facts, sentAt, isRequest }: ReplicaNotices,
 ): void {
@@ -28,6 +38,7 @@
   if (misdirected) return;
   const replica = incarnationOf(server);
   if (leaving) ctx.markLeaving(server);
+  recordStatedLoad(ctx, server, { facts, sentAt });
   if (pause.kind === "pause") ctx.replicaPauses.record(replica, pause);
   else ctx.replicaPauses.recordResponse(replica);
   if (pause.kind === "unreadable") {
@@ -43,3 +54,23 @@
     sentAt,
   });
 }
+
+function recordStatedLoad(
+  { replicaTracker, metrics, logUnreadableLoad }: StatedLoadContext,
+  server: BackendServer,
+  { facts: { load }, sentAt }: Pick<ReplicaNotices, "facts" | "sentAt">,
+): void {
+  if (load.kind === "none") return;
+  const outcome = load.kind === "load" ? "read" : "unreadable";
+  metrics.statedLoads.inc({ outcome });
+  if (load.kind === "unreadable") {
+    logUnreadableLoad({ replica: incarnationOf(server), load: load.text });
+    return;
+  }
+  const { running, waiting, slowdown } = load;
+  replicaTracker.recordStatedLoad(server, {
+    requests: running + waiting,
+    slowdown,
+    sentAt,
+  });
+}
--- a/packages/gateway/src/replica_notices_test.ts
+++ b/packages/gateway/src/replica_notices_test.ts
@@ -4,8 +4,11 @@
   type ResponseHeaders,
 } from "@banyanspool/platform-adapter";
 import type { BackendServer } from "@banyanspool/types";
+import type { StatedReplicaLoad } from "@banyanspool/routing";
 import test from "ava";
+import { GatewayMetrics } from "./gateway_metrics.ts";
 import { recordReplicaNotices } from "./replica_notices.ts";
+import { throttleEvent } from "./throttled_log.ts";
 
 const REPLICA: BackendServer = {
   id: "i-1",
@@ -35,11 +38,23 @@
     sleep: () => Promise.resolve(),
     onPause: () => {},
   });
+  const loads: StatedReplicaLoad[] = [];
+  const log = {
+    ...SILENT_LOG,
+    write: (event: string) => void logged.push(event),
+  };
+  const clock = { now: () => now, wall: () => now };
   const ctx = {
     replicaLimits,
     replicaPauses,
+    replicaTracker: {
+      recordStatedLoad: (_: BackendServer, load: StatedReplicaLoad) =>
+        void loads.push(load),
+    },
     markLeaving: ({ id }: BackendServer) => void leaving.push(id),
-    log: { ...SILENT_LOG, write: (event: string) => void logged.push(event) },
+    log,
+    logUnreadableLoad: throttleEvent("load", { log, clock, intervalMs: 1000 }),
+    metrics: GatewayMetrics.create(),
   };
   const receive = (
     status: number,
@@ -54,6 +69,8 @@
     receive,
     leaving,
     logged,
+    loads,
+    metrics: ctx.metrics,
     limit: () => replicaLimits.get("i-1 7"),
     pauseMs: () => replicaPauses.remainingMs("i-1 7"),
   };
@@ -110,3 +127,18 @@
   t.is(pauseMs(), 1980);
   t.deepEqual(leaving, ["i-1"]);
 });
+
+test("a load is handed on with the time of its request, and unreadable ones are counted and logged once", async (t) => {
+  const { receive, loads, logged, metrics } = createRecorder();
+  receive(200, { "server-load": "3,2,8,150" });
+  receive(202, { "server-load": "1,0,8" }, { isRequest: false });
+  receive(421, { "server-load": "1,0,8" });
+  for (let i = 0; i < 20; i += 1) receive(200, { "server-load": "1,2,3,4,5" });
+  t.deepEqual(loads, [
+    { requests: 5, slowdown: 1.5, sentAt: 9 },
+    { requests: 1, slowdown: undefined, sentAt: 19 },
+  ]);
+  t.deepEqual(logged, ["load"]);
+  const { values } = await metrics.statedLoads.get();
+  t.deepEqual(values.map(({ value }) => value), [2, 20]);
+});
--- a/packages/gateway/src/run_attempts_test.ts
+++ b/packages/gateway/src/run_attempts_test.ts
@@ -167,6 +167,7 @@
       retries: { inc: ignore },
       ejections: { inc: ignore },
       firstByte: { observe: ignore },
+      slowdown: { observe: ignore },
     },
   };
   const send = async (id: string): Promise<number> => {
--- a/packages/routing/src/first_byte_prediction.ts
+++ b/packages/routing/src/first_byte_prediction.ts
@@ -1,5 +1,6 @@
 import type { BackendServer, Clock, PromptPart } from "@banyanspool/types";
 import { PrefixHistory } from "./prefix_history.ts";
+import { ReplicaSpeeds } from "./replica_speed.ts";
 import type { InFlightLoad } from "./replica_loads.ts";
 import {
   formatModelName,
@@ -57,6 +58,8 @@
 
 /** Predicts the time to the first byte from the times measured so far. */
 export class FirstBytePredictor {
+  /** Present speeds of the replicas. */
+  readonly speeds: ReplicaSpeeds;
   readonly #clock: Clock;
   readonly #kvCapacityOf: (service: string) => number | undefined;
   readonly #prefixes: PrefixHistory = PrefixHistory.create({
@@ -69,6 +72,7 @@
 
   private constructor({ clock, kvCapacityOf }: FirstBytePredictorOptions) {
     this.#clock = clock;
+    this.speeds = ReplicaSpeeds.create({ clock });
     this.#kvCapacityOf = kvCapacityOf;
   }
 
@@ -96,9 +100,16 @@
     const slotWaitMs = queuedRequests * serviceTimeMs / server.slots;
     if (request.model === undefined) {
       const crowdingMs = inFlight / server.slots * serviceTimeMs * 0.2;
-      const waitMs = slotWaitMs;
-      const predictedMs = waitMs + crowdingMs + serviceTimeMs;
-      return { server, predictedMs, waitMs, uncachedTokens: 0, inFlight };
+      const averageMs = slotWaitMs + crowdingMs + serviceTimeMs;
+      const slowdown = this.speeds.forecast(server.id, averageMs);
+      return {
+        server,
+        predictedMs: averageMs * slowdown,
+        waitMs: slotWaitMs * slowdown,
+        uncachedTokens: 0,
+        slowdown,
+        inFlight,
+      };
     }
     const tokensPerMs = this.#prefillTokensPerMsOf(request.model);
     const uncachedTokens = Math.max(
@@ -110,8 +121,16 @@
     const capacity = this.#kvCapacityOf(server.service) ?? Infinity;
     const kvTokens = load.kvTokens + request.promptTokens;
     if (kvTokens > capacity * KV_PRESSURE_SHARE) waitMs += KV_PRESSURE_WAIT_MS;
-    const predictedMs = BASE_LATENCY_MS + waitMs + uncachedTokens / tokensPerMs;
-    return { server, predictedMs, waitMs, uncachedTokens, inFlight };
+    const averageMs = waitMs + uncachedTokens / tokensPerMs;
+    const slowdown = this.speeds.forecast(server.id, averageMs);
+    return {
+      server,
+      predictedMs: BASE_LATENCY_MS + averageMs * slowdown,
+      waitMs: waitMs * slowdown,
+      uncachedTokens,
+      slowdown,
+      inFlight,
+    };
   }
 
   #prefillTokensPerMsOf(model: string): number {
@@ -143,8 +162,9 @@
   ): void {
     const { model } = request;
     if (model === undefined) return;
+    this.#recordWork(selection, { sentAt, latencyMs: BASE_LATENCY_MS });
     const tokens = selection.uncachedTokens +
-      (selection.waitMs * this.#prefillTokensPerMsOf(model));
+      selection.waitMs / selection.slowdown * this.#prefillTokensPerMsOf(model);
     if (tokens < MIN_MEASURED_TOKENS) return;
     const elapsedMs = Math.max(
       1,
@@ -167,20 +187,48 @@
         : INITIAL_GENERATION_TIME_MS);
   }
 
-  /** Measures the time of a request that ends now. */
+  /**
+   * Measures the time of a request that ends now. One that ends without a response
+   * tells only how long its replica has taken at least.
+   */
   recordEnd(
-    { server, model, sentAt }: {
-      server: BackendServer;
-      model?: string;
+    { model }: SelectionRequest,
+    { selection, sentAt, isStarted }: {
+      selection: ReplicaSelection;
       sentAt: number;
+      isStarted: boolean;
     },
   ): void {
+    const { server } = selection;
+    if (!isStarted) {
+      const latencyMs = model === undefined ? 0 : BASE_LATENCY_MS;
+      this.#recordWork(selection, { sentAt, latencyMs, isLeast: true });
+    } else if (model === undefined) {
+      this.#recordWork(selection, { sentAt, latencyMs: 0 });
+    }
     const { service } = server;
     const elapsedMs = this.#clock.now() - sentAt;
     const before = this.#serviceTimeMsOf({ service, model });
     const measured = Math.min(elapsedMs, before * 4);
     this.#serviceTimeMs.set(service, before + SMOOTHING * (measured - before));
   }
+
+  #recordWork(
+    { server, predictedMs, slowdown }: ReplicaSelection,
+    { sentAt, latencyMs, isLeast = false }: {
+      sentAt: number;
+      latencyMs: number;
+      isLeast?: boolean;
+    },
+  ): void {
+    const elapsedMs = this.#clock.now() - sentAt - latencyMs;
+    const workMs = predictedMs - latencyMs;
+    if (isLeast && elapsedMs <= workMs) return;
+    this.speeds.recordMeasured(server.id, {
+      averageMs: workMs / slowdown,
+      elapsedMs: Math.max(1, elapsedMs),
+    });
+  }
 }
 
 function sumTokens(parts: readonly PromptPart[]): number {
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -11,6 +11,8 @@
 export type { PrefixHistoryOptions } from "./prefix_history.ts";
 export { hashPrefixes } from "./prefix_hash.ts";
 export { rankByAffinity } from "./affinity.ts";
+export { ReplicaSpeeds } from "./replica_speed.ts";
+export type { MeasuredWork } from "./replica_speed.ts";
 export { OutlierDetector } from "./outlier_detector.ts";
 export type {
   Observation,
@@ -23,6 +25,7 @@
   AvailableModels,
   ReplicaTrackerOptions,
   SelectOptions,
+  StatedReplicaLoad,
   TrackedRequest,
 } from "./replica_tracker.ts";
 export { RouteTable } from "./route_table.ts";
--- a/packages/routing/src/replica_loads.ts
+++ b/packages/routing/src/replica_loads.ts
@@ -117,6 +117,11 @@
     );
   }
 
+  /** Number of requests of this entry at a replica. */
+  ownRequestsAt(replica: string): number {
+    return this.#own.get(replica)?.requests ?? 0;
+  }
+
   /** Requests and tokens of all entries at a replica. */
   countsAt(
     replica: string,
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -2,6 +2,7 @@
 import type { PermitState } from "@banyanspool/replica-limits";
 import {
   FirstBytePredictor,
+  type PredictionContext,
   PREFERRED_REPLICAS,
 } from "./first_byte_prediction.ts";
 import {
@@ -9,6 +10,7 @@
   type ReplicaSelection,
   type SelectionRequest,
 } from "./selection.ts";
+import { ReportedBacklogs } from "./reported_backlog.ts";
 import { OutlierDetector } from "./outlier_detector.ts";
 import { rankByAffinity } from "./affinity.ts";
 import {
@@ -25,6 +27,16 @@
   readonly names: ReadonlySet<string>;
 }
 
+/** Load that a replica stated in a response. */
+export interface StatedReplicaLoad {
+  /** Requests running and waiting there. */
+  readonly requests: number;
+  /** How long work takes there at this moment, 1 as usual, if it said so. */
+  readonly slowdown?: number;
+  /** When the request of the response was sent, in ms. */
+  readonly sentAt: number;
+}
+
 /** A request in flight at a replica, for its sender to mark its progress. */
 export interface TrackedRequest {
   /** Marks that the first byte of the response has arrived. */
@@ -113,6 +125,7 @@
   readonly #options: ReplicaTrackerOptions;
   readonly #loads: ReplicaLoads;
   readonly #firstBytes: FirstBytePredictor;
+  readonly #backlogs: ReportedBacklogs;
   /** Requests of this entry without a first byte, by replica. */
   readonly #unstarted: Map<string, Set<InFlightRequest>> = new Map();
   /** Monotonic time until which a replica is skipped, as `replica name`. */
@@ -128,6 +141,7 @@
     this.#loads = ReplicaLoads.create({ clock: options.clock });
     this.outliers = OutlierDetector.create({ clock: options.clock });
     this.#firstBytes = FirstBytePredictor.create(options);
+    this.#backlogs = ReportedBacklogs.create({ clock: options.clock });
   }
 
   /** Creates a tracker without replicas. */
@@ -150,6 +164,8 @@
       if (next.get(id)?.startedAt === server.startedAt) continue;
       this.outliers.remove(server.service, id);
       this.#unreachableUntil.delete(id);
+      this.#firstBytes.speeds.remove(id);
+      this.#backlogs.remove(id);
     }
     this.#servers = next;
   }
@@ -178,6 +194,25 @@
     this.#loads.updatePeer(instance, loads);
   }
 
+  /** Records the load that a replica stated in a response. */
+  recordStatedLoad(
+    { id, startedAt }: BackendServer,
+    { requests, slowdown, sentAt }: StatedReplicaLoad,
+  ): void {
+    if (this.#servers.get(id)?.startedAt !== startedAt) return;
+    if (slowdown !== undefined) {
+      this.#firstBytes.speeds.recordStated(id, slowdown);
+    }
+    // The request that the response belongs to may have ended at the replica.
+    let uncertain = 1;
+    for (const unstarted of this.#unstarted.get(id) ?? []) {
+      if (unstarted.sentAt >= sentAt) uncertain += 1;
+    }
+    const own = this.#loads.ownRequestsAt(id);
+    const others = this.#loads.countsAt(id).requests - own;
+    this.#backlogs.record(id, { reported: requests, own, uncertain, others });
+  }
+
   /** Skips a replica for a while for a model or adapter that it rejected. */
   markRejected(
     replica: string,
@@ -378,7 +413,7 @@
       const preference = preferred.indexOf(server);
       const selection = this.#firstBytes.predict(request, {
         server,
-        load: this.#loads.countsAt(server.id),
+        load: this.#expectedLoadAt(server.id),
         preference,
       });
       const cost = this.#costOf(selection);
@@ -394,6 +429,14 @@
     return { ...best, permit: hasOther ? "spare" : "any" };
   }
 
+  #expectedLoadAt(replica: string): PredictionContext["load"] {
+    const counted = this.#loads.countsAt(replica);
+    const { prefillTokens, kvTokens } = counted;
+    const own = this.#loads.ownRequestsAt(replica);
+    const others = this.#backlogs.othersAt(replica, counted.requests - own);
+    return { requests: own + others, prefillTokens, kvTokens };
+  }
+
   /** Returns the replicas to compare: all of them if there are few entries. */
   #sample(
     candidates: readonly BackendServer[],
@@ -447,7 +490,11 @@
         const { isStarted } = inFlight;
         this.#loads.removeRequest(server.id, inFlight, { isStarted });
         this.#removeUnstarted(inFlight);
-        this.#firstBytes.recordEnd(inFlight);
+        this.#firstBytes.recordEnd(request, {
+          selection,
+          sentAt: inFlight.sentAt,
+          isStarted,
+        });
       },
     };
   }
--- a/packages/routing/src/replica_tracker_test.ts
+++ b/packages/routing/src/replica_tracker_test.ts
@@ -295,3 +295,67 @@
   started();
   t.is(tracker.select(request())?.server.id, "r1");
 });
+
+/** Sends plain requests one after the other to replicas that differ in speed. */
+function sendPlain(slowMs: number) {
+  const plain = request({ model: undefined, promptTokens: 0 });
+  const slots = { slots: 6, models: [] };
+  const { tracker, advance } = createTracker([
+    server("fast", slots),
+    server("slow", slots),
+  ]);
+  const serve = (excluded: string) => {
+    const next = { ...plain, excluded: new Set([excluded]) };
+    const selection = tracker.select(next)!;
+    const tracked = tracker.dispatch(next, selection);
+    advance(selection.server.id === "slow" ? slowMs : 20);
+    tracked.started();
+    tracked.finished();
+  };
+  for (let i = 0; i < 60; i += 1) serve(i % 2 === 0 ? "fast" : "slow");
+  return { tracker, plain };
+}
+
+test("a plain service with one slow replica: it gets fewer requests at once", (t) => {
+  const { tracker, plain } = sendPlain(60);
+  const sent = { fast: 0, slow: 0 };
+  for (let i = 0; i < 30; i += 1) {
+    const selection = tracker.select(plain)!;
+    sent[selection.server.id as "fast" | "slow"] += 1;
+    tracker.dispatch(plain, selection);
+  }
+  t.true(sent.fast >= 18, JSON.stringify(sent));
+  t.true(sent.slow >= 1, "what waits at the fast one would be late");
+});
+
+test("what was learnt of a replica is gone once it restarts", (t) => {
+  const { tracker, plain } = sendPlain(60);
+  const slow = tracker.servers.get("slow")!;
+  const only = { only: slow };
+  t.true(tracker.select(plain, only)!.slowdown > 1.2);
+  tracker.updateServers([{ ...slow, startedAt: 2 }]);
+  t.is(tracker.select(plain, only)!.slowdown, 1);
+  tracker.recordStatedLoad(slow, { requests: 90, slowdown: 9, sentAt: 0 });
+  const { slowdown, inFlight } = tracker.select(plain, only)!;
+  t.deepEqual({ slowdown, inFlight }, { slowdown: 1, inFlight: 0 });
+});
+
+test("work that the gateway doesn't know of is avoided once a replica states it", (t) => {
+  const { tracker } = createTracker([server("r1"), server("r2")]);
+  const load = { requests: 90, sentAt: 0 };
+  tracker.recordStatedLoad(tracker.servers.get("r1")!, load);
+  t.is(tracker.select(request())?.server.id, "r2");
+  t.is(tracker.select(request(), { only: server("r1") })?.inFlight, 90);
+});
+
+test("a request that ends without a response shows a slow replica, and never a fast one", (t) => {
+  const { tracker, advance } = createTracker([server("r1")]);
+  const lose = (afterMs: number) => {
+    const tracked = tracker.dispatch(request(), tracker.select(request())!);
+    advance(afterMs);
+    tracked.finished();
+    return tracker.select(request())!.slowdown;
+  };
+  t.is(lose(1), 1);
+  t.true(lose(5000) > 1);
+});
--- /dev/null
+++ b/packages/routing/src/reported_backlog_test.ts
@@ -0,0 +1,31 @@
+import test from "ava";
+import { ReportedBacklogs } from "./reported_backlog.ts";
+
+function createBacklogs() {
+  let now = 0;
+  const clock = { now: () => now, wall: () => now };
+  const backlogs = ReportedBacklogs.create({ clock });
+  return { backlogs, advance: (ms: number) => now += ms };
+}
+
+test("requests that may be in a report or not aren't counted twice", (t) => {
+  const { backlogs } = createBacklogs();
+  const counted = { own: 5, uncertain: 2, others: 3 };
+  for (const reported of [6, 7, 8]) {
+    backlogs.record("r", { ...counted, reported });
+    t.is(backlogs.othersAt("r", 3), 3, `${reported} proves nothing`);
+  }
+  backlogs.record("r", { ...counted, reported: 12 });
+  t.is(backlogs.othersAt("r", 3), 7);
+  backlogs.record("r", { ...counted, reported: 4 });
+  t.is(backlogs.othersAt("r", 3), 1);
+});
+
+test("a report gives way to what the other gateways tell later", (t) => {
+  const { backlogs, advance } = createBacklogs();
+  backlogs.record("r", { reported: 10, own: 0, uncertain: 0, others: 0 });
+  advance(250);
+  t.is(backlogs.othersAt("r", 8), 9);
+  advance(250);
+  t.is(backlogs.othersAt("r", 8), 8);
+});
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -31,6 +31,8 @@
   readonly waitMs: number;
   /** Prompt tokens to prefill, less those that are probably cached. */
   readonly uncachedTokens: number;
+  /** How long work takes there; 1 is the average of the service's replicas. */
+  readonly slowdown: number;
   /** Requests in flight at the replica, from all entries. */
   readonly inFlight: number;
   /** Permit that the request needs; undefined if the replica has no limit. */
