--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -5,6 +5,7 @@
 import { ReplaySiteCommand } from "./commands/replay_site.ts";
 import { SlopesCommand } from "./commands/slopes.ts";
 import { TracesCommand } from "./commands/traces.ts";
+import { UnevenCommand } from "./commands/uneven.ts";
 
 const cli = new Cli({
   binaryLabel: "banyanspool bench",
@@ -19,6 +20,7 @@
     ReplaySiteCommand,
     SlopesCommand,
     TracesCommand,
+    UnevenCommand,
     Builtins.HelpCommand,
   ]
 ) cli.register(command);
--- a/packages/bench/src/plot.ts
+++ b/packages/bench/src/plot.ts
@@ -38,6 +38,41 @@
   return await draw(spec);
 }
 
+/** Time of the slowest hundredth of the requests under one policy. */
+export interface SelectionTime {
+  /** Number of gateways. */
+  readonly gateways: number;
+  /** How replicas are selected. */
+  readonly policy: string;
+  /** Time within which 99% of the requests were served, in ms. */
+  readonly p99Ms: number;
+  /** Name of the plot that the point belongs to. */
+  readonly plot: string;
+}
+
+/** Draws an SVG of the times under each policy over the number of gateways. */
+export async function plotSelectionTimes(
+  points: readonly SelectionTime[],
+): Promise<string> {
+  return await draw({
+    title: "Time within which 99% of the requests are served",
+    data: { values: [...points] },
+    facet: { field: "plot", type: "nominal" },
+    spec: {
+      mark: { type: "line", point: true },
+      encoding: {
+        x: {
+          field: "gateways",
+          type: "quantitative",
+          scale: { type: "log" },
+        },
+        y: { field: "p99Ms", type: "quantitative", title: "p99 in ms" },
+        color: { field: "policy", type: "nominal" },
+      },
+    },
+  });
+}
+
 /** Share of the gateways at which a change is in force, over time. */
 export interface InForcePoint {
   /** Time since the acknowledgement, in ms. */
