--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -11,22 +11,21 @@
 export type { PrefixHistoryOptions } from "./prefix_history.ts";
 export { hashPrefixes } from "./prefix_hash.ts";
 export { rankByAffinity } from "./affinity.ts";
+export { ReplicaSpeeds } from "./replica_speed.ts";
+export type { MeasuredWork } from "./replica_speed.ts";
 export { OutlierDetector } from "./outlier_detector.ts";
 export type {
   Observation,
   OutlierDetectorOptions,
 } from "./outlier_detector.ts";
-export {
-  formatModelName,
-  listModelNames,
-  ReplicaTracker,
-} from "./replica_tracker.ts";
+export { formatModelName } from "./selection.ts";
+export type { ReplicaSelection, SelectionRequest } from "./selection.ts";
+export { listModelNames, ReplicaTracker } from "./replica_tracker.ts";
 export type {
   AvailableModels,
-  ReplicaSelection,
   ReplicaTrackerOptions,
-  SelectionRequest,
   SelectOptions,
+  StatedReplicaLoad,
   TrackedRequest,
 } from "./replica_tracker.ts";
 export { RouteTable } from "./route_table.ts";
