Readiness and metrics ports: bounded connections, heads and time

Anyone may connect to these ports. Connections stayed open as long as their clients wanted, up to the process's descriptors; each request sent ahead computed the text of the metrics again, and answers that weren't read piled up.

A server of the new package http-limits parses the first head of a connection and nothing after it, and closes it with the answer; the text of the metrics is kept for a second. A connection beyond the maximum replaces the oldest one of the address that has the most, so that the balancer and the scraper get through.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,3 @@
-import type { Server } from "node:http";
 import { createEventLog, type EventLog } from "@banyanspool/logger";
 import { Lease } from "@banyanspool/platform";
 import {
@@ -31,7 +30,11 @@
 import { RecoveryTable } from "./recovery_table.ts";
 import { ReplicaRegistry } from "./replica_registry.ts";
 import { watchReplicas } from "./replica_watch.ts";
-import { startMetricsServer, startReadinessServer } from "./status_servers.ts";
+import {
+  startMetricsServer,
+  startReadinessServer,
+  type StatusServer,
+} from "./status_servers.ts";
 
 /** Options of {@link Gateway.create}. */
 export interface GatewayOptions {
@@ -79,7 +82,7 @@
   readonly #readSchedule: SharedReadSchedule;
   readonly #freshness: ConfigurationFreshness;
   readonly #restoredSignal: ChangeSignal = ChangeSignal.create();
-  readonly #servers: Server[] = [];
+  readonly #servers: StatusServer[] = [];
   #isClosed = false;
 
   private constructor(cfg: GatewaySettings, log: EventLog) {
@@ -233,8 +236,17 @@
     await this.#exchange.listen();
     this.#startTasks();
     this.#servers.push(
-      await startReadinessServer(cfg.readiness_listen, () => this.#isReady),
-      await startMetricsServer(cfg.metrics_listen, { metrics, log }),
+      await startReadinessServer(cfg.readiness_listen, {
+        isReady: () => this.#isReady,
+        maxConnections: cfg.status_max_connections,
+        metrics,
+      }),
+      await startMetricsServer(cfg.metrics_listen, {
+        maxConnections: cfg.status_max_connections,
+        metrics,
+        log,
+        clock: this.#ctx.clock,
+      }),
     );
     const { host, port } = splitAddress(cfg.public_listen);
     await this.#publicServer.listen(host, port);
@@ -283,7 +295,6 @@
     this.#publicServer.closeAllConnections();
     for (const server of this.#servers) {
       server.close();
-      server.closeAllConnections();
     }
     await this.#supervisor.stop();
     this.#exchange.close();
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -36,6 +36,8 @@
   readonly reportReads: Counter;
   /** Datagrams exchanged with other gateways, by direction. */
   readonly datagrams: Counter;
+  /** Connections and requests of the status ports that a limit ended. */
+  readonly statusLimits: Counter;
   /** Responses that weren't those to the request that waited, by reason. */
   readonly mismatchedResponses: Counter;
   /** Outlier ejections of replicas by service. */
@@ -93,6 +95,11 @@
     this.datagrams = counter("gateway_datagrams_total", "Datagrams", [
       "direction",
     ]);
+    this.statusLimits = counter(
+      "status_limits_total",
+      "Connections and requests of the status ports that a limit ended",
+      ["cause"],
+    );
     this.mismatchedResponses = counter(
       "replica_response_mismatches_total",
       "Responses that didn't match the request that waited",
--- a/packages/gateway/src/status_servers.ts
+++ b/packages/gateway/src/status_servers.ts
@@ -1,50 +1,121 @@
-import { createServer, type Server } from "node:http";
+import type { RequestListener } from "node:http";
+import {
+  createOneRequestServer,
+  hasTooManyFields,
+  limitConnections,
+  requestLimitOptions,
+} from "@banyanspool/http-limits";
 import type { EventLog } from "@banyanspool/logger";
 import { READINESS_PATH } from "@banyanspool/platform-adapter";
 import { splitAddress } from "@banyanspool/settings";
+import type { Clock } from "@banyanspool/types";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 
+/** A running server of readiness or metrics. */
+export interface StatusServer {
+  /** Stops it and closes its connections. */
+  readonly close: () => void;
+}
+
+/** What the servers of readiness and metrics need. */
+export interface StatusServerOptions {
+  /** Maximum number of connections. */
+  readonly maxConnections: number;
+  /** Metrics, which count what the limits end. */
+  readonly metrics: GatewayMetrics;
+}
+
+/** Options of {@link startReadinessServer}. */
+export interface ReadinessServerOptions extends StatusServerOptions {
+  /** Whether the gateway accepts connections. */
+  readonly isReady: () => boolean;
+}
+
+/** Options of {@link startMetricsServer}. */
+export interface MetricsServerOptions extends StatusServerOptions {
+  /** Structured log, whose dropped lines are a metric. */
+  readonly log: EventLog;
+  /** Time source. */
+  readonly clock: Clock;
+}
+
+const MAX_HEAD_BYTES = 8 * 1024;
+const MAX_HEAD_FIELDS = 64;
+/** Time for a request and its answer, in ms. */
+const MAX_CONNECTION_AGE_MS = 5000;
+/** Time for which the text of the metrics is served again, in ms. */
+const METRICS_AGE_MS = 1000;
+
 /**
  * Starts the readiness check for the load balancer: 200 if the gateway accepts
  * connections, 503 if not.
  */
 export async function startReadinessServer(
   address: string,
-  isReady: () => boolean,
-): Promise<Server> {
-  return await listen(
-    address,
-    createServer((req, res) => {
-      const isFound = req.url === READINESS_PATH;
-      res.writeHead(isFound && isReady() ? 200 : isFound ? 503 : 404, {
-        "content-length": "0",
-      });
-      res.end();
-    }),
-  );
+  options: ReadinessServerOptions,
+): Promise<StatusServer> {
+  return await startStatusServer(address, options, (req, res) => {
+    const isFound = req.url === READINESS_PATH;
+    const isReady = isFound && options.isReady();
+    res.writeHead(isReady ? 200 : isFound ? 503 : 404, {
+      "content-length": "0",
+    });
+    res.end();
+  });
 }
 
 /** Starts the server of the metrics in Prometheus' text format. */
 export async function startMetricsServer(
   address: string,
-  { metrics, log }: { metrics: GatewayMetrics; log: EventLog },
-): Promise<Server> {
-  return await listen(
-    address,
-    createServer(async (_req, res) => {
+  options: MetricsServerOptions,
+): Promise<StatusServer> {
+  const { metrics, log, clock } = options;
+  let text = Promise.resolve("");
+  let textAt = -Infinity;
+  return await startStatusServer(address, options, async (_req, res) => {
+    if (clock.now() - textAt >= METRICS_AGE_MS) {
+      textAt = clock.now();
       metrics.droppedLines.set(log.dropped());
-      const text = await metrics.registry.metrics();
-      res.writeHead(200, { "content-type": metrics.registry.contentType });
-      res.end(text);
-    }),
-  );
+      text = metrics.registry.metrics();
+    }
+    res.writeHead(200, { "content-type": metrics.registry.contentType });
+    res.end(await text);
+  });
 }
 
-async function listen(address: string, server: Server): Promise<Server> {
+async function startStatusServer(
+  address: string,
+  { maxConnections, metrics }: StatusServerOptions,
+  listener: RequestListener,
+): Promise<StatusServer> {
+  const server = createOneRequestServer(
+    requestLimitOptions({
+      maxHeadBytes: MAX_HEAD_BYTES,
+      headTimeoutMs: MAX_CONNECTION_AGE_MS,
+      requestTimeoutMs: MAX_CONNECTION_AGE_MS,
+      idleTimeoutMs: MAX_CONNECTION_AGE_MS,
+    }),
+    (req, res) => {
+      if (!hasTooManyFields(req, MAX_HEAD_FIELDS)) return listener(req, res);
+      metrics.statusLimits.inc({ cause: "too_many_fields" });
+      res.writeHead(431, { "content-length": "0" }).end();
+    },
+  );
+  const connections = limitConnections(server, {
+    maxConnections,
+    maxAgeMs: MAX_CONNECTION_AGE_MS,
+    closesBusy: true,
+    onClosed: (cause) => metrics.statusLimits.inc({ cause }),
+  });
   const { host, port } = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen({ host, port }, resolve);
   });
-  return server;
+  return {
+    close: () => {
+      server.close();
+      connections.closeAll();
+    },
+  };
 }
--- a/packages/gateway/src/testing/running_gateway.ts
+++ b/packages/gateway/src/testing/running_gateway.ts
@@ -110,6 +110,7 @@
       limit_overage: 0.1,
       limit_slack: 100,
       log_lines_per_s: 100,
+      status_max_connections: 64,
     },
     log: SILENT,
   });
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -70,6 +70,7 @@
   limit_overage: z.number().nonnegative(),
   limit_slack: z.number().nonnegative(),
   log_lines_per_s: z.number().positive().default(400),
+  status_max_connections: z.number().int().positive().default(64),
 });
 
 const clientSchema = z.strictObject({
