Peer port: a gateway is known by its address in the member table

Each report of an unknown instance was answered and kept as a gateway, whatever its address; garbage that protobuf decodes was one, too. Reports that named ever new instances made the gateway send to all of them.

A datagram from an address without a row is dropped before it is decoded, and counted; it makes the gateway read the table early, at most every 2 s while such reads find nothing new, as its sender may have just started. An instance's address is always that of its row.

--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -58,6 +58,8 @@
   readonly expectedLoads: () => ReadonlyMap<string, number>;
   /** Called when another gateway's report changed the registry. */
   readonly onReplicaChange: () => void;
+  /** Called when a datagram comes from an address that isn't known. */
+  readonly onStranger: () => void;
   /** Age of the configuration here and at the other gateways. */
   readonly freshness: ConfigurationFreshness;
 }
@@ -127,6 +129,7 @@
       buildReport: () => this.#buildReport(),
       buildPeerReport: (peer) => this.#buildPeerReport(peer),
       onState: (state) => this.#applyPeerState(state),
+      onStranger: options.onStranger,
       onMessage: (instance, { streamMessage, permitMessage }) => {
         if (streamMessage) ctx.streamOrigins.receive(instance, streamMessage);
         if (!permitMessage) return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -82,6 +82,7 @@
   readonly #readSchedule: SharedReadSchedule;
   readonly #freshness: ConfigurationFreshness;
   readonly #restoredSignal: ChangeSignal = ChangeSignal.create();
+  readonly #strangerSignal: ChangeSignal = ChangeSignal.create();
   readonly #servers: StatusServer[] = [];
   #isClosed = false;
 
@@ -210,6 +211,7 @@
       expectedLoads: () => this.#placementController.expectedLoads(),
       onReplicaChange: () => this.#applyReplicaList(),
       freshness: this.#freshness,
+      onStranger: () => this.#strangerSignal.notify(),
     });
     this.#publicServer = PublicServer.create(this.#ctx);
     this.#supervisor = Supervisor.create({
@@ -361,6 +363,7 @@
           host: splitAddress(cfg.peer_listen).host,
           isStopping: () => fleet.isStopping,
           restoredSignal: this.#restoredSignal,
+          strangerSignal: this.#strangerSignal,
           log,
           onMember: (instance, host) => this.#exchange.addPeer(instance, host),
         }, signal),
--- a/packages/gateway/src/member_table.ts
+++ b/packages/gateway/src/member_table.ts
@@ -1,5 +1,6 @@
 import type { StoreClient } from "@banyanspool/platform-adapter";
 import type { EventLog } from "@banyanspool/logger";
+import { sleep } from "@banyanspool/types";
 import * as z from "zod";
 import type { ChangeSignal } from "./change_signal.ts";
 
@@ -15,6 +16,8 @@
   readonly isStopping: () => boolean;
   /** Notified when the store was restored, which may have lost the rows. */
   readonly restoredSignal: ChangeSignal;
+  /** Notified when a datagram comes from an address that isn't known. */
+  readonly strangerSignal: ChangeSignal;
   /** Structured log. */
   readonly log: EventLog;
   /** Called with each other gateway that has a row, at every read. */
@@ -28,6 +31,13 @@
  */
 const READ_INTERVAL_MS = 30_000;
 const RETRY_MS = 500;
+/**
+ * Time between two reads when strangers send datagrams, in ms. It doubles with
+ * each such read that finds no new gateway, so that strangers that aren't
+ * gateways cause few reads.
+ */
+const MIN_STRANGER_GAP_MS = 100;
+const MAX_STRANGER_GAP_MS = 2000;
 
 const memberSchema = z.object({ host: z.ipv4() });
 
@@ -38,8 +48,16 @@
 ): Promise<void> {
   const { instance, host, isStopping, restoredSignal } = options;
   let hasJustWritten = false;
+  let strangerGapMs = MIN_STRANGER_GAP_MS;
+  let known = "";
+  let isEarly = false;
   while (!signal.aborted) {
     const hosts = await readMembers(options);
+    const found = JSON.stringify([...hosts ?? []].sort());
+    strangerGapMs = isEarly && found === known
+      ? Math.min(MAX_STRANGER_GAP_MS, 2 * strangerGapMs)
+      : MIN_STRANGER_GAP_MS;
+    known = found;
     let waitMs = RETRY_MS;
     if (isStopping() || hosts?.get(instance) === host) {
       waitMs = READ_INTERVAL_MS;
@@ -49,10 +67,37 @@
       continue;
     }
     hasJustWritten = false;
-    await restoredSignal.wait(waitMs, signal);
+    isEarly = await waitForRead(options, { waitMs, strangerGapMs, signal });
   }
 }
 
+/**
+ * Waits for the next read, a restore of the store or, after a gap, a stranger.
+ * Returns whether a stranger ended the wait.
+ */
+async function waitForRead(
+  { restoredSignal, strangerSignal }: MembershipOptions,
+  { waitMs, strangerGapMs, signal }: {
+    waitMs: number;
+    strangerGapMs: number;
+    signal: AbortSignal;
+  },
+): Promise<boolean> {
+  const done = new AbortController();
+  const either = AbortSignal.any([signal, done.signal]);
+  const waitForStranger = async () => {
+    await sleep(strangerGapMs, either).catch(() => {});
+    await strangerSignal.wait(2 * waitMs, either);
+    return true;
+  };
+  const isEarly = await Promise.race([
+    restoredSignal.wait(waitMs, either).then(() => false),
+    waitForStranger(),
+  ]);
+  done.abort();
+  return isEarly;
+}
+
 /** Removes this gateway's row during a graceful shutdown. */
 export async function leaveMembership(
   { store, instance }: Pick<MembershipOptions, "store" | "instance">,
--- a/packages/gateway/src/member_table_test.ts
+++ b/packages/gateway/src/member_table_test.ts
@@ -42,6 +42,7 @@
     host: `10.0.0.${instance.charCodeAt(0)}`,
     isStopping: () => false,
     restoredSignal: ChangeSignal.create(),
+    strangerSignal: ChangeSignal.create(),
     log: SILENT_LOG,
   };
 }
@@ -86,3 +87,30 @@
   await task;
   t.is(writes, 1);
 });
+
+test("a stranger's datagram causes an early read, and a crowd of them few", async (t) => {
+  const store = createStore();
+  let reads = 0;
+  const strangerSignal = ChangeSignal.create();
+  const controller = new AbortController();
+  const task = maintainMembership({
+    ...createOptions("a", {
+      store: {
+        ...store,
+        readTable: (table) => {
+          reads += 1;
+          return store.readTable(table);
+        },
+      },
+      onMember: () => {},
+    }),
+    strangerSignal,
+  }, controller.signal);
+  const timer = setInterval(() => strangerSignal.notify(), 1);
+  await new Promise((resolve) => setTimeout(resolve, 1500));
+  clearInterval(timer);
+  controller.abort();
+  await task;
+  // Two reads for the own row, and gaps of 100, 200, 400 and 800 ms.
+  t.true(reads > 2 && reads <= 6, `${reads} reads`);
+});
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "@banyanspool/types";
 import { type GatewayState, GatewayStateSchema } from "@banyanspool/wire";
 
-/** Another gateway, from the member table or from its reports. */
+/** Another gateway, from the member table. */
 export interface Peer {
   /** Instance name. */
   readonly instance: string;
@@ -58,12 +58,15 @@
   /** Called with each message of a peer. */
   readonly onMessage: (instance: string, message: GatewayMessage) => void;
   /**
-   * Called for each datagram; `unreadable` if one can't be decoded, and `failed`
-   * if one can't be encoded or applied.
+   * Called for each datagram; `stranger` if its sender isn't a known gateway,
+   * `unreadable` if one can't be decoded, and `failed` if one can't be encoded or
+   * applied.
    */
   readonly onDatagram: (
-    direction: "sent" | "received" | "unreadable" | "failed",
+    direction: "sent" | "received" | "stranger" | "unreadable" | "failed",
   ) => void;
+  /** Called with each such datagram, whose sender may have just started. */
+  readonly onStranger?: () => void;
 }
 
 interface PeerState {
@@ -103,6 +106,8 @@
   readonly #options: PeerExchangeOptions;
   readonly #socket: Socket;
   readonly #peers: Map<string, PeerState> = new Map();
+  /** Number of peers by address. */
+  readonly #hosts: Map<string, number> = new Map();
   #sequence = 0n;
 
   private constructor(options: PeerExchangeOptions) {
@@ -173,10 +178,13 @@
     if (instance === this.#options.instance) return;
     const known = this.#peers.get(instance);
     if (known) {
-      // The row may be older than the address of the peer's last report.
-      if (!known.isLive) known.host = host;
+      if (known.host === host) return;
+      this.#releaseHost(known.host);
+      known.host = host;
+      this.#retainHost(host);
       return;
     }
+    this.#retainHost(host);
     this.#peers.set(instance, {
       host,
       dataCentre: "",
@@ -187,6 +195,16 @@
     });
   }
 
+  #retainHost(host: string): void {
+    this.#hosts.set(host, (this.#hosts.get(host) ?? 0) + 1);
+  }
+
+  #releaseHost(host: string): void {
+    const peers = (this.#hosts.get(host) ?? 0) - 1;
+    if (peers > 0) this.#hosts.set(host, peers);
+    else this.#hosts.delete(host);
+  }
+
   /** Sends a report to all peers immediately. */
   announce(): void {
     const bytes = this.#contain("encode report", () => this.#encodeReport());
@@ -266,6 +284,7 @@
       }
       if (Number.isFinite(silentMs) && silentMs > EXPIRE_AFTER_MS) {
         this.#peers.delete(instance);
+        this.#releaseHost(peer.host);
       }
     }
   }
@@ -312,6 +331,11 @@
     this.#socket.send(bytes, this.#options.port, host);
   }
 
+  #ignoreStranger(): void {
+    this.#options.onDatagram("stranger");
+    this.#options.onStranger?.();
+  }
+
   /**
    * Whether a report is older than the last one. A lower incarnation is that of a
    * later start if the last one is silent: the wall clock was set back between.
@@ -325,6 +349,10 @@
 
   #receive(bytes: Uint8Array, host: string): void {
     const { onState, onDatagram, log, clock } = this.#options;
+    if (!this.#hosts.has(host)) {
+      this.#ignoreStranger();
+      return;
+    }
     let state: GatewayState;
     try {
       state = fromBinary(GatewayStateSchema, bytes);
@@ -334,15 +362,19 @@
     }
     onDatagram("received");
     if (state.instance === this.#options.instance) return;
+    const known = this.#peers.get(state.instance);
+    if (known?.host !== host) {
+      this.#ignoreStranger();
+      return;
+    }
     if (state.streamMessage || state.permitMessage) {
       this.#options.onMessage(state.instance, state);
       return;
     }
-    const known = this.#peers.get(state.instance);
-    if (known && this.#isOutdated(state, known)) return;
+    if (this.#isOutdated(state, known)) return;
     const now = clock.now();
-    const isNew = known?.incarnation !== state.incarnation;
-    if (!known?.isLive || now - known.lastReceivedAt > LOST_AFTER_MS) {
+    const isNew = known.incarnation !== state.incarnation;
+    if (!known.isLive || now - known.lastReceivedAt > LOST_AFTER_MS) {
       log.write("peer heard", {
         peer: state.instance,
         host,
--- a/packages/gateway/src/peer_exchange_test.ts
+++ b/packages/gateway/src/peer_exchange_test.ts
@@ -79,6 +79,7 @@
   };
   const listener = await start("127.0.0.1", 1);
   t.teardown(() => listener.close());
+  listener.addPeer("127.0.0.2", "127.0.0.2");
   const before = await start("127.0.0.2", 100);
   before.addPeer("127.0.0.1", "127.0.0.1");
   before.announce();
