--- a/packages/gateway/src/member_table.ts
+++ b/packages/gateway/src/member_table.ts
@@ -46,7 +46,7 @@
   options: MembershipOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { instance, host, isStopping, restoredSignal } = options;
+  const { instance, host, isStopping } = options;
   let hasJustWritten = false;
   let strangerGapMs = MIN_STRANGER_GAP_MS;
   let known = "";
