Metrics ports of entry and agent: bounded connections, heads and time

Their connections stayed open as long as clients wanted. They answer one request a connection like the gateways' status ports, and count what a limit ends.

The three crowds of connections_test pass; the first one failed before, the second had no end within 90 s.

--- a/packages/fleet/src/metrics_server.ts
+++ b/packages/fleet/src/metrics_server.ts
@@ -1,6 +1,15 @@
-import { createServer } from "node:http";
+import {
+  createOneRequestServer,
+  limitConnections,
+  requestLimitOptions,
+} from "@banyanspool/http-limits";
 import type { Metrics } from "@banyanspool/metrics";
 
+const MAX_CONNECTIONS = 64;
+const MAX_HEAD_BYTES = 8 * 1024;
+/** Time for a request and its answer, in ms. */
+const MAX_CONNECTION_AGE_MS = 5000;
+
 /** Options of {@link startMetricsServer}. */
 export interface MetricsServerOptions {
   /** IP address to listen on. */
@@ -25,7 +34,13 @@
 export async function startMetricsServer(
   { host, port, metrics, refresh }: MetricsServerOptions,
 ): Promise<MetricsServer> {
-  const server = createServer(async (req, res) => {
+  const options = requestLimitOptions({
+    maxHeadBytes: MAX_HEAD_BYTES,
+    headTimeoutMs: MAX_CONNECTION_AGE_MS,
+    requestTimeoutMs: MAX_CONNECTION_AGE_MS,
+    idleTimeoutMs: MAX_CONNECTION_AGE_MS,
+  });
+  const server = createOneRequestServer(options, async (req, res) => {
     if (req.url !== "/metrics") {
       res.writeHead(404).end();
       return;
@@ -34,6 +49,12 @@
     res.writeHead(200, { "content-type": metrics.registry.contentType });
     res.end(await metrics.format());
   });
+  const connections = limitConnections(server, {
+    maxConnections: MAX_CONNECTIONS,
+    maxAgeMs: MAX_CONNECTION_AGE_MS,
+    closesBusy: true,
+    onClosed: (cause) => metrics.metricsLimits.inc({ cause }),
+  });
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, host, resolve);
@@ -42,8 +63,8 @@
   return {
     port: typeof address === "object" && address ? address.port : 0,
     close: () => {
-      server.closeAllConnections();
       server.close();
+      connections.closeAll();
     },
   };
 }
--- a/packages/metrics/src/mod.ts
+++ b/packages/metrics/src/mod.ts
@@ -60,6 +60,8 @@
   readonly controlBytes: Counter;
   /** Decision records by outcome, `written` or `dropped`. */
   readonly decisions: Counter;
+  /** Connections of the metrics port that a limit ended, by cause. */
+  readonly metricsLimits: Counter;
 
   private constructor() {
     const registers = [this.registry];
@@ -101,6 +103,11 @@
     this.decisions = counter("decisions_total", "Decision records", [
       "outcome",
     ]);
+    this.metricsLimits = counter(
+      "metrics_limits_total",
+      "Connections of the metrics port that a limit ended",
+      ["cause"],
+    );
     collectDefaultMetrics({ register: this.registry });
   }
 
