Peer port: gateways are heard by their reports while the member table can't be read

A gateway that starts while the store is away for others has no row that they can read, and would be ignored with its use of limits and replicas. While the last read failed, an unknown sender counts as a gateway again, one for each address and 64 at most.

--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -60,6 +60,8 @@
   readonly onReplicaChange: () => void;
   /** Called when a datagram comes from an address that isn't known. */
   readonly onStranger: () => void;
+  /** Whether the last read of the member table succeeded. */
+  readonly isMembershipKnown: () => boolean;
   /** Age of the configuration here and at the other gateways. */
   readonly freshness: ConfigurationFreshness;
 }
@@ -130,6 +132,7 @@
       buildPeerReport: (peer) => this.#buildPeerReport(peer),
       onState: (state) => this.#applyPeerState(state),
       onStranger: options.onStranger,
+      isMembershipKnown: options.isMembershipKnown,
       onMessage: (instance, { streamMessage, permitMessage }) => {
         if (streamMessage) ctx.streamOrigins.receive(instance, streamMessage);
         if (!permitMessage) return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -83,6 +83,7 @@
   readonly #freshness: ConfigurationFreshness;
   readonly #restoredSignal: ChangeSignal = ChangeSignal.create();
   readonly #strangerSignal: ChangeSignal = ChangeSignal.create();
+  #isMembershipKnown = false;
   readonly #servers: StatusServer[] = [];
   #isClosed = false;
 
@@ -212,6 +213,7 @@
       onReplicaChange: () => this.#applyReplicaList(),
       freshness: this.#freshness,
       onStranger: () => this.#strangerSignal.notify(),
+      isMembershipKnown: () => this.#isMembershipKnown,
     });
     this.#publicServer = PublicServer.create(this.#ctx);
     this.#supervisor = Supervisor.create({
@@ -365,6 +367,9 @@
           isStopping: () => fleet.isStopping,
           restoredSignal: this.#restoredSignal,
           strangerSignal: this.#strangerSignal,
+          onRead: (hasSucceeded) => {
+            this.#isMembershipKnown = hasSucceeded;
+          },
           log,
           onMember: (instance, host) => this.#exchange.addPeer(instance, host),
         }, signal),
--- a/packages/gateway/src/member_table.ts
+++ b/packages/gateway/src/member_table.ts
@@ -18,6 +18,8 @@
   readonly restoredSignal: ChangeSignal;
   /** Notified when a datagram comes from an address that isn't known. */
   readonly strangerSignal: ChangeSignal;
+  /** Called after each read with whether it succeeded. */
+  readonly onRead?: (hasSucceeded: boolean) => void;
   /** Structured log. */
   readonly log: EventLog;
   /** Called with each other gateway that has a row, at every read. */
@@ -53,6 +55,7 @@
   let isEarly = false;
   while (!signal.aborted) {
     const hosts = await readMembers(options);
+    options.onRead?.(hosts !== undefined);
     const found = JSON.stringify([...hosts ?? []].sort());
     strangerGapMs = isEarly && found === known
       ? Math.min(MAX_STRANGER_GAP_MS, 2 * strangerGapMs)
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -67,6 +67,11 @@
   ) => void;
   /** Called with each such datagram, whose sender may have just started. */
   readonly onStranger?: () => void;
+  /**
+   * Whether the member table was read lately. While it can't be, a sender that
+   * isn't known counts as a gateway that has just started.
+   */
+  readonly isMembershipKnown?: () => boolean;
 }
 
 interface PeerState {
@@ -96,6 +101,9 @@
  */
 const EXPIRE_AFTER_MS = 60_000;
 
+/** Peers known by their reports alone. */
+const MAX_UNLISTED_PEERS = 64;
+
 /** Interval between two periodic reports to a number of peers, in ms. */
 export function reportIntervalMs(peers: number): number {
   return BASE_INTERVAL_MS + INTERVAL_PER_PEER_MS * peers;
@@ -108,6 +116,8 @@
   readonly #peers: Map<string, PeerState> = new Map();
   /** Number of peers by address. */
   readonly #hosts: Map<string, number> = new Map();
+  /** Addresses of peers that the member table hasn't named. */
+  readonly #unlistedHosts: Set<string> = new Set();
   #sequence = 0n;
 
   private constructor(options: PeerExchangeOptions) {
@@ -176,6 +186,7 @@
   /** Adds a peer from the member table. */
   addPeer(instance: string, host: string): void {
     if (instance === this.#options.instance) return;
+    this.#unlistedHosts.delete(host);
     const known = this.#peers.get(instance);
     if (known) {
       if (known.host === host) return;
@@ -195,14 +206,27 @@
     });
   }
 
+  /**
+   * Takes a sender that isn't known for a gateway while the member table can't be
+   * read: one for each address, so that a stranger can't name ever new ones.
+   */
+  #mayBeUnlisted(host: string): boolean {
+    return this.#options.isMembershipKnown?.() === false &&
+      !this.#hosts.has(host) && this.#unlistedHosts.size < MAX_UNLISTED_PEERS;
+  }
+
   #retainHost(host: string): void {
     this.#hosts.set(host, (this.#hosts.get(host) ?? 0) + 1);
   }
 
   #releaseHost(host: string): void {
     const peers = (this.#hosts.get(host) ?? 0) - 1;
-    if (peers > 0) this.#hosts.set(host, peers);
-    else this.#hosts.delete(host);
+    if (peers > 0) {
+      this.#hosts.set(host, peers);
+      return;
+    }
+    this.#hosts.delete(host);
+    this.#unlistedHosts.delete(host);
   }
 
   /** Sends a report to all peers immediately. */
@@ -349,7 +373,8 @@
 
   #receive(bytes: Uint8Array, host: string): void {
     const { onState, onDatagram, log, clock } = this.#options;
-    if (!this.#hosts.has(host)) {
+    const mayBeUnlisted = this.#mayBeUnlisted(host);
+    if (!this.#hosts.has(host) && !mayBeUnlisted) {
       this.#ignoreStranger();
       return;
     }
@@ -362,6 +387,10 @@
     }
     onDatagram("received");
     if (state.instance === this.#options.instance) return;
+    if (mayBeUnlisted && !this.#peers.has(state.instance)) {
+      this.addPeer(state.instance, host);
+      this.#unlistedHosts.add(host);
+    }
     const known = this.#peers.get(state.instance);
     if (known?.host !== host) {
       this.#ignoreStranger();
