Gateways obey evacuations of data centres

Cause: only the key "config" of the operator's table was read, so that requests went on to an evacuated data centre. Change: the same feed tells rows evacuate/ZONE, gateways report them to each other, and ReplicaTracker asks whether a request may go to a replica at all. The placement lease holder plans without the replicas of such a data centre.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -24,6 +24,8 @@
 const RECHECK_INTERVAL_MS = 60;
 /** Retry-after of requests that found no replica, before jitter. */
 const NO_REPLICA_RETRY_AFTER_MS = 700;
+/** Retry-after of requests that may go to no replica, before jitter. */
+const BARRED_RETRY_AFTER_MS = 2000;
 /**
  * Callers wait for a retry-after only up to this share of the time that they
  * have left.
@@ -88,6 +90,7 @@
   const waitUntil = callerLeavesAt(scope, pending) - RESPONSE_RESERVE_MS;
   const name = formatModelName(request);
   if (!isServable(scope, request)) return err(refuseUnknownModel(request));
+  if (replicaTracker.isBarred(request)) return err(refuseBarred(ctx, request));
   if (
     request.softwareVersion !== undefined && !replicaTracker.hasVersion(request)
   ) {
@@ -115,6 +118,9 @@
           withinMs: (scope.deadlineAt - clock.now()) * MAX_RETRY_AFTER_SHARE,
         });
       if (claim) return endClaim(ctx, scope, { ...pending, claim });
+      if (replicaTracker.isBarred(request)) {
+        return err(refuseBarred(ctx, request));
+      }
       const leftMs = waitUntil - clock.now();
       const paused = refuseWhilePaused(ctx, { request, waitUntil });
       if (paused && name === undefined) return err(paused);
@@ -318,6 +324,19 @@
   });
 }
 
+/** Refuses at once a request that may go to no replica of its service. */
+function refuseBarred(
+  { metrics, random }: GatewayContext,
+  { service }: SelectionRequest,
+): Refusal {
+  metrics.barredRequests.inc();
+  return refuse(
+    "no_replica",
+    `All replicas of "${service}" are in data centres that are evacuated`,
+    { retryAfterMs: jitterRetryAfter(BARRED_RETRY_AFTER_MS, random) },
+  );
+}
+
 function refuseNoReplica(
   ctx: GatewayContext,
   request: SelectionRequest,
--- a/packages/gateway/src/configuration_watch.ts
+++ b/packages/gateway/src/configuration_watch.ts
@@ -40,6 +40,8 @@
   readonly store: ConfigurationStore;
   /** State in which the configuration is activated. */
   readonly fleet: FleetState;
+  /** Called with all rows that were read, of which others hold evacuations. */
+  readonly onRows?: (rows: RowSet, origin: ConfigurationOrigin) => void;
   /** Age of the configuration here and at the other gateways. */
   readonly freshness: ConfigurationFreshness;
   /** Time source. */
@@ -109,6 +111,7 @@
         continue;
       case "changes": {
         const { rows, position, origin } = res.value;
+        options.onRows?.({ rows, position }, origin);
         for (const row of rows) {
           acceptRow(row, { epoch: position.epoch, origin }, options);
         }
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -13,6 +13,7 @@
 import type { BackendServer, Clock, Random, Sleep } from "@banyanspool/types";
 import type { ConnectionPools } from "./connection_pools.ts";
 import type { CrashWatch } from "./crash_watch.ts";
+import type { Evacuations } from "./evacuation/evacuations.ts";
 import type { ExpectedModels } from "./expected_models.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
@@ -30,6 +31,8 @@
   readonly fleet: FleetState;
   /** Load of the replicas, and the choice of one for a request. */
   readonly replicaTracker: ReplicaTracker;
+  /** Data centres to whose replicas nothing may be sent. */
+  readonly evacuations: Evacuations;
   /** Limits that replicas name in their responses. */
   readonly replicaLimits: LimitTable;
   /** Permits for requests to replicas with a limit. */
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -25,6 +25,7 @@
 import { ConnectionPools } from "./connection_pools.ts";
 import type { GatewayContext } from "./context.ts";
 import { CrashWatch, tryConnect } from "./crash_watch.ts";
+import { Evacuations } from "./evacuation/evacuations.ts";
 import { ExpectedModels } from "./expected_models.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { rankByDataCentre, type RankedGateway } from "./gateway_ranking.ts";
@@ -116,6 +117,21 @@
     onPause: (replica, forMs) =>
       log.write("replica paused", { replica, for_ms: Math.round(forMs) }),
   });
+  const evacuations = Evacuations.create({
+    onChange: (dataCentre, isEvacuated) => {
+      metrics.recordEvacuation(dataCentre, isEvacuated);
+      const replicas = [...replicaTracker.servers.values()]
+        .filter((server) => server.dataCentre === dataCentre).length;
+      log.write("evacuation", {
+        data_centre: dataCentre,
+        in_force: isEvacuated,
+        replicas,
+        known: replicas > 0 || !fleet.hasReplicaList,
+      });
+      // Requests that wait look for another replica, or are refused.
+      fleet.changed.notify();
+    },
+  });
   const replicaTracker = ReplicaTracker.create({
     clock,
     random: Math.random,
@@ -129,6 +145,7 @@
     admits: (server, waiting) =>
       replicaPauses.isEmpty ||
       replicaPauses.admits(incarnationOf(server), waiting),
+    allows: ({ dataCentre }) => !evacuations.isEvacuated(dataCentre),
   });
   return {
     clock,
@@ -136,6 +153,7 @@
     random: Math.random,
     fleet,
     replicaTracker,
+    evacuations,
     replicaLimits,
     replicaPermits,
     replicaPauses,
--- /dev/null
+++ b/packages/gateway/src/evacuation/evacuations_test.ts
@@ -0,0 +1,127 @@
+import test from "ava";
+import {
+  type EvacuationFact,
+  type EvacuationRow,
+  Evacuations,
+} from "./evacuations.ts";
+
+function create() {
+  const changes: string[] = [];
+  const evacuations = Evacuations.create({
+    onChange: (dataCentre, isEvacuated) =>
+      changes.push(`${dataCentre} ${isEvacuated}`),
+  });
+  return { evacuations, changes };
+}
+
+const set = (version: number, dataCentre = "north"): EvacuationRow => ({
+  dataCentre,
+  version,
+  removed: false,
+});
+const removed = (version: number): EvacuationRow => ({
+  dataCentre: "north",
+  version,
+  removed: true,
+});
+
+test("a data centre is evacuated until its row is removed", (t) => {
+  const { evacuations, changes } = create();
+  evacuations.applyRows([set(5)], 1);
+  t.true(evacuations.isEvacuated("north"));
+  t.false(evacuations.applyRows([set(5)], 1), "nothing new");
+  evacuations.applyRows([removed(9)], 1);
+  t.false(evacuations.isEvacuated("north"));
+  t.deepEqual(changes, ["north true", "north false"]);
+});
+
+test("two data centres are evacuated and taken back one by one", (t) => {
+  const { evacuations } = create();
+  evacuations.applyTable([set(5), set(6, "south")], { epoch: 1, version: 8 });
+  t.deepEqual(evacuations.dataCentres, ["north", "south"]);
+  evacuations.applyRows([removed(9)], 1);
+  t.deepEqual(evacuations.dataCentres, ["south"]);
+});
+
+test("a removal that the history no longer tells is found by a read", (t) => {
+  const { evacuations } = create();
+  evacuations.applyRows([set(5)], 1);
+  evacuations.applyTable([], { epoch: 1, version: 4 });
+  t.true(evacuations.isEvacuated("north"), "an older read tells nothing");
+  evacuations.applyTable([], { epoch: 1, version: 9 });
+  t.false(evacuations.isEvacuated("north"));
+});
+
+test("an evacuation that a restored store has lost stays in force until its key is written again", (t) => {
+  const { evacuations } = create();
+  evacuations.applyRows([set(5)], 1);
+  evacuations.applyTable([], { epoch: 2, version: 4 });
+  t.true(evacuations.isEvacuated("north"));
+  evacuations.applyRows([removed(5)], 2);
+  t.false(evacuations.isEvacuated("north"));
+});
+
+test("a restored store doesn't bring back an evacuation that was removed, but a new row counts", (t) => {
+  const { evacuations } = create();
+  evacuations.applyRows([set(5)], 1);
+  evacuations.applyRows([removed(9)], 1);
+  evacuations.applyTable([set(5)], { epoch: 2, version: 6 });
+  t.false(evacuations.isEvacuated("north"));
+  evacuations.applyRows([set(8)], 2);
+  t.true(evacuations.isEvacuated("north"));
+});
+
+// It would have begun with what a peer that lags behind reported.
+test("a gateway that has just read the table isn't told older evacuations", (t) => {
+  const behind = create().evacuations;
+  behind.applyRows([set(5)], 1);
+  const { evacuations } = create();
+  evacuations.applyTable([], { epoch: 1, version: 9 });
+  t.false(evacuations.applyReport(behind.report()));
+  t.false(evacuations.isEvacuated("north"));
+});
+
+test("removed rows are forgotten, evacuations aren't", (t) => {
+  const { evacuations } = create();
+  evacuations.applyRows([set(1)], 1);
+  for (let i = 2; i < 500; i += 1) {
+    evacuations.applyRows([{ ...removed(i), dataCentre: `dc-${i}` }], 1);
+  }
+  t.true(evacuations.report().length <= 65);
+  t.true(evacuations.isEvacuated("north"));
+});
+
+/** Whether all orders in which reports arrive end in the same state. */
+function agrees(facts: readonly EvacuationFact[]): boolean {
+  const results = permute(facts).map((order) => {
+    const { evacuations } = create();
+    for (const fact of order) evacuations.applyReport([fact]);
+    return evacuations.isEvacuated("north");
+  });
+  return new Set(results).size === 1;
+}
+
+function permute<T>(items: readonly T[]): T[][] {
+  if (items.length < 2) return [[...items]];
+  return items.flatMap((item, i) =>
+    permute(items.filter((_, j) => j !== i)).map((rest) => [item, ...rest])
+  );
+}
+
+// Gateways of two sides of a cut would have disagreed for good.
+test("gateways agree in whatever order they learn of writes and restores", (t) => {
+  const fact = (
+    epoch: number,
+    version: number,
+    isRemoved: boolean,
+    setVersion = version,
+  ): EvacuationFact => ({
+    dataCentre: "north",
+    position: { epoch, version },
+    removed: isRemoved,
+    setVersion,
+  });
+  t.true(agrees([fact(1, 5, false), fact(1, 9, true, 5), fact(1, 12, false)]));
+  t.true(agrees([fact(1, 9, true, 5), fact(2, 5, false)]));
+  t.true(agrees([fact(1, 9, true, 5), fact(2, 5, false), fact(2, 8, false)]));
+});
--- /dev/null
+++ b/packages/gateway/src/evacuation_test.ts
@@ -0,0 +1,66 @@
+import { setTimeout as delay } from "node:timers/promises";
+import type { ReplicaHandler } from "@banyanspool/platform-adapter/testing";
+import test from "ava";
+import {
+  chat,
+  event,
+  findFreePort,
+  startFleet,
+  startGateway,
+  waitFor,
+} from "./testing/running_gateway.ts";
+
+const evacuate = "evacuate/south";
+const answer: ReplicaHandler = (_req, res) => {
+  res.writeHead(200, { "content-type": "text/event-stream" });
+  res.end(event(1) + event(2));
+};
+
+test("no request goes to an evacuated data centre until it is taken back", async (t) => {
+  const fleet = await startFleet(t);
+  await fleet.addReplica({ id: "i-1", service: "desk", zone: "south" });
+  const { send } = await startGateway(t, fleet);
+  t.is((await send("/look/")).status, 200);
+  fleet.store.put("op", evacuate, {});
+  await waitFor(async () => (await send("/look/")).status === 503);
+  const refused = await send("/book/", { method: "POST", body: "{}" });
+  t.like(JSON.parse(refused.body).error, { code: "no_replica", ran: "no" });
+  t.truthy(refused.headers["retry-after"]);
+  fleet.store.remove("op", evacuate);
+  await waitFor(async () => (await send("/look/")).status === 200);
+});
+
+test("a gateway that restarts while the store is deaf obeys, and one that is cut off learns from it", async (t) => {
+  const fleet = await startFleet(t);
+  await fleet.addReplica({ id: "i-1", service: "desk", zone: "south" });
+  const port = await findFreePort();
+  const first = await startGateway(t, fleet, { host: "127.0.0.1", port });
+  fleet.store.fault = "deaf";
+  fleet.store.put("op", evacuate, "a value that isn't read");
+  const second = await startGateway(t, fleet, {
+    host: "127.0.0.2",
+    port,
+    isFirstStart: false,
+  });
+  t.is((await second.send("/look/")).status, 503);
+  fleet.store.fault = "silent";
+  await waitFor(async () => (await first.send("/look/")).status === 503);
+});
+
+// Its callers would have been refused until the evacuation ended.
+test("a model that only the evacuated data centre holds is loaded elsewhere", async (t) => {
+  const fleet = await startFleet(t);
+  await fleet.addReplica({
+    id: "i-1",
+    service: "pool",
+    zone: "south",
+    holds: ["m1"],
+    answer,
+  });
+  await fleet.addReplica({ id: "i-2", service: "pool", holds: [], answer });
+  const { send } = await startGateway(t, fleet);
+  t.is((await send("/draft/", chat("m1"))).status, 200);
+  fleet.store.put("op", evacuate, {});
+  await delay(100);
+  await waitFor(async () => (await send("/draft/", chat("m1"))).status === 200);
+});
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -14,6 +14,10 @@
 import { type GatewayReport, PeerExchange } from "./peer_exchange.ts";
 import type { EngineController } from "./engine_controller.ts";
 import type { ConfigurationFreshness } from "./configuration_freshness.ts";
+import {
+  decodeEvacuations,
+  encodeEvacuations,
+} from "./evacuation/evacuation_codec.ts";
 import { FleetDemandTable } from "./fleet_demand.ts";
 import type { RankedGateway } from "./gateway_ranking.ts";
 import {
@@ -476,6 +480,7 @@
       })),
       ...encodeQuarantineReport(ctx.quarantine.report()),
       ...encodeReplicaLimits(ctx.replicaLimits.report()),
+      ...encodeEvacuations(ctx.evacuations.report()),
       demand: [],
       streamNeeds: [],
       knownFencingToken: this.#knownModels.fencingToken,
@@ -505,6 +510,7 @@
         ]),
       ),
     });
+    ctx.evacuations.applyReport(decodeEvacuations(state));
     ctx.replicaLimits.applyReport(state.replicaLimits);
     if (ctx.quarantine.applyReport(decodeQuarantineReport(state))) {
       // This gateway may be able to clear parts that were in flight.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import { watchConfiguration } from "./configuration_watch.ts";
 import type { GatewayContext } from "./context.ts";
 import { createContext } from "./create_context.ts";
+import { applyEvacuationRows } from "./evacuation/evacuation_rows.ts";
 import { EngineController } from "./engine_controller.ts";
 import { FleetState } from "./fleet_state.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
@@ -186,6 +187,8 @@
         return this.#ctx.replicaLimits.get(replica) !== undefined ||
           this.#ctx.replicaPauses.remainingMs(replica) > 0;
       },
+      isEvacuated: (dataCentre) =>
+        this.#ctx.evacuations.isEvacuated(dataCentre),
       log,
     });
     this.#registry = ReplicaRegistry.create({
@@ -309,6 +312,15 @@
           fleet,
           sleep,
           freshness: this.#freshness,
+          onRows: (rows, origin) => {
+            const isNew = applyEvacuationRows(rows, {
+              evacuations: this.#ctx.evacuations,
+              isWholeTable: origin === "read",
+              log,
+            });
+            // The calls that wait for changes are late, here or everywhere.
+            if (isNew && origin !== "wait") this.#exchange.announceSoon();
+          },
           clock,
           random: Math.random,
           log,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -46,6 +46,10 @@
   readonly resumptions: Counter;
   /** Version of the active configuration. */
   readonly configurationVersion: Gauge;
+  /** 1 for each data centre that is evacuated. */
+  readonly evacuations: Gauge;
+  /** Requests refused because they may go to no replica of their service. */
+  readonly barredRequests: Counter;
   /** Log lines dropped by the log's rate limit. */
   readonly droppedLines: Gauge;
 
@@ -115,9 +119,27 @@
       "configuration_version",
       "Version in force",
     );
+    this.barredRequests = counter(
+      "barred_requests_total",
+      "Requests that may go to no replica of their service",
+      [],
+    );
+    this.evacuations = new Gauge({
+      name: "banyanspool_evacuated",
+      help: "Evacuated data centres",
+      labelNames: ["data_centre"],
+      registers,
+    });
     this.droppedLines = gauge("log_lines_dropped", "Log lines dropped");
   }
 
+  /** Records that an evacuation began or was taken back. */
+  recordEvacuation(dataCentre: string, isEvacuated: boolean): void {
+    const labels = { data_centre: dataCentre };
+    if (isEvacuated) this.evacuations.set(labels, 1);
+    else this.evacuations.remove(labels);
+  }
+
   /** Creates the metrics of one process. */
   static create(): GatewayMetrics {
     return new GatewayMetrics();
--- a/packages/gateway/src/peer_exchange_test.ts
+++ b/packages/gateway/src/peer_exchange_test.ts
@@ -24,6 +24,7 @@
   streamNeeds: [],
   replicaLimits: [],
   leavingReplicas: [],
+  evacuations: [],
 } satisfies GatewayReport;
 
 test("an exchange whose port is in use fails to start", async (t) => {
--- a/packages/gateway/src/placement_controller.ts
+++ b/packages/gateway/src/placement_controller.ts
@@ -26,6 +26,8 @@
   readonly streamNeeds: () => readonly StreamNeed[];
   /** Whether a replica limits its requests, of which orders are some. */
   readonly isLimited: (server: BackendServer) => boolean;
+  /** Whether nothing may be sent to the replicas of a data centre. */
+  readonly isEvacuated: (dataCentre: string) => boolean;
   /** Whether the demand of all gateways is known. */
   readonly hasFleetDemand: () => boolean;
   /** Structured log. */
@@ -105,7 +107,9 @@
     for (const [name, { engine }] of services) {
       if (!engine) continue;
       const servers = [...replicas.values()]
-        .filter(({ service }) => service === name);
+        .filter(({ service, dataCentre }) =>
+          service === name && !this.#options.isEvacuated(dataCentre)
+        );
       // An engine accepts no adapter while it loads a model, which takes
       // seconds, so adapters go first.
       this.#adapterScheduler.plan(engine, servers);
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -84,15 +84,18 @@
     }),
     body: scope.body,
     requestId: scope.caller.id,
-    maySend: () => ctx.replicaPauses.remainingMs(replica) === 0,
+    maySend: () =>
+      ctx.replicaPauses.remainingMs(replica) === 0 &&
+      ctx.replicaTracker.allows(selection.server, request),
   });
   try {
     return await awaitHead(ctx, scope, { ...options, call, sentAt });
   } catch (error) {
     const callError = error as ReplicaCallError;
-    const isPaused = ctx.replicaPauses.remainingMs(replica) > 0;
+    const isBarred = ctx.replicaPauses.remainingMs(replica) > 0 ||
+      !ctx.replicaTracker.allows(selection.server, request);
     if (
-      callError.failure === "notSent" && !isPaused && !scope.signal.aborted
+      callError.failure === "notSent" && !isBarred && !scope.signal.aborted
     ) {
       ctx.replicaTracker.markUnreachable(selection.server.id);
     }
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -85,6 +85,11 @@
    * for its response.
    */
   readonly admits: (server: BackendServer, waiting: number) => boolean;
+  /** Whether a request may go to a replica at all; it may by default. */
+  readonly allows?: (
+    server: BackendServer,
+    request: SelectionRequest,
+  ) => boolean;
 }
 
 /** Which of the candidates are compared. */
@@ -329,7 +334,7 @@
     const { model } = request;
     if (model === undefined) return true;
     for (const server of this.#servers.values()) {
-      if (!isEligible(server, request)) continue;
+      if (!this.#isEligible(server, request)) continue;
       if (this.isAvailable(server, model)) return true;
     }
     return false;
@@ -342,7 +347,7 @@
   hasVersion(request: SelectionRequest): boolean {
     for (const server of this.#servers.values()) {
       if (request.excluded.has(server.id)) continue;
-      if (isEligible(server, request)) return true;
+      if (this.#isEligible(server, request)) return true;
     }
     return false;
   }
@@ -400,12 +405,29 @@
     return this.#options.admits(server, waiting);
   }
 
+  /** Whether a request may go to a replica at all, now or later. */
+  allows(server: BackendServer, request: SelectionRequest): boolean {
+    return this.#options.allows?.(server, request) ?? true;
+  }
+
+  /** Whether a request may go to none of the replicas that could serve it. */
+  isBarred(request: SelectionRequest): boolean {
+    const eligible = [...this.#servers.values()]
+      .filter((server) => isEligible(server, request));
+    return eligible.length > 0 &&
+      !eligible.some((server) => this.allows(server, request));
+  }
+
+  #isEligible(server: BackendServer, request: SelectionRequest): boolean {
+    return isEligible(server, request) && this.allows(server, request);
+  }
+
   #reachable(request: SelectionRequest): BackendServer[] {
     const name = formatModelName(request);
     const now = this.#options.clock.now();
     const reachable: BackendServer[] = [];
     for (const server of this.#servers.values()) {
-      if (!isEligible(server, request)) continue;
+      if (!this.#isEligible(server, request)) continue;
       if (request.excluded.has(server.id)) continue;
       if ((this.#unreachableUntil.get(server.id) ?? 0) > now) continue;
       if (name !== undefined && !this.isAvailable(server, name)) continue;
