A cold replica gets what it takes over all gateways together

The idle replica was chosen by all gateways from the moment that it was listed. Change: ColdReplicas gives cold replicas a limit, whose permits are issued as those of limits that replicas name; the lower counts. Gateways issue none in their first two seconds. The limit doubles every quarter of a second at its end. acquire_replica_test.ts: the context has the metrics that are used now.

--- a/packages/bench/src/replica_limit_simulation.ts
+++ b/packages/bench/src/replica_limit_simulation.ts
@@ -46,6 +46,12 @@
   readonly faults: readonly TimedGatewayFault[];
   /** Seed of all random choices. */
   readonly seed: number;
+  /** Span of time in which requests are counted, in ms; 4 s by default. */
+  readonly windowMs?: number;
+  /** Time after its start in which a gateway knows no other, in ms. */
+  readonly learnMs?: number;
+  /** Time after its start in which a gateway issues no permits, in ms. */
+  readonly settleMs?: number;
 }
 
 /** What the replica got. */
@@ -94,6 +100,8 @@
   readonly #random: Random;
   readonly #names: readonly string[];
   readonly #permits: ReplicaPermits[];
+  /** When each gateway's process started. */
+  readonly #startedAt: number[] = [];
   readonly #arrivals: Arrival[] = [];
   #requests = 0;
   #messages = 0;
@@ -121,10 +129,11 @@
 
   summarise(): ReplicaLimitResult {
     const { limitPerS, durationMs } = this.#scenario;
+    const { windowMs = LIMIT_WINDOW_MS } = this.#scenario;
     const judged = this.#arrivals.filter(({ isExcused }) => !isExcused);
     return {
-      worstWindow: worstWindowOf(judged),
-      worstWindowOfAll: worstWindowOf(this.#arrivals),
+      worstWindow: worstWindowOf(judged, windowMs),
+      worstWindowOfAll: worstWindowOf(this.#arrivals, windowMs),
       usedShare: this.#arrivals.length / (limitPerS * durationMs / 1000),
       messagesPerRequest: this.#messages / Math.max(1, this.#requests),
     };
@@ -165,6 +174,8 @@
   }
 
   #createPermits(self: number): ReplicaPermits {
+    const startedAt = this.#time.now;
+    this.#startedAt[self] = startedAt;
     const clock = { now: () => this.#time.now, wall: () => this.#time.now };
     return ReplicaPermits.create({
       clock,
@@ -172,6 +183,8 @@
       random: this.#random,
       instance: this.#names[self]!,
       limitOf: () => this.#scenario.limitPerS,
+      mayIssue: () =>
+        this.#time.now - startedAt >= (this.#scenario.settleMs ?? 0),
       issuersOf: (replica) =>
         rankByAffinity(
           replica,
@@ -209,6 +222,8 @@
   #silenceOf(self: number, peer: number): number {
     if (self === peer) return 0;
     const now = this.#time.now;
+    const { learnMs = 0 } = this.#scenario;
+    if (now - (this.#startedAt[self] ?? 0) < learnMs) return Infinity;
     let silentSince = now;
     for (const { kind, gateway, atMs, forMs } of this.#scenario.faults) {
       const isOfPair = gateway === peer ||
@@ -244,11 +259,14 @@
   }
 }
 
-function worstWindowOf(arrivals: readonly Arrival[]): number {
+function worstWindowOf(
+  arrivals: readonly Arrival[],
+  windowMs: number,
+): number {
   let worst = 0;
   let first = 0;
   for (const [index, { at }] of arrivals.entries()) {
-    while (arrivals[first]!.at <= at - LIMIT_WINDOW_MS) first += 1;
+    while (arrivals[first]!.at <= at - windowMs) first += 1;
     worst = Math.max(worst, index - first + 1);
   }
   return worst;
--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -125,6 +125,8 @@
     replicaLimits,
     replicaPermits,
     replicaPauses,
+    coldReplicas: { limitOf: () => undefined },
+    metrics: { deniedPermits: { inc: () => {} } },
     fleet: { changed },
     waitingRequests: WaitingRequestCounts.create({ clock }),
     expectedModels: ExpectedModels.create({ clock }),
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -4,6 +4,7 @@
 import type { RetryBudget } from "@banyanspool/retry";
 import type { Quarantine } from "@banyanspool/quarantine";
 import type {
+  ColdReplicas,
   LimitTable,
   ReplicaPauses,
   ReplicaPermits,
@@ -33,6 +34,8 @@
   readonly replicaTracker: ReplicaTracker;
   /** Data centres to whose replicas nothing may be sent. */
   readonly evacuations: Evacuations;
+  /** Limits of replicas that are cold. */
+  readonly coldReplicas: ColdReplicas;
   /** Limits that replicas name in their responses. */
   readonly replicaLimits: LimitTable;
   /** Permits for requests to replicas with a limit. */
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -3,6 +3,7 @@
 import { DemandMeter } from "@banyanspool/placement";
 import { Quarantine } from "@banyanspool/quarantine";
 import {
+  ColdReplicas,
   LimitTable,
   ReplicaPauses,
   ReplicaPermits,
@@ -100,12 +101,31 @@
       options.onNews();
     },
   });
+  const coldReplicas = ColdReplicas.create({
+    clock,
+    limitOfService: (service) => {
+      const spec = fleet.activeConfiguration?.configuration.services
+        .get(service);
+      if (spec?.coldPerS === undefined) return undefined;
+      return { coldStartMs: spec.coldStartMs ?? 0, coldPerS: spec.coldPerS };
+    },
+    onCold: (replica, forMs) =>
+      log.write("replica cold", { replica, for_ms: Math.round(forMs) }),
+    onImplausible: (replica, coldLeftMs) =>
+      log.write("cold time implausible", {
+        replica,
+        cold_left_ms: String(coldLeftMs),
+      }),
+  });
+  metrics.countColdReplicas(() => coldReplicas.count);
   const replicaPermits = ReplicaPermits.create({
     clock,
     sleep,
     random: Math.random,
     instance: cfg.instance,
-    limitOf: (replica) => replicaLimits.get(replica),
+    limitOf: (replica) =>
+      lowest(replicaLimits.get(replica), coldReplicas.limitOf(replica)),
+    mayIssue: (replica) => coldReplicas.mayIssue(replica),
     issuersOf: (replica) => rankByDataCentre(replica, options.liveGateways()),
     isResponsive: options.isResponsive,
     reachableShare: options.reachableShare,
@@ -128,6 +148,7 @@
         replicas,
         known: replicas > 0 || !fleet.hasReplicaList,
       });
+      if (!isEvacuated) coldReplicas.recordReturn(dataCentre);
       // Requests that wait look for another replica, or are refused.
       fleet.changed.notify();
     },
@@ -139,7 +160,7 @@
     liveEntryCount: liveCount,
     kvCapacityOf: (service) => findEngine(service)?.kvCapacityTokens,
     permitStateOf: (server) =>
-      replicaLimits.hasLimits
+      replicaLimits.hasLimits || coldReplicas.hasLimits
         ? replicaPermits.stateOf(incarnationOf(server))
         : "unlimited",
     admits: (server, waiting) =>
@@ -154,6 +175,7 @@
     fleet,
     replicaTracker,
     evacuations,
+    coldReplicas,
     replicaLimits,
     replicaPermits,
     replicaPauses,
@@ -234,6 +256,15 @@
   };
 }
 
+/** The lower of two limits; undefined if there is none. */
+function lowest(
+  a: number | undefined,
+  b: number | undefined,
+): number | undefined {
+  if (a === undefined || b === undefined) return a ?? b;
+  return Math.min(a, b);
+}
+
 function createQuarantine(
   { cfg, clock, log, metrics, fleet, liveGateways }: ContextOptions,
 ): Quarantine {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -165,6 +165,8 @@
       awaitPermit: async (server) => {
         const replica = incarnationOf(server);
         await this.#ctx.replicaPauses.wait(replica);
+        // Orders and reads count toward a limit that the replica names only.
+        if (this.#ctx.replicaLimits.get(replica) === undefined) return;
         await this.#ctx.replicaPermits.wait(replica);
       },
       onNotices: (server, notices) =>
@@ -409,6 +411,7 @@
     const { replicaTracker, versionHistory, pools, fleet } = this.#ctx;
     const { replicas } = this.#registry;
     const incarnations = new Set(replicas.map(incarnationOf));
+    this.#ctx.coldReplicas.update(replicas);
     this.#ctx.replicaLimits.retain(incarnations);
     this.#ctx.replicaPermits.retain(incarnations);
     this.#ctx.replicaPauses.retain(incarnations);
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -50,9 +50,15 @@
   readonly evacuations: Gauge;
   /** Requests refused because they may go to no replica of their service. */
   readonly barredRequests: Counter;
+  /** Permits that requests to replicas with a limit were refused. */
+  readonly deniedPermits: Counter;
+  /** Replicas that are cold. */
+  readonly coldReplicas: Gauge;
   /** Log lines dropped by the log's rate limit. */
   readonly droppedLines: Gauge;
 
+  #countCold: () => number = () => 0;
+
   private constructor() {
     const registers = [this.registry];
     const counter = (name: string, help: string, labelNames: string[]) =>
@@ -124,6 +130,17 @@
       "Requests that may go to no replica of their service",
       [],
     );
+    this.deniedPermits = counter(
+      "replica_permits_denied_total",
+      "Permits refused for replicas with a limit",
+      ["limit"],
+    );
+    this.coldReplicas = new Gauge({
+      name: "banyanspool_cold_replicas",
+      help: "Replicas that are cold",
+      registers,
+      collect: () => this.coldReplicas.set(this.#countCold()),
+    });
     this.evacuations = new Gauge({
       name: "banyanspool_evacuated",
       help: "Evacuated data centres",
@@ -133,6 +150,11 @@
     this.droppedLines = gauge("log_lines_dropped", "Log lines dropped");
   }
 
+  /** Sets how the replicas that are cold are counted. */
+  countColdReplicas(count: () => number): void {
+    this.#countCold = count;
+  }
+
   /** Records that an evacuation began or was taken back. */
   recordEvacuation(dataCentre: string, isEvacuated: boolean): void {
     const labels = { data_centre: dataCentre };
--- a/packages/gateway/src/replica_change_codec.ts
+++ b/packages/gateway/src/replica_change_codec.ts
@@ -27,6 +27,7 @@
   }
   const { service, address, dataCentre, slots, draining, softwareVersion } =
     change.server;
+  const { coldLeftMs } = change.server;
   return {
     ...common,
     gone: false,
@@ -36,6 +37,7 @@
     slots: toUint32(slots),
     leaving: draining,
     softwareVersion,
+    coldLeftMs: coldLeftMs === undefined ? undefined : toUint32(coldLeftMs),
   };
 }
 
@@ -53,6 +55,7 @@
   }
   const { service, address, dataCentre, slots, leaving, softwareVersion } =
     message;
+  const { coldLeftMs } = message;
   const server = {
     id,
     service,
@@ -63,6 +66,7 @@
     softwareVersion,
     startedAt,
     sequence,
+    coldLeftMs,
     models: [],
   };
   return { kind: "listed", server, position };
--- a/packages/gateway/src/replica_permit.ts
+++ b/packages/gateway/src/replica_permit.ts
@@ -20,7 +20,7 @@
  * request may be sent; the replica may have gone while the permit was awaited.
  */
 export async function takePermit(
-  { replicaPermits, replicaTracker }: GatewayContext,
+  { replicaPermits, replicaTracker, coldReplicas, metrics }: GatewayContext,
   scope: RequestScope,
   { request, server, permit }: ReplicaSelection & {
     readonly request: SelectionRequest;
@@ -30,6 +30,10 @@
   const replica = incarnationOf(server);
   const requester = requesterOf(scope);
   const result = await replicaPermits.acquire(replica, permit, requester);
+  if (!result.granted) {
+    const isCold = coldReplicas.limitOf(replica) !== undefined;
+    metrics.deniedPermits.inc({ limit: isCold ? "cold" : "named" });
+  }
   return result.granted && replicaTracker.usable(request).includes(server);
 }
 
--- a/packages/gateway/src/replica_registry.ts
+++ b/packages/gateway/src/replica_registry.ts
@@ -247,7 +247,9 @@
         epoch,
       });
     }
-    return hasDrainingChanged || hasRestarted ||
+    const isNewlyCold = (server.coldLeftMs ?? 0) > 0 &&
+      !((before.server.coldLeftMs ?? 0) > 0);
+    return hasDrainingChanged || hasRestarted || isNewlyCold ||
       server.address !== before.server.address ||
       server.softwareVersion !== before.server.softwareVersion ||
       server.service !== before.server.service;
--- /dev/null
+++ b/packages/replica-limits/src/cold_replicas_test.ts
@@ -0,0 +1,128 @@
+import test from "ava";
+import type { BackendServer } from "@banyanspool/types";
+import { ColdReplicas } from "./cold_replicas.ts";
+
+const BORN = 1_000_000;
+const COLD_START_MS = 3000;
+const COLD_PER_S = 10;
+const REPLICA = `i-1 ${BORN}`;
+
+function row(options: Partial<BackendServer> = {}): BackendServer {
+  return {
+    id: "i-1",
+    service: "pool",
+    address: "127.0.0.1:1",
+    dataCentre: "north",
+    slots: 64,
+    draining: false,
+    softwareVersion: "v1",
+    startedAt: BORN,
+    sequence: 1,
+    models: [],
+    ...options,
+  };
+}
+
+/** A gateway that has a list already, at the start of a replica. */
+function create({ first = [row({ id: "i-0" })] } = {}) {
+  let now = 0;
+  const implausible: number[] = [];
+  const cold = ColdReplicas.create({
+    clock: { now: () => now, wall: () => BORN + now },
+    limitOfService: (service) =>
+      service === "pool"
+        ? { coldStartMs: COLD_START_MS, coldPerS: COLD_PER_S }
+        : undefined,
+    onCold: () => {},
+    onImplausible: (_replica, ms) => implausible.push(ms),
+  });
+  cold.update(first);
+  return { cold, implausible, pass: (ms: number) => now += ms };
+}
+
+test("a replica is cold from the first moment that it is listed, whatever its row says", (t) => {
+  const { cold, pass } = create();
+  cold.update([row({ coldLeftMs: 0 })]);
+  t.is(cold.limitOf(REPLICA), 6);
+  pass(COLD_START_MS);
+  t.is(cold.limitOf(REPLICA), 6);
+  t.is(cold.count, 0);
+});
+
+// All gateways would have chosen the idle replica in the same moment.
+test("the limit rises without a step after the cold time, then ends", (t) => {
+  const { cold, pass } = create();
+  cold.update([row({ coldLeftMs: 500, startedAt: BORN - 60_000 })]);
+  const replica = `i-1 ${BORN - 60_000}`;
+  pass(500);
+  const limits = [0, 250, 250, 250].map((ms) => {
+    pass(ms);
+    return cold.limitOf(replica);
+  });
+  t.deepEqual(limits, [6, 12, 24, 48]);
+  pass(750);
+  t.is(cold.limitOf(replica), undefined);
+});
+
+test("a replica may become cold again, and an unchanged row doesn't lengthen its time", (t) => {
+  const { cold, pass } = create();
+  const server = row({ startedAt: 1, coldLeftMs: 0 });
+  cold.update([server]);
+  t.is(cold.limitOf("i-1 1"), undefined);
+  const again = { ...server, coldLeftMs: 2000, sequence: 2 };
+  cold.update([again]);
+  t.is(cold.limitOf("i-1 1"), 6);
+  pass(1900);
+  cold.update([again]);
+  t.is(cold.count, 1);
+  pass(100);
+  t.is(cold.count, 0);
+  cold.update([{ ...again, coldLeftMs: 5000, sequence: 3 }]);
+  cold.update([{ ...again, coldLeftMs: 0, sequence: 4 }]);
+  t.is(cold.count, 0);
+});
+
+test("cold times that can't be are clamped and told", (t) => {
+  const { cold, implausible, pass } = create();
+  const server = row({ startedAt: 1, coldLeftMs: Infinity });
+  cold.update([server]);
+  t.is(cold.count, 1);
+  pass(600_000);
+  t.is(cold.count, 0);
+  cold.update([{ ...server, coldLeftMs: -5 }]);
+  t.is(cold.limitOf("i-1 1"), 6, "its limit still rises");
+  t.deepEqual(implausible, [Infinity, -5]);
+});
+
+test("replicas that a gateway finds at its start are cold only if they say so", (t) => {
+  const first = [
+    row({ coldLeftMs: 0 }),
+    row({ id: "i-2", startedAt: 0 }),
+    row({ id: "i-3", startedAt: 1, coldLeftMs: 700 }),
+  ];
+  const { cold } = create({ first });
+  t.deepEqual(
+    [REPLICA, "i-2 0", "i-3 1"].map((id) => cold.limitOf(id)),
+    [undefined, undefined, 6],
+  );
+});
+
+// Rows are older than the evacuation's end, at which replicas may be cold.
+test("replicas are cold when an evacuation of their data centre is taken back", (t) => {
+  const { cold } = create();
+  cold.update([row({ startedAt: 1, coldLeftMs: 0 })]);
+  cold.recordReturn("south");
+  t.is(cold.count, 0);
+  cold.recordReturn("north");
+  t.is(cold.limitOf("i-1 1"), 6);
+});
+
+test("services without such a limit, and gateways that have just started", (t) => {
+  const { cold, pass } = create();
+  cold.update([row(), row({ id: "i-4", service: "desk", coldLeftMs: 900 })]);
+  t.is(cold.limitOf(`i-4 ${BORN}`), undefined);
+  t.true(cold.mayIssue(`i-4 ${BORN}`));
+  t.false(cold.mayIssue(REPLICA), "it may not know the others");
+  pass(2000);
+  t.true(cold.mayIssue(REPLICA));
+});
--- a/packages/replica-limits/src/mod.ts
+++ b/packages/replica-limits/src/mod.ts
@@ -4,6 +4,8 @@
  *
  * @module
  */
+export { ColdReplicas } from "./cold_replicas.ts";
+export type { ColdLimit, ColdReplicasOptions } from "./cold_replicas.ts";
 export { LimitTable } from "./limit_table.ts";
 export type {
   LimitNotice,
--- a/packages/replica-limits/src/replica_permits.ts
+++ b/packages/replica-limits/src/replica_permits.ts
@@ -64,6 +64,8 @@
    * one. The two sides of a cut each issue their share of the permits.
    */
   readonly reachableShare: () => number;
+  /** Whether this gateway may issue permits of a replica; by default it may. */
+  readonly mayIssue?: (replica: string) => boolean;
   /** Sends a message to another gateway; it may be lost. */
   readonly send: (instance: string, message: PermitMessage) => void;
 }
@@ -263,7 +265,10 @@
       "id"
     >,
   ): PermitResult {
-    const { clock, reachableShare } = this.#options;
+    const { clock, reachableShare, mayIssue } = this.#options;
+    if (mayIssue && !mayIssue(replica)) {
+      return { granted: false, retryInMs: OTHER_ISSUER_RETRY_MS };
+    }
     const schedule = this.#schedules.get(replica) ??
       PermitSchedule.create({ clock });
     this.#schedules.set(replica, schedule);
--- a/packages/types/src/gateway.ts
+++ b/packages/types/src/gateway.ts
@@ -75,6 +75,10 @@
   readonly name: string;
   /** Maximum number of connections to each replica, over all gateways. */
   readonly maxConnections: number;
+  /** Time for which a replica is cold after its start, in ms; 0 by default. */
+  readonly coldStartMs?: number;
+  /** Requests a second that a cold replica takes from all gateways together. */
+  readonly coldPerS?: number;
   /** The engine; undefined if the service's replicas serve no models. */
   readonly engine?: EngineSpec;
 }
@@ -153,6 +157,8 @@
   readonly startedAt: number;
   /** Rises with each time that it writes its row, within one run. */
   readonly sequence: number;
+  /** Time for which it stays cold, in ms, if its row says so. */
+  readonly coldLeftMs?: number;
   /** Models that were resident when it wrote its row. */
   readonly models: readonly ResidentModel[];
 }
