--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -327,12 +327,15 @@
 /** Refuses at once a request that may go to no replica of its service. */
 function refuseBarred(
   { metrics, random }: GatewayContext,
-  { service }: SelectionRequest,
+  { service, allowedRegions = [] }: SelectionRequest,
 ): Refusal {
-  metrics.barredRequests.inc();
+  const binds = allowedRegions.length > 0;
+  metrics.barredRequests.inc({ regions: binds ? "bound" : "any" });
   return refuse(
     "no_replica",
-    `All replicas of "${service}" are in data centres that are evacuated`,
+    binds
+      ? `No replica of "${service}" is in a region that the request allows`
+      : `All replicas of "${service}" are in data centres that are evacuated`,
     { retryAfterMs: jitterRetryAfter(BARRED_RETRY_AFTER_MS, random) },
   );
 }
--- a/packages/gateway/src/cold_replica_test.ts
+++ b/packages/gateway/src/cold_replica_test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import test from "ava";
 import {
+  type CallerResponse,
   findFreePort,
   startFleet,
   startGateway,
@@ -38,7 +39,7 @@
       res.end("ok");
     },
   });
-  const responses = [];
+  const responses: Promise<CallerResponse>[] = [];
   while (performance.now() - startedAt < COLD_START_MS + 3000) {
     const gateway = gateways[responses.length % GATEWAYS]!;
     responses.push(gateway.send("/look/"));
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -26,6 +26,7 @@
 import { ConnectionPools } from "./connection_pools.ts";
 import type { GatewayContext } from "./context.ts";
 import { CrashWatch, tryConnect } from "./crash_watch.ts";
+import { findBar } from "./evacuation/allowed_replicas.ts";
 import { Evacuations } from "./evacuation/evacuations.ts";
 import { ExpectedModels } from "./expected_models.ts";
 import type { FleetState } from "./fleet_state.ts";
@@ -166,7 +167,12 @@
     admits: (server, waiting) =>
       replicaPauses.isEmpty ||
       replicaPauses.admits(incarnationOf(server), waiting),
-    allows: ({ dataCentre }) => !evacuations.isEvacuated(dataCentre),
+    allows: (server, request) =>
+      findBar(request, {
+        regions: cfg.regions ?? {},
+        isEvacuated: (dataCentre) => evacuations.isEvacuated(dataCentre),
+        server,
+      }) === undefined,
   });
   return {
     clock,
--- a/packages/gateway/src/evacuation_test.ts
+++ b/packages/gateway/src/evacuation_test.ts
@@ -64,3 +64,15 @@
   await delay(100);
   await waitFor(async () => (await send("/draft/", chat("m1"))).status === 200);
 });
+
+test("requests of an organisation go only to the regions that it allows", async (t) => {
+  const fleet = await startFleet(t, { allowedRegions: ["region of north"] });
+  await fleet.addReplica({ id: "i-1", service: "desk", zone: "south" });
+  const { send } = await startGateway(t, fleet, {
+    regions: { north: "region of north", south: "region of south" },
+  });
+  t.is((await send("/look/")).status, 503);
+  t.is((await send("/open/")).status, 200, "no key, no organisation");
+  await fleet.addReplica({ id: "i-2", service: "desk", zone: "north" });
+  await waitFor(async () => (await send("/look/")).status === 200);
+});
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -128,7 +128,7 @@
     this.barredRequests = counter(
       "barred_requests_total",
       "Requests that may go to no replica of their service",
-      [],
+      ["regions"],
     );
     this.deniedPermits = counter(
       "replica_permits_denied_total",
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -65,6 +65,8 @@
     outputTokens: caller.tokens?.output ?? 0,
     promptParts: caller.promptParts,
     excluded: progress.excluded,
+    allowedRegions: [route.allowedRegions, scope.organisation?.allowedRegions]
+      .filter((regions) => regions !== undefined),
     get softwareVersion() {
       return progress.streamVersion;
     },
--- a/packages/gateway/src/testing/running_gateway.ts
+++ b/packages/gateway/src/testing/running_gateway.ts
@@ -88,7 +88,12 @@
 export async function startGateway(
   t: ExecutionContext,
   fleet: FleetStandin,
-  options: { host?: string; port?: number; isFirstStart?: boolean } = {},
+  options: {
+    host?: string;
+    port?: number;
+    isFirstStart?: boolean;
+    regions?: Record<string, string>;
+  } = {},
 ): Promise<RunningGateway> {
   const { host = "127.0.0.1", isFirstStart = true } = options;
   const port = options.port ?? await findFreePort(host);
@@ -110,6 +115,7 @@
       limit_overage: 0.1,
       limit_slack: 100,
       log_lines_per_s: 100,
+      regions: options.regions,
     },
     log: SILENT,
   });
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -40,6 +40,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Software version that the replica must run; undefined for any. */
   readonly softwareVersion?: string;
+  /** Lists of regions, in each of which the replica's must be. */
+  readonly allowedRegions?: readonly (readonly string[])[];
 }
 
 /** A replica selected for one request. */
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -70,6 +70,8 @@
   limit_overage: z.number().nonnegative(),
   limit_slack: z.number().nonnegative(),
   log_lines_per_s: z.number().positive().default(400),
+  /** Region of each data centre. */
+  regions: z.record(z.string(), z.string()).optional(),
 });
 
 const clientSchema = z.strictObject({
--- a/packages/types/src/gateway.ts
+++ b/packages/types/src/gateway.ts
@@ -39,6 +39,8 @@
   readonly maxAttempts: number;
   /** Whether requests need no API key. */
   readonly isPublic: boolean;
+  /** Regions to whose replicas its requests may go; undefined for any. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** A model that a service's replicas can load. */
@@ -97,6 +99,8 @@
   readonly unit: "tokens" | "requests";
   /** Tokens charged for a request that states no token counts. */
   readonly defaultRequestTokens: number;
+  /** Regions to whose replicas its requests may go; undefined for any. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** Size and time limits for callers' requests and connections. */
