--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -3,6 +3,7 @@
 import { DemandMeter } from "@banyanspool/placement";
 import { Quarantine } from "@banyanspool/quarantine";
 import {
+  ColdReplicas,
   LimitTable,
   ReplicaPauses,
   ReplicaPermits,
@@ -25,6 +26,8 @@
 import { ConnectionPools } from "./connection_pools.ts";
 import type { GatewayContext } from "./context.ts";
 import { CrashWatch, tryConnect } from "./crash_watch.ts";
+import { findBar } from "./evacuation/allowed_replicas.ts";
+import { Evacuations } from "./evacuation/evacuations.ts";
 import { ExpectedModels } from "./expected_models.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { rankByDataCentre, type RankedGateway } from "./gateway_ranking.ts";
@@ -102,12 +105,31 @@
       options.onNews();
     },
   });
+  const coldReplicas = ColdReplicas.create({
+    clock,
+    limitOfService: (service) => {
+      const spec = fleet.activeConfiguration?.configuration.services
+        .get(service);
+      if (spec?.coldPerS === undefined) return undefined;
+      return { coldStartMs: spec.coldStartMs ?? 0, coldPerS: spec.coldPerS };
+    },
+    onCold: (replica, forMs) =>
+      log.write("replica cold", { replica, for_ms: Math.round(forMs) }),
+    onImplausible: (replica, coldLeftMs) =>
+      log.write("cold time implausible", {
+        replica,
+        cold_left_ms: String(coldLeftMs),
+      }),
+  });
+  metrics.countColdReplicas(() => coldReplicas.count);
   const replicaPermits = ReplicaPermits.create({
     clock,
     sleep,
     random: Math.random,
     instance: cfg.instance,
-    limitOf: (replica) => replicaLimits.get(replica),
+    limitOf: (replica) =>
+      lowest(replicaLimits.get(replica), coldReplicas.limitOf(replica)),
+    mayIssue: (replica) => coldReplicas.mayIssue(replica),
     issuersOf: (replica) => rankByDataCentre(replica, options.liveGateways()),
     isResponsive: options.isResponsive,
     reachableShare: options.reachableShare,
@@ -119,6 +141,22 @@
     onPause: (replica, forMs) =>
       log.write("replica paused", { replica, for_ms: Math.round(forMs) }),
   });
+  const evacuations = Evacuations.create({
+    onChange: (dataCentre, isEvacuated) => {
+      metrics.recordEvacuation(dataCentre, isEvacuated);
+      const replicas = [...replicaTracker.servers.values()]
+        .filter((server) => server.dataCentre === dataCentre).length;
+      log.write("evacuation", {
+        data_centre: dataCentre,
+        in_force: isEvacuated,
+        replicas,
+        known: replicas > 0 || !fleet.hasReplicaList,
+      });
+      if (!isEvacuated) coldReplicas.recordReturn(dataCentre);
+      // Requests that wait look for another replica, or are refused.
+      fleet.changed.notify();
+    },
+  });
   const replicaTracker = ReplicaTracker.create({
     clock,
     random: Math.random,
@@ -126,12 +164,18 @@
     liveEntryCount: liveCount,
     kvCapacityOf: (service) => findEngine(service)?.kvCapacityTokens,
     permitStateOf: (server) =>
-      replicaLimits.hasLimits
+      replicaLimits.hasLimits || coldReplicas.hasLimits
         ? replicaPermits.stateOf(incarnationOf(server))
         : "unlimited",
     admits: (server, waiting) =>
       replicaPauses.isEmpty ||
       replicaPauses.admits(incarnationOf(server), waiting),
+    allows: (server, request) =>
+      findBar(request, {
+        regions: cfg.regions ?? {},
+        isEvacuated: (dataCentre) => evacuations.isEvacuated(dataCentre),
+        server,
+      }) === undefined,
   });
   return {
     clock,
@@ -139,6 +183,8 @@
     random: Math.random,
     fleet,
     replicaTracker,
+    evacuations,
+    coldReplicas,
     replicaLimits,
     replicaPermits,
     replicaPauses,
@@ -224,6 +270,15 @@
   };
 }
 
+/** The lower of two limits; undefined if there is none. */
+function lowest(
+  a: number | undefined,
+  b: number | undefined,
+): number | undefined {
+  if (a === undefined || b === undefined) return a ?? b;
+  return Math.min(a, b);
+}
+
 function createQuarantine(
   { cfg, clock, log, metrics, fleet, liveGateways }: ContextOptions,
 ): Quarantine {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import { watchConfiguration } from "./configuration_watch.ts";
 import type { GatewayContext } from "./context.ts";
 import { createContext } from "./create_context.ts";
+import { applyEvacuationRows } from "./evacuation/evacuation_rows.ts";
 import { EngineController } from "./engine_controller.ts";
 import { FleetState } from "./fleet_state.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
@@ -169,6 +170,8 @@
       awaitPermit: async (server) => {
         const replica = incarnationOf(server);
         await this.#ctx.replicaPauses.wait(replica);
+        // Orders and reads count toward a limit that the replica names only.
+        if (this.#ctx.replicaLimits.get(replica) === undefined) return;
         await this.#ctx.replicaPermits.wait(replica);
       },
       onNotices: (server, notices) =>
@@ -191,6 +194,8 @@
         return this.#ctx.replicaLimits.get(replica) !== undefined ||
           this.#ctx.replicaPauses.remainingMs(replica) > 0;
       },
+      isEvacuated: (dataCentre) =>
+        this.#ctx.evacuations.isEvacuated(dataCentre),
       log,
     });
     this.#registry = ReplicaRegistry.create({
@@ -325,6 +330,15 @@
           fleet,
           sleep,
           freshness: this.#freshness,
+          onRows: (rows, origin) => {
+            const isNew = applyEvacuationRows(rows, {
+              evacuations: this.#ctx.evacuations,
+              isWholeTable: origin === "read",
+              log,
+            });
+            // The calls that wait for changes are late, here or everywhere.
+            if (isNew && origin !== "wait") this.#exchange.announceSoon();
+          },
           clock,
           random: Math.random,
           log,
@@ -417,6 +431,7 @@
     const { replicaTracker, versionHistory, pools, fleet } = this.#ctx;
     const { replicas } = this.#registry;
     const incarnations = new Set(replicas.map(incarnationOf));
+    this.#ctx.coldReplicas.update(replicas);
     this.#ctx.replicaLimits.retain(incarnations);
     this.#ctx.replicaPermits.retain(incarnations);
     this.#ctx.replicaPauses.retain(incarnations);
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -54,9 +54,19 @@
   readonly resumptions: Counter;
   /** Version of the active configuration. */
   readonly configurationVersion: Gauge;
+  /** 1 for each data centre that is evacuated. */
+  readonly evacuations: Gauge;
+  /** Requests refused because they may go to no replica of their service. */
+  readonly barredRequests: Counter;
+  /** Permits that requests to replicas with a limit were refused. */
+  readonly deniedPermits: Counter;
+  /** Replicas that are cold. */
+  readonly coldReplicas: Gauge;
   /** Log lines dropped by the log's rate limit. */
   readonly droppedLines: Gauge;
 
+  #countCold: () => number = () => 0;
+
   private constructor() {
     const registers = [this.registry];
     const counter = (name: string, help: string, labelNames: string[]) =>
@@ -140,9 +150,43 @@
       "configuration_version",
       "Version in force",
     );
+    this.barredRequests = counter(
+      "barred_requests_total",
+      "Requests that may go to no replica of their service",
+      ["regions"],
+    );
+    this.deniedPermits = counter(
+      "replica_permits_denied_total",
+      "Permits refused for replicas with a limit",
+      ["limit"],
+    );
+    this.coldReplicas = new Gauge({
+      name: "banyanspool_cold_replicas",
+      help: "Replicas that are cold",
+      registers,
+      collect: () => this.coldReplicas.set(this.#countCold()),
+    });
+    this.evacuations = new Gauge({
+      name: "banyanspool_evacuated",
+      help: "Evacuated data centres",
+      labelNames: ["data_centre"],
+      registers,
+    });
     this.droppedLines = gauge("log_lines_dropped", "Log lines dropped");
   }
 
+  /** Sets how the replicas that are cold are counted. */
+  countColdReplicas(count: () => number): void {
+    this.#countCold = count;
+  }
+
+  /** Records that an evacuation began or was taken back. */
+  recordEvacuation(dataCentre: string, isEvacuated: boolean): void {
+    const labels = { data_centre: dataCentre };
+    if (isEvacuated) this.evacuations.set(labels, 1);
+    else this.evacuations.remove(labels);
+  }
+
   /** Creates the metrics of one process. */
   static create(): GatewayMetrics {
     return new GatewayMetrics();
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -71,6 +71,8 @@
   limit_slack: z.number().nonnegative(),
   log_lines_per_s: z.number().positive().default(400),
   status_max_connections: z.number().int().positive().default(64),
+  /** Region of each data centre. */
+  regions: z.record(z.string(), z.string()).optional(),
 });
 
 const clientSchema = z.strictObject({
