Budget of the memory that a process holds for its callers

Nothing counted what a process holds for callers. The package caller-memory counts it by holding and group: above three quarters of the budget those that grow wait, above all of it the largest of the group that holds most is evicted, and one holding at a time may grow up to a reserve.

--- /dev/null
+++ b/packages/caller-memory/src/caller_memory_test.ts
@@ -0,0 +1,141 @@
+import test from "ava";
+import fc from "fast-check";
+import { CallerMemory, type Holding } from "./mod.ts";
+
+const TOTAL_BYTES = 1000;
+const RESERVE_BYTES = 300;
+const MAX_PIECE_BYTES = 100;
+const GROUPS = ["acme", "bolt", ""];
+
+interface Reader {
+  readonly holding: Holding;
+  readonly group: string;
+  isWaiting: boolean;
+  /** Bytes that it holds by its own count. */
+  bytes: number;
+}
+
+const operation = fc.record({
+  kind: fc.constantFrom(
+    "open",
+    "add",
+    "add",
+    "add",
+    "remove",
+    "close",
+    "evict",
+  ),
+  pick: fc.nat(),
+  bytes: fc.integer({ min: 1, max: MAX_PIECE_BYTES }),
+});
+
+test("no interleaving leaks a byte, passes the bound or leaves a reader waiting", (t) => {
+  fc.assert(
+    fc.property(
+      fc.array(operation, { maxLength: 200, size: "max" }),
+      (operations) => {
+        const memory = CallerMemory.create({
+          totalBytes: TOTAL_BYTES,
+          reserveBytes: RESERVE_BYTES,
+        });
+        const readers = new Set<Reader>();
+        const leave = (reader: Reader) => {
+          readers.delete(reader);
+          reader.bytes = 0;
+        };
+        const open = (group: string) => {
+          const reader: Reader = {
+            group,
+            isWaiting: false,
+            bytes: 0,
+            holding: memory.open({
+              group,
+              onRoom: () => reader.isWaiting = false,
+              onEvict: () => leave(reader),
+            }),
+          };
+          readers.add(reader);
+        };
+        for (const { kind, pick, bytes } of operations) {
+          const reader = [...readers][pick % Math.max(1, readers.size)];
+          if (kind === "open" || !reader) open(GROUPS[pick % GROUPS.length]!);
+          else if (kind === "add" && !reader.isWaiting) {
+            reader.bytes += bytes;
+            const mayGrow = reader.holding.add(bytes);
+            if (!reader.holding.isClosed) reader.isWaiting = !mayGrow;
+          } else if (kind === "remove") {
+            reader.bytes -= Math.min(bytes, reader.bytes);
+            reader.holding.remove(bytes);
+          } else if (kind === "close") {
+            leave(reader);
+            reader.holding.close();
+          } else if (kind === "evict") {
+            const sums = GROUPS.map((group) =>
+              [...readers].filter((each) => each.group === group)
+                .reduce((sum, each) => sum + each.bytes, 0)
+            );
+            const before = readers.size;
+            t.true(memory.evictOne() === (readers.size < before));
+            t.true(sums.every((sum) => sum >= 0));
+          }
+          const held = [...readers].reduce((sum, each) => sum + each.bytes, 0);
+          const waiting = [...readers].filter((each) => each.isWaiting).length;
+          t.is(memory.usedBytes, held);
+          t.is(memory.waitingCount, waiting);
+          t.is(memory.holdingCount, readers.size);
+          t.true(held <= TOTAL_BYTES + RESERVE_BYTES + MAX_PIECE_BYTES);
+          if (held <= TOTAL_BYTES * 0.75) t.is(waiting, 0);
+        }
+        for (const reader of [...readers]) reader.holding.close();
+        t.is(memory.usedBytes, 0);
+        t.is(memory.holdingCount, 0);
+      },
+    ),
+    { numRuns: 300 },
+  );
+});
+
+test("a request gets through while the others hold all memory", (t) => {
+  const memory = CallerMemory.create({
+    totalBytes: TOTAL_BYTES,
+    reserveBytes: RESERVE_BYTES,
+  });
+  const open = (group: string) =>
+    memory.open({ group, onRoom: () => {}, onEvict: () => {} });
+  for (let i = 0; i < 7; i += 1) {
+    const kept = open("acme");
+    kept.keep();
+    kept.add(MAX_PIECE_BYTES);
+  }
+  const ordinary = open("bolt");
+  for (let bytes = 0; bytes < RESERVE_BYTES; bytes += MAX_PIECE_BYTES) {
+    t.true(ordinary.add(MAX_PIECE_BYTES));
+  }
+  t.false(open("bolt").add(1));
+  t.false(ordinary.isClosed);
+  ordinary.close();
+  const next = open("bolt");
+  next.add(TOTAL_BYTES * 0.1);
+  t.true(next.add(1));
+});
+
+test("the largest holding of the group that holds most is evicted", (t) => {
+  const memory = CallerMemory.create({
+    totalBytes: TOTAL_BYTES,
+    reserveBytes: 0,
+  });
+  const evicted: string[] = [];
+  const open = (group: string, name: string) =>
+    memory.open({
+      group,
+      onRoom: () => {},
+      onEvict: () => evicted.push(name),
+    });
+  open("bolt", "large").add(400);
+  const small = open("acme", "small");
+  small.add(250);
+  open("acme", "medium").add(300);
+  t.deepEqual(evicted, []);
+  open("cord", "newest").add(100);
+  t.deepEqual(evicted, ["medium"]);
+});
