Gateway: what callers send is counted, bounded and over in time

A gateway read every body to its end however long that took, kept what had arrived, and accepted any number of connections and of requests sent ahead. The responses behind an unanswered one aren't told of their connection's end, so their requests ran on after the caller had left.

Heads and bodies are counted in the budget of caller-memory: a body waits or is refused as overloaded (not run) when it is short, and ends at its route's time-out (408, not run) or when it stalls. Connections are bounded by the machine's descriptors, requests of one connection are served 64 at a time, and the connection isn't read meanwhile. A refused request isn't read on. A write to a caller that doesn't read ends with the request's deadline.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
   incarnationOf,
   sleep,
 } from "@banyanspool/types";
+import { callerLimits } from "./caller_limits.ts";
 import { ChangeSignal } from "./change_signal.ts";
 import { ConfigurationFreshness } from "./configuration_freshness.ts";
 import { watchConfiguration } from "./configuration_watch.ts";
@@ -208,7 +209,7 @@
       onReplicaChange: () => this.#applyReplicaList(),
       freshness: this.#freshness,
     });
-    this.#publicServer = PublicServer.create(this.#ctx);
+    this.#publicServer = PublicServer.create(this.#ctx, callerLimits(cfg));
     this.#supervisor = Supervisor.create({
       name: "gateway",
       sleep,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -20,6 +20,8 @@
   readonly registry: Registry = new Registry();
   /** Requests by route and outcome. */
   readonly requests: Counter;
+  /** Requests and connections that met a limit for callers, by cause. */
+  readonly callerLimits: Counter;
   /** Retries by the reason why the previous attempt failed. */
   readonly retries: Counter;
   /** Time to the head of a plain response or to the first event, by route. */
@@ -67,6 +69,11 @@
       "route",
       "outcome",
     ]);
+    this.callerLimits = counter(
+      "gateway_caller_limits_total",
+      "Requests and connections that met a limit",
+      ["cause"],
+    );
     this.retries = counter("gateway_retries_total", "Retries", ["reason"]);
     this.firstByte = histogram("gateway_first_byte_seconds", "First byte", [
       "route",
--- /dev/null
+++ b/packages/gateway/src/open_requests.ts
@@ -0,0 +1,158 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { CallerMemory, type Holding } from "@banyanspool/caller-memory";
+import type { OnClosed } from "./caller_connections.ts";
+
+/** Why a request of a caller is ended. */
+export type EndCause = "memory" | "stalled";
+
+/** A request from the arrival of its head until its response is sent. */
+export interface OpenRequest {
+  /** Memory that is held for it. */
+  readonly holding: Holding;
+  /** Aborted when it is ended before it was passed on. */
+  readonly ended: AbortSignal;
+  /** Why it was ended. */
+  readonly cause: EndCause | undefined;
+  /** Called when its body is complete: it may run from now on. */
+  markComplete(): void;
+}
+
+/** Options of {@link OpenRequests.create}. */
+export interface OpenRequestsOptions {
+  /** Memory for all requests, in bytes. */
+  readonly memoryBytes: number;
+  /** Time without progress after which a request is ended, in ms. */
+  readonly stallMs: number;
+  /** Called when a request is ended. */
+  readonly onEnd: (cause: EndCause) => void;
+}
+
+/** Bytes that a request takes without its fields and its body. */
+const REQUEST_BYTES = 6 * 1024;
+/** Bytes that a name or a value of a field takes. */
+const FIELD_PART_BYTES = 48;
+/** Share of the memory that one request may take when it is short. */
+const RESERVE_SHARE = 0.25;
+const SWEEP_MS = 250;
+
+interface Watched {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly request: MutableRequest;
+  progress: number;
+  stalledSweeps: number;
+}
+
+interface MutableRequest extends OpenRequest {
+  readonly controller: AbortController;
+  cause: EndCause | undefined;
+  isComplete: boolean;
+}
+
+/** Requests that are open, the memory they take and the progress they make. */
+export class OpenRequests {
+  readonly #options: OpenRequestsOptions;
+  readonly #memory: CallerMemory;
+  readonly #watched: Set<Watched> = new Set();
+  #timer: NodeJS.Timeout | undefined;
+  #hadWaiting = false;
+
+  private constructor(options: OpenRequestsOptions) {
+    this.#options = options;
+    this.#memory = CallerMemory.create({
+      totalBytes: options.memoryBytes,
+      reserveBytes: options.memoryBytes * RESERVE_SHARE,
+    });
+  }
+
+  /** Creates an empty set. */
+  static create(options: OpenRequestsOptions): OpenRequests {
+    return new OpenRequests(options);
+  }
+
+  /** Bytes that are held for all requests. */
+  get usedBytes(): number {
+    return this.#memory.usedBytes;
+  }
+
+  /** Adds a request until its response has been sent or its caller has left. */
+  open(
+    { req, res, group, onClosed }: {
+      req: IncomingMessage;
+      res: ServerResponse;
+      group: string;
+      onClosed: OnClosed;
+    },
+  ): OpenRequest {
+    const controller = new AbortController();
+    const holding = this.#memory.open({
+      group,
+      onRoom: () => {
+        req.resume();
+      },
+      onEvict: () => this.#end(request, "memory"),
+    });
+    const request: MutableRequest = {
+      holding,
+      controller,
+      ended: controller.signal,
+      cause: undefined,
+      isComplete: false,
+      markComplete: () => {
+        request.isComplete = true;
+        holding.keep();
+      },
+    };
+    const watched = { req, res, request, progress: 0, stalledSweeps: 0 };
+    this.#watched.add(watched);
+    this.#timer ??= setInterval(() => this.#sweep(), SWEEP_MS).unref();
+    onClosed(() => {
+      this.#watched.delete(watched);
+      holding.close();
+    });
+    holding.add(REQUEST_BYTES + FIELD_PART_BYTES * req.rawHeaders.length);
+    return request;
+  }
+
+  #end(request: MutableRequest, cause: EndCause): void {
+    if (request.controller.signal.aborted) return;
+    request.cause = cause;
+    this.#options.onEnd(cause);
+    request.controller.abort();
+  }
+
+  /** Ends requests without progress, and one if others wait for memory. */
+  #sweep(): void {
+    const maxSweeps = this.#options.stallMs / SWEEP_MS;
+    for (const watched of this.#watched) {
+      const { req, res, request } = watched;
+      const { socket } = req;
+      const isArriving = !request.isComplete && !req.isPaused();
+      const isUnread = res.headersSent && socket.writableLength > 0;
+      const progress = isUnread
+        ? socket.bytesWritten - socket.writableLength
+        : socket.bytesRead;
+      const hasMoved = progress !== watched.progress;
+      watched.progress = progress;
+      if (hasMoved || (!isArriving && !isUnread)) {
+        watched.stalledSweeps = 0;
+        continue;
+      }
+      watched.stalledSweeps += 1;
+      if (watched.stalledSweeps < maxSweeps) continue;
+      watched.stalledSweeps = 0;
+      if (isUnread) {
+        this.#options.onEnd("stalled");
+        socket.destroy();
+      } else {
+        this.#end(request, "stalled");
+      }
+    }
+    const hasWaiting = this.#memory.waitingCount > 0;
+    if (hasWaiting && this.#hadWaiting) this.#memory.evictOne();
+    this.#hadWaiting = hasWaiting;
+    if (this.#watched.size > 0) return;
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+  }
+}
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -5,11 +5,15 @@
   type ServerResponse,
 } from "node:http";
 import { decodeCallerRequest } from "@banyanspool/platform-adapter";
-import { ByteBuffer } from "@banyanspool/responses";
-import { type CallerRequest, refuse } from "@banyanspool/types";
+import { type CallerRequest, type Refusal, refuse } from "@banyanspool/types";
 import { authenticateRequest, rateLimitCost } from "./admit_request.ts";
+import { CallerConnections, type OnClosed } from "./caller_connections.ts";
+import type { CallerLimits } from "./caller_limits.ts";
 import type { GatewayContext } from "./context.ts";
 import type { ActiveConfiguration } from "./fleet_state.ts";
+import { type OpenRequest, OpenRequests } from "./open_requests.ts";
+import { type BodyFailure, readBody } from "./read_body.ts";
+import { refuseAndClose } from "./refuse_and_close.ts";
 import { sendRefusal } from "./refusals.ts";
 import type { RequestOutcome, RequestScope } from "./request_scope.ts";
 import { serveRequest } from "./serve_request.ts";
@@ -27,6 +31,9 @@
 const CONFIGURATION_WAIT_SHARE = 0.3;
 /** Maximum number of connections that wait to be accepted. */
 const MAX_BACKLOG = 1024;
+/** Bytes of the shortest field of a head: a letter, a colon and the line's end. */
+const MIN_FIELD_BYTES = 4;
+const EVICTED_RETRY_AFTER_MS = 1000;
 
 /** HTTP server for callers' requests. */
 export class PublicServer {
@@ -35,20 +42,37 @@
   #inFlight = 0;
   #isClosed = false;
   readonly #abortControllers: Set<AbortController> = new Set();
+  readonly #connections: CallerConnections;
+  readonly #openRequests: OpenRequests;
 
-  private constructor(ctx: GatewayContext) {
+  private constructor(ctx: GatewayContext, limits: CallerLimits) {
     this.#ctx = ctx;
+    const count = (cause: string) => ctx.metrics.callerLimits.inc({ cause });
+    this.#connections = CallerConnections.create({
+      maxConnections: limits.maxConnections,
+      maxRequestsAhead: limits.maxRequestsAhead,
+      onDrop: () => count("connections"),
+      onPause: () => count("requests_ahead"),
+    });
+    this.#openRequests = OpenRequests.create({
+      memoryBytes: limits.memoryBytes,
+      stallMs: limits.stallMs,
+      onEnd: count,
+    });
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
       noDelay: true,
-    }, (req, res) => void this.#handle(req, res));
+    }, (req, res) => this.#accept(req, res));
+    // Fields beyond a maximum would be dropped without notice.
+    this.#server.maxHeadersCount = 0;
+    this.#server.on("connection", (socket) => this.#connections.add(socket));
   }
 
   /** Creates a server that is not listening. */
-  static create(ctx: GatewayContext): PublicServer {
-    return new PublicServer(ctx);
+  static create(ctx: GatewayContext, limits: CallerLimits): PublicServer {
+    return new PublicServer(ctx, limits);
   }
 
   /** Number of requests whose response has not been sent completely. */
@@ -90,7 +114,28 @@
     this.#server.headersTimeout = limits.headerTimeoutMs;
   }
 
-  async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+  #accept(req: IncomingMessage, res: ServerResponse): void {
+    this.#connections.serve({ req, res }, (onClosed) => {
+      let isServed = false;
+      const request = this.#openRequests.open({
+        req,
+        res,
+        group: req.headers.authorization ?? "",
+        onClosed,
+      });
+      request.ended.addEventListener("abort", () => {
+        // It waits behind others whose responses aren't read.
+        if (!isServed) req.socket.destroy();
+      });
+      return () => {
+        isServed = true;
+        void this.#handle({ req, res, request, onClosed });
+      };
+    });
+  }
+
+  async #handle(arrived: ArrivedRequest): Promise<void> {
+    const { req, res } = arrived;
     this.#inFlight += 1;
     res.on("error", () => {
       // The caller disconnected; this is handled at the "close" event.
@@ -103,7 +148,7 @@
       if (this.#isClosed) req.socket.destroySoon();
     });
     try {
-      await this.#serve(req, res);
+      await this.#serve(arrived);
     } catch (error) {
       const text = (error as Error).stack ?? String(error);
       this.#ctx.log.write("request failed", { error: text });
@@ -113,7 +158,9 @@
     }
   }
 
-  async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+  async #serve(
+    { req, res, request, onClosed }: ArrivedRequest,
+  ): Promise<void> {
     const ctx = this.#ctx;
     const arrivedAt = ctx.clock.now();
     const caller = decodeCallerRequest(req.url ?? "/", req.headers);
@@ -128,9 +175,18 @@
     }
     const activeConfiguration = await this.#awaitConfiguration(caller, res);
     if (res.destroyed) return;
+    if (hasTooManyFields(req, activeConfiguration)) {
+      ctx.metrics.callerLimits.inc({ cause: "fields" });
+      refuseAndClose(
+        req,
+        res,
+        refuse("too_many_fields", "The head has too many fields"),
+      );
+      return;
+    }
     const authenticated = authenticateRequest(activeConfiguration, caller);
     if (!authenticated.ok) {
-      sendRefusal(res, authenticated.error);
+      refuseAndClose(req, res, authenticated.error);
       ctx.metrics.requests.inc({
         route: "",
         outcome: authenticated.error.code,
@@ -145,23 +201,28 @@
     const { route, organisation } = authenticated.value;
     const abortController = new AbortController();
     this.#abortControllers.add(abortController);
-    res.once("close", () => this.#abortControllers.delete(abortController));
-    res.once("close", () => abortController.abort());
-    const body = await readBody(
-      req,
-      activeConfiguration!.configuration.limits.maxBodyBytes,
-    );
-    if (body === "tooLarge") {
-      sendRefusal(res, refuse("body_too_large", "The body is too large"));
-      return;
-    }
-    if (body === "broken") return;
+    const abort = () => abortController.abort();
     const deadlineAt = arrivedAt +
       Math.min(route.timeoutMs, caller.deadlineMs ?? Infinity);
-    const timer = setTimeout(
-      () => abortController.abort(),
-      Math.max(0, deadlineAt - ctx.clock.now()),
-    );
+    const timer = setTimeout(abort, Math.max(0, deadlineAt - ctx.clock.now()));
+    request.ended.addEventListener("abort", abort);
+    if (request.ended.aborted) abort();
+    onClosed(() => {
+      this.#abortControllers.delete(abortController);
+      abort();
+      clearTimeout(timer);
+    });
+    const body = await readBody(req, {
+      maxBytes: activeConfiguration!.configuration.limits.maxBodyBytes,
+      holding: request.holding,
+      signal: abortController.signal,
+    });
+    if (typeof body === "string") {
+      clearTimeout(timer);
+      if (body !== "broken") refuseAndClose(req, res, refusalOf(body, request));
+      return;
+    }
+    request.markComplete();
     const scope: RequestScope = {
       req,
       res,
@@ -232,23 +293,36 @@
   }
 }
 
-/** Reads a request's body to its end. Returns undefined if it has none. */
-async function readBody(
-  req: IncomingMessage,
-  maxBytes: number,
-): Promise<Buffer | undefined | "tooLarge" | "broken"> {
-  const hasBody = req.headers["content-length"] !== undefined ||
-    req.headers["transfer-encoding"] !== undefined;
-  const body = ByteBuffer.create();
-  try {
-    for await (const chunk of req) {
-      const piece = chunk as Buffer;
-      if (body.length + piece.length > maxBytes) return "tooLarge";
-      body.append(piece);
-    }
-  } catch {
-    // The caller disconnected; no response can be sent.
-    return "broken";
+/** A request whose head has arrived. */
+interface ArrivedRequest {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly request: OpenRequest;
+  readonly onClosed: OnClosed;
+}
+
+/** Refusal of a request whose body was not read to its end. */
+function refusalOf(
+  failure: Exclude<BodyFailure, "broken">,
+  { cause }: OpenRequest,
+): Refusal {
+  if (failure === "tooLarge") {
+    return refuse("body_too_large", "The body is too large");
   }
-  return hasBody ? body.takeAll() : undefined;
+  if (cause === "memory") {
+    return refuse("overloaded", "This gateway is short of memory", {
+      retryAfterMs: EVICTED_RETRY_AFTER_MS,
+    });
+  }
+  return refuse("body_timeout", "The body did not arrive in time");
+}
+
+/** Whether a head has more fields than one of legal size can have. */
+function hasTooManyFields(
+  { rawHeaders }: IncomingMessage,
+  activeConfiguration: ActiveConfiguration | undefined,
+): boolean {
+  const { maxHeaderBytes = MAX_HEADER_BYTES } =
+    activeConfiguration?.configuration.limits ?? {};
+  return rawHeaders.length / 2 > maxHeaderBytes / MIN_FIELD_BYTES;
 }
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -1,5 +1,3 @@
-import { once } from "node:events";
-import type { ServerResponse } from "node:http";
 import { selectCallerHeaders } from "@banyanspool/platform-adapter";
 import {
   ByteBuffer,
@@ -46,13 +44,13 @@
   try {
     for await (const chunk of call.body()) {
       if (res.headersSent) {
-        await write(res, chunk);
+        await write(scope, chunk);
         continue;
       }
       unsent.append(chunk);
       if (unsent.length < MAX_BUFFERED_BYTES) continue;
       res.writeHead(head.status, selectCallerHeaders(head.headers));
-      await write(res, unsent.takeAll());
+      await write(scope, unsent.takeAll());
     }
   } catch (error) {
     if (!(error instanceof ReplicaCallError)) throw error;
@@ -139,7 +137,7 @@
       hasEvents = true;
       onEvents();
       lastEventId = events.lastId ?? lastEventId;
-      await write(res, events.bytes);
+      await write(scope, events.bytes);
     }
   } catch (error) {
     if (!(error instanceof ReplicaCallError)) throw error;
@@ -160,8 +158,24 @@
   return { kind: "whole" };
 }
 
-/** Writes to the caller and waits while its buffer is full. */
-async function write(res: ServerResponse, bytes: Buffer): Promise<void> {
-  if (res.destroyed || res.write(bytes)) return;
-  await Promise.race([once(res, "drain"), once(res, "close")]);
+/**
+ * Writes to the caller and waits while its buffer is full, but no longer than
+ * the request's deadline.
+ */
+async function write(
+  { res, signal }: RequestScope,
+  bytes: Buffer,
+): Promise<void> {
+  if (res.destroyed || res.write(bytes) || signal.aborted) return;
+  await new Promise<void>((resolve) => {
+    const end = () => {
+      res.off("drain", end);
+      res.off("close", end);
+      signal.removeEventListener("abort", end);
+      resolve();
+    };
+    res.on("drain", end);
+    res.on("close", end);
+    signal.addEventListener("abort", end);
+  });
 }
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -70,6 +70,12 @@
   limit_overage: z.number().nonnegative(),
   limit_slack: z.number().nonnegative(),
   log_lines_per_s: z.number().positive().default(400),
+  memory_mb: z.number().positive().optional(),
+  max_fds: z.number().int().positive().optional(),
+  caller_memory_mb: z.number().positive().optional(),
+  max_connections: z.number().int().positive().optional(),
+  max_requests_ahead: z.number().int().positive().optional(),
+  caller_stall_ms: z.number().positive().optional(),
 });
 
 const clientSchema = z.strictObject({
--- a/packages/types/src/refusal.ts
+++ b/packages/types/src/refusal.ts
@@ -4,6 +4,7 @@
 /** Reason codes of refusals, in responses to callers and in metrics. */
 export type RefusalCode =
   | "bad_request"
+  | "body_timeout"
   | "body_too_large"
   | "cancelled"
   | "configuration_stale"
@@ -33,7 +34,8 @@
   | "store_unavailable"
   | "stream_origin_unknown"
   | "stream_version_gone"
-  | "tombstoned";
+  | "tombstoned"
+  | "too_many_fields";
 
 /** The system's own final response to a request that it can't run. */
 export interface Refusal {
@@ -68,6 +70,7 @@
 /** HTTP status that callers get with each reason code. */
 export const HTTP_STATUS_BY_CODE: Readonly<Record<RefusalCode, number>> = {
   bad_request: 400,
+  body_timeout: 408,
   body_too_large: 413,
   cancelled: 499,
   configuration_stale: 503,
@@ -98,6 +101,7 @@
   stream_origin_unknown: 503,
   stream_version_gone: 503,
   tombstoned: 503,
+  too_many_fields: 431,
 };
 
 /** Codes after which an attempt may be retried on another replica at once. */
