--- a/packages/crowds/src/gateway_process.ts
+++ b/packages/crowds/src/gateway_process.ts
@@ -133,6 +133,11 @@
     return this.#child.pid;
   }
 
+  /** What the process has printed. */
+  get output(): string {
+    return this.#child.output;
+  }
+
   /** Whether the process that was started is still running. */
   get isAlive(): boolean {
     return !this.#hasExited;
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -51,7 +51,12 @@
       oldest.destroy();
       if (oldest === socket) return;
     }
-    this.#states.set(socket, { served: 0, waiting: [], open: new Set() });
+    const state = { served: 0, waiting: [], open: new Set<() => void>() };
+    this.#states.set(socket, state);
+    // Each request whose body is read resumes its connection.
+    socket.on("resume", () => {
+      if (state.waiting.length > 0) socket.pause();
+    });
     this.#fresh.add(socket);
     socket.once("close", () => this.#remove(socket));
   }
