--- a/packages/gateway/src/caller_limits.ts
+++ b/packages/gateway/src/caller_limits.ts
@@ -17,7 +17,7 @@
 /** Memory that a gateway needs without callers, and to collect garbage, in MB. */
 const OWN_MEMORY_MB = 150;
 /** Share of the rest that is held for callers, as buffers are freed late. */
-const CALLER_SHARE = 0.5;
+const CALLER_SHARE = 0.3;
 const MIN_CALLER_MB = 16;
 const DEFAULT_MAX_FDS = 20_000;
 /** Descriptors of a machine that are kept for files. */
