--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -1,9 +1,10 @@
 import type { SlidingWindowLimiter } from "@banyanspool/limits";
-import type { EventLog } from "@banyanspool/logger";
+import type { EventFields, EventLog } from "@banyanspool/logger";
 import type { DemandMeter } from "@banyanspool/placement";
 import type { RetryBudget } from "@banyanspool/retry";
 import type { Quarantine } from "@banyanspool/quarantine";
 import type {
+  ColdReplicas,
   LimitTable,
   ReplicaPauses,
   ReplicaPermits,
@@ -13,6 +14,7 @@
 import type { BackendServer, Clock, Random, Sleep } from "@banyanspool/types";
 import type { ConnectionPools } from "./connection_pools.ts";
 import type { CrashWatch } from "./crash_watch.ts";
+import type { Evacuations } from "./evacuation/evacuations.ts";
 import type { ExpectedModels } from "./expected_models.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
@@ -30,12 +32,18 @@
   readonly fleet: FleetState;
   /** Load of the replicas, and the choice of one for a request. */
   readonly replicaTracker: ReplicaTracker;
+  /** Data centres to whose replicas nothing may be sent. */
+  readonly evacuations: Evacuations;
+  /** Limits of replicas that are cold. */
+  readonly coldReplicas: ColdReplicas;
   /** Limits that replicas name in their responses. */
   readonly replicaLimits: LimitTable;
   /** Permits for requests to replicas with a limit. */
   readonly replicaPermits: ReplicaPermits;
   /** Pauses that replicas asked this gateway for. */
   readonly replicaPauses: ReplicaPauses;
+  /** Logs a stated load that can't be read, at a bounded rate. */
+  readonly logUnreadableLoad: (fields: EventFields) => void;
   /** Records that a replica said in a response that it leaves. */
   readonly markLeaving: (server: BackendServer) => void;
   /** Rate limits of organisations, shared by all gateways. */
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -14,6 +14,10 @@
 import { type GatewayReport, PeerExchange } from "./peer_exchange.ts";
 import type { EngineController } from "./engine_controller.ts";
 import type { ConfigurationFreshness } from "./configuration_freshness.ts";
+import {
+  decodeEvacuations,
+  encodeEvacuations,
+} from "./evacuation/evacuation_codec.ts";
 import { FleetDemandTable } from "./fleet_demand.ts";
 import type { RankedGateway } from "./gateway_ranking.ts";
 import {
@@ -58,6 +62,10 @@
   readonly expectedLoads: () => ReadonlyMap<string, number>;
   /** Called when another gateway's report changed the registry. */
   readonly onReplicaChange: () => void;
+  /** Called when a datagram comes from an address that isn't known. */
+  readonly onStranger: () => void;
+  /** Whether the last read of the member table succeeded. */
+  readonly isMembershipKnown: () => boolean;
   /** Age of the configuration here and at the other gateways. */
   readonly freshness: ConfigurationFreshness;
 }
@@ -127,6 +135,8 @@
       buildReport: () => this.#buildReport(),
       buildPeerReport: (peer) => this.#buildPeerReport(peer),
       onState: (state) => this.#applyPeerState(state),
+      onStranger: options.onStranger,
+      isMembershipKnown: options.isMembershipKnown,
       onMessage: (instance, { streamMessage, permitMessage }) => {
         if (streamMessage) ctx.streamOrigins.receive(instance, streamMessage);
         if (!permitMessage) return;
@@ -476,6 +486,7 @@
       })),
       ...encodeQuarantineReport(ctx.quarantine.report()),
       ...encodeReplicaLimits(ctx.replicaLimits.report()),
+      ...encodeEvacuations(ctx.evacuations.report()),
       demand: [],
       streamNeeds: [],
       knownFencingToken: this.#knownModels.fencingToken,
@@ -505,6 +516,7 @@
         ]),
       ),
     });
+    ctx.evacuations.applyReport(decodeEvacuations(state));
     ctx.replicaLimits.applyReport(state.replicaLimits);
     if (ctx.quarantine.applyReport(decodeQuarantineReport(state))) {
       // This gateway may be able to clear parts that were in flight.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,3 @@
-import type { Server } from "node:http";
 import { createEventLog, type EventLog } from "@banyanspool/logger";
 import { Lease } from "@banyanspool/platform";
 import {
@@ -14,11 +13,13 @@
   incarnationOf,
   sleep,
 } from "@banyanspool/types";
+import { callerLimits } from "./caller_limits.ts";
 import { ChangeSignal } from "./change_signal.ts";
 import { ConfigurationFreshness } from "./configuration_freshness.ts";
 import { watchConfiguration } from "./configuration_watch.ts";
 import type { GatewayContext } from "./context.ts";
 import { createContext } from "./create_context.ts";
+import { applyEvacuationRows } from "./evacuation/evacuation_rows.ts";
 import { EngineController } from "./engine_controller.ts";
 import { FleetState } from "./fleet_state.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
@@ -31,7 +32,11 @@
 import { RecoveryTable } from "./recovery_table.ts";
 import { ReplicaRegistry } from "./replica_registry.ts";
 import { watchReplicas } from "./replica_watch.ts";
-import { startMetricsServer, startReadinessServer } from "./status_servers.ts";
+import {
+  startMetricsServer,
+  startReadinessServer,
+  type StatusServer,
+} from "./status_servers.ts";
 
 /** Options of {@link Gateway.create}. */
 export interface GatewayOptions {
@@ -79,7 +84,9 @@
   readonly #readSchedule: SharedReadSchedule;
   readonly #freshness: ConfigurationFreshness;
   readonly #restoredSignal: ChangeSignal = ChangeSignal.create();
-  readonly #servers: Server[] = [];
+  readonly #strangerSignal: ChangeSignal = ChangeSignal.create();
+  #isMembershipKnown = false;
+  readonly #servers: StatusServer[] = [];
   #isClosed = false;
 
   private constructor(cfg: GatewaySettings, log: EventLog) {
@@ -164,6 +171,8 @@
       awaitPermit: async (server) => {
         const replica = incarnationOf(server);
         await this.#ctx.replicaPauses.wait(replica);
+        // Orders and reads count toward a limit that the replica names only.
+        if (this.#ctx.replicaLimits.get(replica) === undefined) return;
         await this.#ctx.replicaPermits.wait(replica);
       },
       onNotices: (server, notices) =>
@@ -186,6 +195,8 @@
         return this.#ctx.replicaLimits.get(replica) !== undefined ||
           this.#ctx.replicaPauses.remainingMs(replica) > 0;
       },
+      isEvacuated: (dataCentre) =>
+        this.#ctx.evacuations.isEvacuated(dataCentre),
       log,
     });
     this.#registry = ReplicaRegistry.create({
@@ -207,8 +218,10 @@
       expectedLoads: () => this.#placementController.expectedLoads(),
       onReplicaChange: () => this.#applyReplicaList(),
       freshness: this.#freshness,
+      onStranger: () => this.#strangerSignal.notify(),
+      isMembershipKnown: () => this.#isMembershipKnown,
     });
-    this.#publicServer = PublicServer.create(this.#ctx);
+    this.#publicServer = PublicServer.create(this.#ctx, callerLimits(cfg));
     this.#supervisor = Supervisor.create({
       name: "gateway",
       sleep,
@@ -233,8 +246,17 @@
     await this.#exchange.listen();
     this.#startTasks();
     this.#servers.push(
-      await startReadinessServer(cfg.readiness_listen, () => this.#isReady),
-      await startMetricsServer(cfg.metrics_listen, { metrics, log }),
+      await startReadinessServer(cfg.readiness_listen, {
+        isReady: () => this.#isReady,
+        maxConnections: cfg.status_max_connections,
+        metrics,
+      }),
+      await startMetricsServer(cfg.metrics_listen, {
+        maxConnections: cfg.status_max_connections,
+        metrics,
+        log,
+        clock: this.#ctx.clock,
+      }),
     );
     const { host, port } = splitAddress(cfg.public_listen);
     await this.#publicServer.listen(host, port);
@@ -262,6 +284,7 @@
       sleep(BALANCER_REMOVAL_MS),
     ]);
     await sleep(Math.max(0, startedAt + BALANCER_REMOVAL_MS - clock.now()));
+    await this.#publicServer.acceptWaiting();
     this.#publicServer.stopAccepting();
     while (this.#publicServer.inFlight > 0 && clock.now() < endAt) {
       await sleep(STOP_POLL_MS);
@@ -283,7 +306,6 @@
     this.#publicServer.closeAllConnections();
     for (const server of this.#servers) {
       server.close();
-      server.closeAllConnections();
     }
     await this.#supervisor.stop();
     this.#exchange.close();
@@ -309,6 +331,15 @@
           fleet,
           sleep,
           freshness: this.#freshness,
+          onRows: (rows, origin) => {
+            const isNew = applyEvacuationRows(rows, {
+              evacuations: this.#ctx.evacuations,
+              isWholeTable: origin === "read",
+              log,
+            });
+            // The calls that wait for changes are late, here or everywhere.
+            if (isNew && origin !== "wait") this.#exchange.announceSoon();
+          },
           clock,
           random: Math.random,
           log,
@@ -350,6 +381,10 @@
           host: splitAddress(cfg.peer_listen).host,
           isStopping: () => fleet.isStopping,
           restoredSignal: this.#restoredSignal,
+          strangerSignal: this.#strangerSignal,
+          onRead: (hasSucceeded) => {
+            this.#isMembershipKnown = hasSucceeded;
+          },
           log,
           onMember: (instance, host) => this.#exchange.addPeer(instance, host),
         }, signal),
@@ -397,6 +432,7 @@
     const { replicaTracker, versionHistory, pools, fleet } = this.#ctx;
     const { replicas } = this.#registry;
     const incarnations = new Set(replicas.map(incarnationOf));
+    this.#ctx.coldReplicas.update(replicas);
     this.#ctx.replicaLimits.retain(incarnations);
     this.#ctx.replicaPermits.retain(incarnations);
     this.#ctx.replicaPauses.retain(incarnations);
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -14,12 +14,16 @@
   20,
 ];
 
+const SLOWDOWN_BUCKETS = [0.5, 0.7, 0.85, 1, 1.2, 1.5, 2, 3, 5];
+
 /** Prometheus metrics of a gateway. */
 export class GatewayMetrics {
   /** Registry of all metrics of this process. */
   readonly registry: Registry = new Registry();
   /** Requests by route and outcome. */
   readonly requests: Counter;
+  /** Requests and connections that met a limit for callers, by cause. */
+  readonly callerLimits: Counter;
   /** Retries by the reason why the previous attempt failed. */
   readonly retries: Counter;
   /** Time to the head of a plain response or to the first event, by route. */
@@ -36,8 +40,14 @@
   readonly reportReads: Counter;
   /** Datagrams exchanged with other gateways, by direction. */
   readonly datagrams: Counter;
+  /** Connections and requests of the status ports that a limit ended. */
+  readonly statusLimits: Counter;
   /** Responses that weren't those to the request that waited, by reason. */
   readonly mismatchedResponses: Counter;
+  /** Loads that replicas stated in responses, by whether they were read. */
+  readonly statedLoads: Counter;
+  /** How long work was expected to take at replicas that got requests. */
+  readonly slowdown: Histogram;
   /** Outlier ejections of replicas by service. */
   readonly ejections: Counter;
   /** Requests and prompt parts put into quarantine. */
@@ -46,9 +56,19 @@
   readonly resumptions: Counter;
   /** Version of the active configuration. */
   readonly configurationVersion: Gauge;
+  /** 1 for each data centre that is evacuated. */
+  readonly evacuations: Gauge;
+  /** Requests refused because they may go to no replica of their service. */
+  readonly barredRequests: Counter;
+  /** Permits that requests to replicas with a limit were refused. */
+  readonly deniedPermits: Counter;
+  /** Replicas that are cold. */
+  readonly coldReplicas: Gauge;
   /** Log lines dropped by the log's rate limit. */
   readonly droppedLines: Gauge;
 
+  #countCold: () => number = () => 0;
+
   private constructor() {
     const registers = [this.registry];
     const counter = (name: string, help: string, labelNames: string[]) =>
@@ -67,6 +87,11 @@
       "route",
       "outcome",
     ]);
+    this.callerLimits = counter(
+      "gateway_caller_limits_total",
+      "Requests and connections that met a limit",
+      ["cause"],
+    );
     this.retries = counter("gateway_retries_total", "Retries", ["reason"]);
     this.firstByte = histogram("gateway_first_byte_seconds", "First byte", [
       "route",
@@ -93,11 +118,28 @@
     this.datagrams = counter("gateway_datagrams_total", "Datagrams", [
       "direction",
     ]);
+    this.statusLimits = counter(
+      "status_limits_total",
+      "Connections and requests of the status ports that a limit ended",
+      ["cause"],
+    );
     this.mismatchedResponses = counter(
       "replica_response_mismatches_total",
       "Responses that didn't match the request that waited",
       ["reason"],
     );
+    this.statedLoads = counter(
+      "replica_stated_loads_total",
+      "Loads that replicas stated in responses",
+      ["outcome"],
+    );
+    this.slowdown = new Histogram({
+      name: "banyanspool_replica_slowdown",
+      help: "Time of work at the selected replica, 1 on average",
+      labelNames: ["service"],
+      buckets: SLOWDOWN_BUCKETS,
+      registers,
+    });
     this.ejections = counter("replica_ejections_total", "Ejections", [
       "service",
     ]);
@@ -115,9 +157,43 @@
       "configuration_version",
       "Version in force",
     );
+    this.barredRequests = counter(
+      "barred_requests_total",
+      "Requests that may go to no replica of their service",
+      ["regions"],
+    );
+    this.deniedPermits = counter(
+      "replica_permits_denied_total",
+      "Permits refused for replicas with a limit",
+      ["limit"],
+    );
+    this.coldReplicas = new Gauge({
+      name: "banyanspool_cold_replicas",
+      help: "Replicas that are cold",
+      registers,
+      collect: () => this.coldReplicas.set(this.#countCold()),
+    });
+    this.evacuations = new Gauge({
+      name: "banyanspool_evacuated",
+      help: "Evacuated data centres",
+      labelNames: ["data_centre"],
+      registers,
+    });
     this.droppedLines = gauge("log_lines_dropped", "Log lines dropped");
   }
 
+  /** Sets how the replicas that are cold are counted. */
+  countColdReplicas(count: () => number): void {
+    this.#countCold = count;
+  }
+
+  /** Records that an evacuation began or was taken back. */
+  recordEvacuation(dataCentre: string, isEvacuated: boolean): void {
+    const labels = { data_centre: dataCentre };
+    if (isEvacuated) this.evacuations.set(labels, 1);
+    else this.evacuations.remove(labels);
+  }
+
   /** Creates the metrics of one process. */
   static create(): GatewayMetrics {
     return new GatewayMetrics();
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "@banyanspool/types";
 import { type GatewayState, GatewayStateSchema } from "@banyanspool/wire";
 
-/** Another gateway, from the member table or from its reports. */
+/** Another gateway, from the member table. */
 export interface Peer {
   /** Instance name. */
   readonly instance: string;
@@ -58,12 +58,20 @@
   /** Called with each message of a peer. */
   readonly onMessage: (instance: string, message: GatewayMessage) => void;
   /**
-   * Called for each datagram; `unreadable` if one can't be decoded, and `failed`
-   * if one can't be encoded or applied.
+   * Called for each datagram; `stranger` if its sender isn't a known gateway,
+   * `unreadable` if one can't be decoded, and `failed` if one can't be encoded or
+   * applied.
    */
   readonly onDatagram: (
-    direction: "sent" | "received" | "unreadable" | "failed",
+    direction: "sent" | "received" | "stranger" | "unreadable" | "failed",
   ) => void;
+  /** Called with each such datagram, whose sender may have just started. */
+  readonly onStranger?: () => void;
+  /**
+   * Whether the member table was read lately. While it can't be, a sender that
+   * isn't known counts as a gateway that has just started.
+   */
+  readonly isMembershipKnown?: () => boolean;
 }
 
 interface PeerState {
@@ -93,6 +101,9 @@
  */
 const EXPIRE_AFTER_MS = 60_000;
 
+/** Peers known by their reports alone. */
+const MAX_UNLISTED_PEERS = 64;
+
 /** Interval between two periodic reports to a number of peers, in ms. */
 export function reportIntervalMs(peers: number): number {
   return BASE_INTERVAL_MS + INTERVAL_PER_PEER_MS * peers;
@@ -103,6 +114,10 @@
   readonly #options: PeerExchangeOptions;
   readonly #socket: Socket;
   readonly #peers: Map<string, PeerState> = new Map();
+  /** Number of peers by address. */
+  readonly #hosts: Map<string, number> = new Map();
+  /** Addresses of peers that the member table hasn't named. */
+  readonly #unlistedHosts: Set<string> = new Set();
   #sequence = 0n;
 
   private constructor(options: PeerExchangeOptions) {
@@ -171,12 +186,16 @@
   /** Adds a peer from the member table. */
   addPeer(instance: string, host: string): void {
     if (instance === this.#options.instance) return;
+    this.#unlistedHosts.delete(host);
     const known = this.#peers.get(instance);
     if (known) {
-      // The row may be older than the address of the peer's last report.
-      if (!known.isLive) known.host = host;
+      if (known.host === host) return;
+      this.#releaseHost(known.host);
+      known.host = host;
+      this.#retainHost(host);
       return;
     }
+    this.#retainHost(host);
     this.#peers.set(instance, {
       host,
       dataCentre: "",
@@ -187,6 +206,29 @@
     });
   }
 
+  /**
+   * Takes a sender that isn't known for a gateway while the member table can't be
+   * read: one for each address, so that a stranger can't name ever new ones.
+   */
+  #mayBeUnlisted(host: string): boolean {
+    return this.#options.isMembershipKnown?.() === false &&
+      !this.#hosts.has(host) && this.#unlistedHosts.size < MAX_UNLISTED_PEERS;
+  }
+
+  #retainHost(host: string): void {
+    this.#hosts.set(host, (this.#hosts.get(host) ?? 0) + 1);
+  }
+
+  #releaseHost(host: string): void {
+    const peers = (this.#hosts.get(host) ?? 0) - 1;
+    if (peers > 0) {
+      this.#hosts.set(host, peers);
+      return;
+    }
+    this.#hosts.delete(host);
+    this.#unlistedHosts.delete(host);
+  }
+
   /** Sends a report to all peers immediately. */
   announce(): void {
     const bytes = this.#contain("encode report", () => this.#encodeReport());
@@ -266,6 +308,7 @@
       }
       if (Number.isFinite(silentMs) && silentMs > EXPIRE_AFTER_MS) {
         this.#peers.delete(instance);
+        this.#releaseHost(peer.host);
       }
     }
   }
@@ -312,6 +355,11 @@
     this.#socket.send(bytes, this.#options.port, host);
   }
 
+  #ignoreStranger(): void {
+    this.#options.onDatagram("stranger");
+    this.#options.onStranger?.();
+  }
+
   /**
    * Whether a report is older than the last one. A lower incarnation is that of a
    * later start if the last one is silent: the wall clock was set back between.
@@ -325,6 +373,11 @@
 
   #receive(bytes: Uint8Array, host: string): void {
     const { onState, onDatagram, log, clock } = this.#options;
+    const mayBeUnlisted = this.#mayBeUnlisted(host);
+    if (!this.#hosts.has(host) && !mayBeUnlisted) {
+      this.#ignoreStranger();
+      return;
+    }
     let state: GatewayState;
     try {
       state = fromBinary(GatewayStateSchema, bytes);
@@ -334,15 +387,23 @@
     }
     onDatagram("received");
     if (state.instance === this.#options.instance) return;
+    if (mayBeUnlisted && !this.#peers.has(state.instance)) {
+      this.addPeer(state.instance, host);
+      this.#unlistedHosts.add(host);
+    }
+    const known = this.#peers.get(state.instance);
+    if (known?.host !== host) {
+      this.#ignoreStranger();
+      return;
+    }
     if (state.streamMessage || state.permitMessage) {
       this.#options.onMessage(state.instance, state);
       return;
     }
-    const known = this.#peers.get(state.instance);
-    if (known && this.#isOutdated(state, known)) return;
+    if (this.#isOutdated(state, known)) return;
     const now = clock.now();
-    const isNew = known?.incarnation !== state.incarnation;
-    if (!known?.isLive || now - known.lastReceivedAt > LOST_AFTER_MS) {
+    const isNew = known.incarnation !== state.incarnation;
+    if (!known.isLive || now - known.lastReceivedAt > LOST_AFTER_MS) {
       log.write("peer heard", {
         peer: state.instance,
         host,
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -1,12 +1,17 @@
-import type {
-  BackendServer,
-  Clock,
-  PromptPart,
-  Random,
-} from "@banyanspool/types";
-import type { PermitClass, PermitState } from "@banyanspool/replica-limits";
+import type { BackendServer, Clock, Random } from "@banyanspool/types";
+import type { PermitState } from "@banyanspool/replica-limits";
+import {
+  FirstBytePredictor,
+  type PredictionContext,
+  PREFERRED_REPLICAS,
+} from "./first_byte_prediction.ts";
+import {
+  formatModelName,
+  type ReplicaSelection,
+  type SelectionRequest,
+} from "./selection.ts";
+import { ReportedBacklogs } from "./reported_backlog.ts";
 import { OutlierDetector } from "./outlier_detector.ts";
-import { PrefixHistory } from "./prefix_history.ts";
 import { rankByAffinity } from "./affinity.ts";
 import {
   type InFlightLoad,
@@ -22,40 +27,14 @@
   readonly names: ReadonlySet<string>;
 }
 
-/** Properties of a request by which a replica is selected. */
-export interface SelectionRequest {
-  /** Service name. */
-  readonly service: string;
-  /** Model, or undefined for a plain service. */
-  readonly model?: string;
-  /** Adapter of the model, if any. */
-  readonly adapter?: string;
-  /** Prompt length, in tokens. */
-  readonly promptTokens: number;
-  /** Most output tokens that the request allows. */
-  readonly outputTokens: number;
-  /** Parts of the prompt, in order; the last identifies the session. */
-  readonly promptParts: readonly PromptPart[];
-  /** Replicas that must not be selected, such as those already tried. */
-  readonly excluded: ReadonlySet<string>;
-  /** Software version that the replica must run; undefined for any. */
-  readonly softwareVersion?: string;
-}
-
-/** A replica selected for one request. */
-export interface ReplicaSelection {
-  /** Selected replica. */
-  readonly server: BackendServer;
-  /** Predicted time to the first byte, in ms. */
-  readonly predictedMs: number;
-  /** Part of `predictedMs` spent waiting for other requests, in ms. */
-  readonly waitMs: number;
-  /** Prompt tokens to prefill, less those that are probably cached. */
-  readonly uncachedTokens: number;
-  /** Requests in flight at the replica, from all entries. */
-  readonly inFlight: number;
-  /** Permit that the request needs; undefined if the replica has no limit. */
-  readonly permit?: PermitClass;
+/** Load that a replica stated in a response. */
+export interface StatedReplicaLoad {
+  /** Requests running and waiting there. */
+  readonly requests: number;
+  /** How long work takes there at this moment, 1 as usual, if it said so. */
+  readonly slowdown?: number;
+  /** When the request of the response was sent, in ms. */
+  readonly sentAt: number;
 }
 
 /** A request in flight at a replica, for its sender to mark its progress. */
@@ -85,6 +64,11 @@
    * for its response.
    */
   readonly admits: (server: BackendServer, waiting: number) => boolean;
+  /** Whether a request may go to a replica at all; it may by default. */
+  readonly allows?: (
+    server: BackendServer,
+    request: SelectionRequest,
+  ) => boolean;
 }
 
 /** Which of the candidates are compared. */
@@ -118,37 +102,14 @@
 const UNREACHABLE_SKIP_MS = 600;
 /** Longest time for which a replica is skipped after a crash. */
 const CRASHED_SKIP_MS = 5000;
-/** Assumed prefill speed before a measurement, in tokens per ms. */
-const INITIAL_PREFILL_TOKENS_PER_MS = 30;
-/** Weight of the newest measurement in the moving averages. */
-const SMOOTHING = 0.05;
-/** A prefill of fewer tokens is too short to measure the prefill speed. */
-const MIN_MEASURED_TOKENS = 1000;
-/** Assumed time of a request before a measurement, in ms. */
-const INITIAL_SERVICE_TIME_MS = 30;
-const INITIAL_GENERATION_TIME_MS = 1000;
-/** Round trip and first decode step, in ms. */
-const BASE_LATENCY_MS = 8;
-/** Delay that each request in flight adds to another one, in ms. */
-const DELAY_PER_REQUEST_MS = 1.2;
 /** Cost of a replica in another data centre, in ms. */
 const OTHER_DATA_CENTRE_COST_MS = 1;
-/** Share of the KV cache in use above which engines preempt requests. */
-const KV_PRESSURE_SHARE = 0.85;
-/** Added to the expected wait at a replica above that share, in ms. */
-const KV_PRESSURE_WAIT_MS = 1000;
 /** A request is overdue after this time without a first byte, in ms. */
 const OVERDUE_AFTER_MS = 1500;
 /** Cost of a replica for each overdue request at it, in ms. */
 const OVERDUE_COST_MS = 2000;
-const MAX_PREFIXES = 20_000;
 /** Replicas whose cost differs from the best by less than this are equal. */
 const EQUAL_COST_MARGIN_MS = 3;
-/**
- * Share of the known prompt parts assumed cached at the replicas that all
- * entries prefer for them, the most preferred first.
- */
-const PREFERRED_CACHED_SHARES = [0.8, 0.4];
 /**
  * Number of entries from which on each compares a sample of the replicas only.
  * Reports are then so old that all would send to the same idle replica. Source:
@@ -167,19 +128,14 @@
   /** Detector of replicas that fail more often than others. */
   readonly outliers: OutlierDetector;
   readonly #options: ReplicaTrackerOptions;
-  readonly #prefixes: PrefixHistory = PrefixHistory.create({
-    maxBlocks: MAX_PREFIXES,
-  });
   readonly #loads: ReplicaLoads;
+  readonly #firstBytes: FirstBytePredictor;
+  readonly #backlogs: ReportedBacklogs;
   /** Requests of this entry without a first byte, by replica. */
   readonly #unstarted: Map<string, Set<InFlightRequest>> = new Map();
   /** Monotonic time until which a replica is skipped, as `replica name`. */
   readonly #skipUntil: Map<string, number> = new Map();
   readonly #unreachableUntil: Map<string, number> = new Map();
-  /** Measured prefill speed, by model. */
-  readonly #prefillTokensPerMs: Map<string, number> = new Map();
-  /** Measured time of a request, by service. */
-  readonly #serviceTimeMs: Map<string, number> = new Map();
   #servers: Map<string, BackendServer> = new Map();
   #availableModels: ReadonlyMap<string, AvailableModels> = new Map();
   #availableModelsAt = -Infinity;
@@ -189,6 +145,8 @@
     this.#options = options;
     this.#loads = ReplicaLoads.create({ clock: options.clock });
     this.outliers = OutlierDetector.create({ clock: options.clock });
+    this.#firstBytes = FirstBytePredictor.create(options);
+    this.#backlogs = ReportedBacklogs.create({ clock: options.clock });
   }
 
   /** Creates a tracker without replicas. */
@@ -211,6 +169,8 @@
       if (next.get(id)?.startedAt === server.startedAt) continue;
       this.outliers.remove(server.service, id);
       this.#unreachableUntil.delete(id);
+      this.#firstBytes.speeds.remove(id);
+      this.#backlogs.remove(id);
     }
     this.#servers = next;
   }
@@ -239,6 +199,25 @@
     this.#loads.updatePeer(instance, loads);
   }
 
+  /** Records the load that a replica stated in a response. */
+  recordStatedLoad(
+    { id, startedAt }: BackendServer,
+    { requests, slowdown, sentAt }: StatedReplicaLoad,
+  ): void {
+    if (this.#servers.get(id)?.startedAt !== startedAt) return;
+    if (slowdown !== undefined) {
+      this.#firstBytes.speeds.recordStated(id, slowdown);
+    }
+    // The request that the response belongs to may have ended at the replica.
+    let uncertain = 1;
+    for (const unstarted of this.#unstarted.get(id) ?? []) {
+      if (unstarted.sentAt >= sentAt) uncertain += 1;
+    }
+    const own = this.#loads.ownRequestsAt(id);
+    const others = this.#loads.countsAt(id).requests - own;
+    this.#backlogs.record(id, { reported: requests, own, uncertain, others });
+  }
+
   /** Skips a replica for a while for a model or adapter that it rejected. */
   markRejected(
     replica: string,
@@ -329,7 +308,7 @@
     const { model } = request;
     if (model === undefined) return true;
     for (const server of this.#servers.values()) {
-      if (!isEligible(server, request)) continue;
+      if (!this.#isEligible(server, request)) continue;
       if (this.isAvailable(server, model)) return true;
     }
     return false;
@@ -342,7 +321,7 @@
   hasVersion(request: SelectionRequest): boolean {
     for (const server of this.#servers.values()) {
       if (request.excluded.has(server.id)) continue;
-      if (isEligible(server, request)) return true;
+      if (this.#isEligible(server, request)) return true;
     }
     return false;
   }
@@ -400,12 +379,29 @@
     return this.#options.admits(server, waiting);
   }
 
+  /** Whether a request may go to a replica at all, now or later. */
+  allows(server: BackendServer, request: SelectionRequest): boolean {
+    return this.#options.allows?.(server, request) ?? true;
+  }
+
+  /** Whether a request may go to none of the replicas that could serve it. */
+  isBarred(request: SelectionRequest): boolean {
+    const eligible = [...this.#servers.values()]
+      .filter((server) => isEligible(server, request));
+    return eligible.length > 0 &&
+      !eligible.some((server) => this.allows(server, request));
+  }
+
+  #isEligible(server: BackendServer, request: SelectionRequest): boolean {
+    return isEligible(server, request) && this.allows(server, request);
+  }
+
   #reachable(request: SelectionRequest): BackendServer[] {
     const name = formatModelName(request);
     const now = this.#options.clock.now();
     const reachable: BackendServer[] = [];
     for (const server of this.#servers.values()) {
-      if (!isEligible(server, request)) continue;
+      if (!this.#isEligible(server, request)) continue;
       if (request.excluded.has(server.id)) continue;
       if ((this.#unreachableUntil.get(server.id) ?? 0) > now) continue;
       if (name !== undefined && !this.isAvailable(server, name)) continue;
@@ -437,7 +433,11 @@
       : this.#sample(candidates, preferred);
     for (const server of compared) {
       const preference = preferred.indexOf(server);
-      const selection = this.#predict(server, request, preference);
+      const selection = this.#firstBytes.predict(request, {
+        server,
+        load: this.#expectedLoadAt(server.id),
+        preference,
+      });
       const cost = this.#costOf(selection);
       if (cost >= bestCost - EQUAL_COST_MARGIN_MS) {
         if (cost >= bestCost + EQUAL_COST_MARGIN_MS) continue;
@@ -451,6 +451,14 @@
     return { ...best, permit: hasOther ? "spare" : "any" };
   }
 
+  #expectedLoadAt(replica: string): PredictionContext["load"] {
+    const counted = this.#loads.countsAt(replica);
+    const { prefillTokens, kvTokens } = counted;
+    const own = this.#loads.ownRequestsAt(replica);
+    const others = this.#backlogs.othersAt(replica, counted.requests - own);
+    return { requests: own + others, prefillTokens, kvTokens };
+  }
+
   /** Returns the replicas to compare: all of them if there are few entries. */
   #sample(
     candidates: readonly BackendServer[],
@@ -488,24 +496,27 @@
     this.#loads.addRequest(server.id, inFlight);
     const unstarted = this.#unstarted.get(server.id) ?? new Set();
     this.#unstarted.set(server.id, unstarted.add(inFlight));
-    const name = formatModelName(request);
-    if (name !== undefined) {
-      const ids = request.promptParts.map(({ id }) => id);
-      this.#prefixes.record(name, ids, server.id);
-    }
+    this.#firstBytes.recordSent(request, server.id);
     return {
       started: () => {
         if (inFlight.isStarted) return;
         inFlight.isStarted = true;
         this.#loads.removePrefill(server.id, inFlight);
         this.#removeUnstarted(inFlight);
-        this.#updatePrefillSpeed(request, selection, inFlight.sentAt);
+        this.#firstBytes.recordStart(request, {
+          selection,
+          sentAt: inFlight.sentAt,
+        });
       },
       finished: () => {
         const { isStarted } = inFlight;
         this.#loads.removeRequest(server.id, inFlight, { isStarted });
         this.#removeUnstarted(inFlight);
-        this.#updateServiceTime(inFlight);
+        this.#firstBytes.recordEnd(request, {
+          selection,
+          sentAt: inFlight.sentAt,
+          isStarted,
+        });
       },
     };
   }
@@ -535,58 +546,6 @@
     if (unstarted?.size === 0) this.#unstarted.delete(id);
   }
 
-  #predict(
-    server: BackendServer,
-    request: SelectionRequest,
-    preference: number,
-  ): ReplicaSelection {
-    const load = this.#loads.countsAt(server.id);
-    const inFlight = load.requests;
-    const serviceTimeMs = this.#serviceTimeMsOf(request);
-    const queuedRequests = Math.max(0, inFlight + 1 - server.slots);
-    const slotWaitMs = queuedRequests * serviceTimeMs / server.slots;
-    if (request.model === undefined) {
-      const crowdingMs = inFlight / server.slots * serviceTimeMs * 0.2;
-      const waitMs = slotWaitMs;
-      const predictedMs = waitMs + crowdingMs + serviceTimeMs;
-      return { server, predictedMs, waitMs, uncachedTokens: 0, inFlight };
-    }
-    const tokensPerMs = this.#prefillTokensPerMsOf(request.model);
-    const uncachedTokens = Math.max(
-      0,
-      request.promptTokens - this.#cachedTokens(server, request, preference),
-    );
-    let waitMs = load.prefillTokens / tokensPerMs +
-      inFlight * DELAY_PER_REQUEST_MS + slotWaitMs;
-    const capacity = this.#options.kvCapacityOf(server.service) ?? Infinity;
-    const kvTokens = load.kvTokens + request.promptTokens;
-    if (kvTokens > capacity * KV_PRESSURE_SHARE) waitMs += KV_PRESSURE_WAIT_MS;
-    const predictedMs = BASE_LATENCY_MS + waitMs + uncachedTokens / tokensPerMs;
-    return { server, predictedMs, waitMs, uncachedTokens, inFlight };
-  }
-
-  #prefillTokensPerMsOf(model: string): number {
-    return this.#prefillTokensPerMs.get(model) ?? INITIAL_PREFILL_TOKENS_PER_MS;
-  }
-
-  /** Leading prompt tokens that are probably cached at a replica. */
-  #cachedTokens(
-    server: BackendServer,
-    request: SelectionRequest,
-    preference: number,
-  ): number {
-    const ids = request.promptParts.map(({ id }) => id);
-    const blocks = this.#prefixes.countBlocks(
-      formatModelName(request)!,
-      ids,
-      server.id,
-    );
-    const recordedTokens = sumTokens(request.promptParts.slice(0, blocks));
-    const share = PREFERRED_CACHED_SHARES[preference] ?? 0;
-    const partTokens = sumTokens(request.promptParts);
-    return Math.max(recordedTokens, partTokens * share);
-  }
-
   /** Returns the replicas that all entries prefer for the request's session. */
   #preferredFor(
     request: SelectionRequest,
@@ -597,55 +556,8 @@
     return rankByAffinity(
       `${formatModelName(request)} ${session.id}`,
       candidates,
-    ).slice(0, PREFERRED_CACHED_SHARES.length);
+    ).slice(0, PREFERRED_REPLICAS);
   }
-
-  #updatePrefillSpeed(
-    request: SelectionRequest,
-    selection: ReplicaSelection,
-    sentAt: number,
-  ): void {
-    const { model } = request;
-    if (model === undefined) return;
-    const tokens = selection.uncachedTokens +
-      (selection.waitMs * this.#prefillTokensPerMsOf(model));
-    if (tokens < MIN_MEASURED_TOKENS) return;
-    const elapsedMs = Math.max(
-      1,
-      this.#options.clock.now() - sentAt - BASE_LATENCY_MS,
-    );
-    const before = this.#prefillTokensPerMsOf(model);
-    const measured = Math.min(tokens / elapsedMs, before * 4);
-    this.#prefillTokensPerMs.set(
-      model,
-      before + SMOOTHING * (measured - before),
-    );
-  }
-
-  #serviceTimeMsOf(
-    { service, model }: { service: string; model?: string },
-  ): number {
-    return this.#serviceTimeMs.get(service) ??
-      (model === undefined
-        ? INITIAL_SERVICE_TIME_MS
-        : INITIAL_GENERATION_TIME_MS);
-  }
-
-  #updateServiceTime({ server, model, sentAt }: InFlightRequest): void {
-    const { service } = server;
-    const elapsedMs = this.#options.clock.now() - sentAt;
-    const before = this.#serviceTimeMsOf({ service, model });
-    const measured = Math.min(elapsedMs, before * 4);
-    this.#serviceTimeMs.set(service, before + SMOOTHING * (measured - before));
-  }
-}
-
-/** Formats a model or adapter as `model` or `model/adapter`. */
-export function formatModelName(
-  { model, adapter }: { model?: string; adapter?: string },
-): string | undefined {
-  if (model === undefined || adapter === undefined) return model;
-  return `${model}/${adapter}`;
 }
 
 /** Names by row: a row is replaced when it changes, never modified. */
@@ -665,10 +577,6 @@
   return names;
 }
 
-function sumTokens(parts: readonly PromptPart[]): number {
-  return parts.reduce((sum, { tokens }) => sum + tokens, 0);
-}
-
 /** Whether a replica may serve a request, whatever it has loaded. */
 function isEligible(
   server: BackendServer,
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -70,6 +70,15 @@
   limit_overage: z.number().nonnegative(),
   limit_slack: z.number().nonnegative(),
   log_lines_per_s: z.number().positive().default(400),
+  status_max_connections: z.number().int().positive().default(64),
+  /** Region of each data centre. */
+  regions: z.record(z.string(), z.string()).optional(),
+  memory_mb: z.number().positive().optional(),
+  max_fds: z.number().int().positive().optional(),
+  caller_memory_mb: z.number().positive().optional(),
+  max_connections: z.number().int().positive().optional(),
+  max_requests_ahead: z.number().int().positive().optional(),
+  caller_stall_ms: z.number().positive().optional(),
 });
 
 const clientSchema = z.strictObject({
