--- a/packages/crowds/src/hostile_crowd.ts
+++ b/packages/crowds/src/hostile_crowd.ts
@@ -3,7 +3,9 @@
 
 /** Options of {@link HostileCrowd.open}. */
 export interface CrowdOptions {
-  /** Port on 127.0.0.1. */
+  /** Address on the loopback network; 127.0.0.1 by default. */
+  readonly host?: string;
+  /** Port at that address. */
   readonly port: number;
   /** Number of clients. */
   readonly clients: number;
@@ -57,10 +59,10 @@
   }
 
   async #send(
-    { port, pieces, pauseMs, reads = false }: CrowdOptions,
+    { host = "127.0.0.1", port, pieces, pauseMs, reads = false }: CrowdOptions,
     client: number,
   ): Promise<void> {
-    const socket = connect({ host: "127.0.0.1", port });
+    const socket = connect({ host, port });
     this.#sockets.push(socket);
     socket.on("error", () => {});
     if (reads) {
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -8,6 +8,7 @@
 import { parseStreamEvents } from "./stream_events.ts";
 import type { InjectedFault } from "./injected_fault.ts";
 import { createPlantedSchedule } from "./planted_schedule.ts";
+import { sendHostileCrowd } from "./hostile_callers.ts";
 import {
   leaveByWord,
   repeatCrashingRequest,
@@ -207,6 +208,8 @@
       return recordDisturbances(run, from);
     case "crashingRequest":
       return run.repeats.push(repeatCrashingRequest(step, run));
+    case "hostileCallers":
+      return await sendHostileCrowd(step, run);
     case "replicaLeaving":
       return await leaveByWord(step, run);
     case "replicaPause":
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -48,6 +48,8 @@
   | "peerLink"
   /** Sends a request that crashes each replica that runs it again and again. */
   | "crashingRequest"
+  /** Sends a crowd of requests that stop before their end. */
+  | "hostileCallers"
   /** Lets a replica say in its responses that it leaves, and replaces it. */
   | "replicaLeaving"
   /** Lets a replica turn requests away, and name a time for it. */
@@ -120,6 +122,7 @@
   "herdKill",
   "peerLink",
   "crashingRequest",
+  "hostileCallers",
   "replicaLeaving",
   "replicaPause",
   "replicaLimit",
