Replica speed: what is learnt fades, and counts once

Cause: a replica learnt to be slow was never tried again, as its lasting slowdown had no age; waiting and slowdowns went into the averages of the service as well; lost requests, quick errors and slow readers counted as speed; own requests that ended before a stated load was read counted as other gateways'; an idle replica could be refused, and a late one waited for the longer, for its slowdown.

Change: the lasting slowdown fades to the service's average, where new replicas begin. Averages are measured without waiting and slowdown, a plain service at the first byte, and only by responses that are no errors and no cut-offs. Of own requests, those that ended since the answered one was sent are deducted. An idle replica is checked, and an overdue response found, without the slowdown.

"A request that ends without a response shows a slow replica" is replaced, as that shut out replicas for good: now exactly nothing is learnt.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -1,5 +1,5 @@
 import type { ReplicaSelection, SelectionRequest } from "@banyanspool/routing";
-import { formatModelName } from "@banyanspool/routing";
+import { formatModelName, usualTimeMs } from "@banyanspool/routing";
 import type { Refusal, Result, Route } from "@banyanspool/types";
 import { err, ok, refuse } from "@banyanspool/types";
 import type { GatewayContext } from "./context.ts";
@@ -270,7 +270,11 @@
   const nowMs = ctx.clock.now();
   const remainingWaitMs = callerLeavesAt(scope, { waitingSince }) - nowMs;
   const { targetLatencyMs } = scope.route;
-  const { waitMs, predictedMs } = selection;
+  const { waitMs, inFlight } = selection;
+  // An idle replica that was slow is tried, or it would stay so for good.
+  const predictedMs = inFlight < 1
+    ? usualTimeMs(selection)
+    : selection.predictedMs;
   // A refusal would cut a stream that has begun.
   const isResumed = waitingSince > scope.arrivedAt;
   const isQueueShort = isResumed ||
--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -234,6 +234,26 @@
   t.is(acquired.ok && acquired.value.server.id, "r0");
 });
 
+test("an idle replica isn't refused as it was slow or lost requests", async (t) => {
+  const server = backendServer("r1", ["m"]);
+  const { ctx, scope } = createGateway([server]);
+  const { replicaTracker, clock } = ctx;
+  const request = { ...REQUEST, promptTokens: 20_000 };
+  for (let i = 0; i < 50; i += 1) {
+    const selection = replicaTracker.select(request)!;
+    const tracked = replicaTracker.dispatch(request, selection);
+    const load = { requests: 0, slowdown: 8, sentAt: clock.now() };
+    replicaTracker.recordStatedLoad(server, load);
+    await ctx.fleet.changed.wait(500);
+    tracked.finished("cut off");
+  }
+  t.true(replicaTracker.select(request)!.slowdown > 4);
+  const now = clock.now();
+  const later = { ...scope, arrivedAt: now, deadlineAt: now + 15_000 };
+  const pending = { request, waitingSince: now };
+  t.true((await acquireReplica(ctx, later, pending)).ok);
+});
+
 /** Names a limit of 2 requests a second for a replica. */
 function limit({ replicaLimits }: GatewayContext, server: BackendServer): void {
   const replica = incarnationOf(server);
--- a/packages/gateway/src/finish_attempt.ts
+++ b/packages/gateway/src/finish_attempt.ts
@@ -65,10 +65,11 @@
  */
 async function finishResponse(
   execution: RequestExecution,
-  { selection, trackedRequest }: PendingAttempt,
+  attempt: PendingAttempt,
   response: StartedResponse,
 ): Promise<RequestOutcome | undefined> {
   const { scope, progress, budget } = execution;
+  const { selection, trackedRequest } = attempt;
   const canRepeat = mayRepeat(execution, 1);
   const isFailure = response.head.status >= FIRST_FAILURE_STATUS;
   if (isFailure && canRepeat && hasTimeForAttempt(execution) && budget.take()) {
@@ -99,10 +100,11 @@
   const relayed = await relayResponse(execution, {
     response,
     selection,
-    markStarted: trackedRequest.started,
+    markStarted: () => trackedRequest.started(isFailure ? "error" : "result"),
   });
   switch (relayed.kind) {
     case "whole":
+      attempt.finish("complete");
       if (!response.asksForPause) {
         const observation = isFailure ? "failure" : "success";
         recordObservation(execution, selection, observation);
--- a/packages/gateway/src/pending_attempt.ts
+++ b/packages/gateway/src/pending_attempt.ts
@@ -1,5 +1,9 @@
 import { setImmediate as nextPoll } from "node:timers/promises";
-import type { ReplicaSelection, TrackedRequest } from "@banyanspool/routing";
+import type {
+  ReplicaSelection,
+  RequestEnd,
+  TrackedRequest,
+} from "@banyanspool/routing";
 import type { Sleep } from "@banyanspool/types";
 import type { RequestExecution } from "./request_execution.ts";
 import { type AttemptOutcome, sendAttempt } from "./send_attempt.ts";
@@ -58,10 +62,10 @@
   }
 
   /** Removes the attempt from the load of its replica. */
-  finish(): void {
+  finish(end: RequestEnd = "cut off"): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
-    this.trackedRequest.finished();
+    this.trackedRequest.finished(end);
   }
 }
 
--- a/packages/gateway/src/run_attempts.ts
+++ b/packages/gateway/src/run_attempts.ts
@@ -14,12 +14,12 @@
 } from "./final_responses.ts";
 import { PendingAttempt, waitForOutcome } from "./pending_attempt.ts";
 import { jitterRetryAfter } from "./refusals.ts";
-import type { ReplicaSelection } from "@banyanspool/routing";
+import { type ReplicaSelection, usualTimeMs } from "@banyanspool/routing";
 import type { RequestExecution } from "./request_execution.ts";
 import { fingerprintOf } from "./request_fingerprint.ts";
 import type { RequestOutcome } from "./request_scope.ts";
 
-/** Multiple of the predicted time after which a response is overdue. */
+/** Multiple of the time predicted without a slowdown after which a response is overdue. */
 const OVERDUE_FACTOR = 3;
 /** Share of the route's target time before which no response is overdue. */
 const OVERDUE_TARGET_SHARE = 0.5;
@@ -126,7 +126,7 @@
 ): number | undefined {
   if (!mayRepeat(execution, pending.length)) return undefined;
   return Math.max(
-    pending.at(-1)!.selection.predictedMs * OVERDUE_FACTOR,
+    usualTimeMs(pending.at(-1)!.selection) * OVERDUE_FACTOR,
     execution.scope.route.targetLatencyMs * OVERDUE_TARGET_SHARE,
   );
 }
--- a/packages/gateway/src/run_attempts_test.ts
+++ b/packages/gateway/src/run_attempts_test.ts
@@ -270,6 +270,21 @@
   t.is(replicaTracker.loadAt("still").requests, 0);
 });
 
+test("a replica that states a slowdown isn't waited for the longer", async (t) => {
+  const { sendLoad, replicaTracker, inFlightAt } = createGateway([
+    { id: "sound", afterMs: 20, status: 200 },
+    { id: "still", afterMs: 60_000, status: 200 },
+  ]);
+  for (const [id, slowdown] of [["sound", 8], ["still", 7]] as const) {
+    const load = { requests: 0, slowdown, sentAt: 0 };
+    replicaTracker.recordStatedLoad(describe(id), load);
+  }
+  const intervalMs = 30;
+  await sendLoad(20, intervalMs);
+  const backup = inFlightAt.find(({ at }) => at % intervalMs !== 0)!;
+  t.true(backup.at < 0.75 * TARGET_MS, `${backup.at}`);
+});
+
 // All requests that had waited were sent to a replica at once when its pause ended.
 test("the requests that wait for the end of a pause are sent a few at a time", async (t) => {
   const { sendLoad, arrivals, inFlightAt } = createGateway([
--- a/packages/routing/src/first_byte_prediction.ts
+++ b/packages/routing/src/first_byte_prediction.ts
@@ -101,7 +101,7 @@
     if (request.model === undefined) {
       const crowdingMs = inFlight / server.slots * serviceTimeMs * 0.2;
       const averageMs = slotWaitMs + crowdingMs + serviceTimeMs;
-      const slowdown = this.speeds.forecast(server.id, averageMs);
+      const slowdown = this.speeds.forecast(server, averageMs);
       return {
         server,
         predictedMs: averageMs * slowdown,
@@ -122,7 +122,7 @@
     const kvTokens = load.kvTokens + request.promptTokens;
     if (kvTokens > capacity * KV_PRESSURE_SHARE) waitMs += KV_PRESSURE_WAIT_MS;
     const averageMs = waitMs + uncachedTokens / tokensPerMs;
-    const slowdown = this.speeds.forecast(server.id, averageMs);
+    const slowdown = this.speeds.forecast(server, averageMs);
     return {
       server,
       predictedMs: BASE_LATENCY_MS + averageMs * slowdown,
@@ -155,20 +155,30 @@
     return Math.max(recordedTokens, partTokens * share);
   }
 
-  /** Measures the prefill speed by a response that begins now. */
+  /**
+   * Measures the prefill speed, or the time of a request without a model, by a
+   * response that begins now.
+   */
   recordStart(
     request: SelectionRequest,
     { selection, sentAt }: { selection: ReplicaSelection; sentAt: number },
   ): void {
     const { model } = request;
-    if (model === undefined) return;
+    if (model === undefined) {
+      this.#recordWork(selection, { sentAt, latencyMs: 0 });
+      const before = this.#serviceTimeMsOf(request);
+      // What was predicted has the wait and the slowdown in it as well.
+      const error = (this.#clock.now() - sentAt) / selection.predictedMs;
+      this.#recordServiceTime(request, before * error);
+      return;
+    }
     this.#recordWork(selection, { sentAt, latencyMs: BASE_LATENCY_MS });
     const tokens = selection.uncachedTokens +
       selection.waitMs / selection.slowdown * this.#prefillTokensPerMsOf(model);
     if (tokens < MIN_MEASURED_TOKENS) return;
     const elapsedMs = Math.max(
       1,
-      this.#clock.now() - sentAt - BASE_LATENCY_MS,
+      (this.#clock.now() - sentAt - BASE_LATENCY_MS) / selection.slowdown,
     );
     const before = this.#prefillTokensPerMsOf(model);
     const measured = Math.min(tokens / elapsedMs, before * 4);
@@ -187,44 +197,32 @@
         : INITIAL_GENERATION_TIME_MS);
   }
 
-  /**
-   * Measures the time of a request that ends now. One that ends without a response
-   * tells only how long its replica has taken at least.
-   */
+  /** Measures the time of a request whose response ends now, whole. */
   recordEnd(
-    { model }: SelectionRequest,
-    { selection, sentAt, isStarted }: {
-      selection: ReplicaSelection;
-      sentAt: number;
-      isStarted: boolean;
-    },
+    request: SelectionRequest,
+    { selection, sentAt }: { selection: ReplicaSelection; sentAt: number },
   ): void {
-    const { server } = selection;
-    if (!isStarted) {
-      const latencyMs = model === undefined ? 0 : BASE_LATENCY_MS;
-      this.#recordWork(selection, { sentAt, latencyMs, isLeast: true });
-    } else if (model === undefined) {
-      this.#recordWork(selection, { sentAt, latencyMs: 0 });
-    }
-    const { service } = server;
+    if (request.model === undefined) return;
     const elapsedMs = this.#clock.now() - sentAt;
-    const before = this.#serviceTimeMsOf({ service, model });
-    const measured = Math.min(elapsedMs, before * 4);
-    this.#serviceTimeMs.set(service, before + SMOOTHING * (measured - before));
+    this.#recordServiceTime(request, elapsedMs / selection.slowdown);
+  }
+
+  #recordServiceTime(request: SelectionRequest, measuredMs: number): void {
+    const before = this.#serviceTimeMsOf(request);
+    const measured = Math.min(measuredMs, before * 4);
+    this.#serviceTimeMs.set(
+      request.service,
+      before + SMOOTHING * (measured - before),
+    );
   }
 
   #recordWork(
     { server, predictedMs, slowdown }: ReplicaSelection,
-    { sentAt, latencyMs, isLeast = false }: {
-      sentAt: number;
-      latencyMs: number;
-      isLeast?: boolean;
-    },
+    { sentAt, latencyMs }: { sentAt: number; latencyMs: number },
   ): void {
     const elapsedMs = this.#clock.now() - sentAt - latencyMs;
     const workMs = predictedMs - latencyMs;
-    if (isLeast && elapsedMs <= workMs) return;
-    this.speeds.recordMeasured(server.id, {
+    this.speeds.recordMeasured(server, {
       averageMs: workMs / slowdown,
       elapsedMs: Math.max(1, elapsedMs),
     });
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -12,18 +12,20 @@
 export { hashPrefixes } from "./prefix_hash.ts";
 export { rankByAffinity } from "./affinity.ts";
 export { ReplicaSpeeds } from "./replica_speed.ts";
-export type { MeasuredWork } from "./replica_speed.ts";
+export type { MeasuredWork, ReplicaOfService } from "./replica_speed.ts";
 export { OutlierDetector } from "./outlier_detector.ts";
 export type {
   Observation,
   OutlierDetectorOptions,
 } from "./outlier_detector.ts";
-export { formatModelName } from "./selection.ts";
+export { formatModelName, usualTimeMs } from "./selection.ts";
 export type { ReplicaSelection, SelectionRequest } from "./selection.ts";
 export { listModelNames, ReplicaTracker } from "./replica_tracker.ts";
 export type {
   AvailableModels,
   ReplicaTrackerOptions,
+  RequestEnd,
+  ResponseStart,
   SelectOptions,
   StatedReplicaLoad,
   TrackedRequest,
--- a/packages/routing/src/replica_speed.ts
+++ b/packages/routing/src/replica_speed.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@banyanspool/types";
+import type { BackendServer, Clock } from "@banyanspool/types";
 
 /** Time of a finished piece of work, beside what was predicted for it. */
 export interface MeasuredWork {
@@ -8,34 +8,66 @@
   readonly elapsedMs: number;
 }
 
+/** A replica and its service. */
+export type ReplicaOfService = Pick<BackendServer, "id" | "service">;
+
+/** Work that is to be forecast. */
+interface PassingWork {
+  /** Its length, in ms. */
+  readonly workMs: number;
+  /** How long ago it started, in ms. */
+  readonly startedAgoMs: number;
+}
+
+/** What is known of a service's replicas on average. */
+interface ServiceSpeed {
+  /** Replicas of which anything is known. */
+  replicas: number;
+  /** Moving average of the replicas' `lasting`. */
+  lasting: number;
+  measuredAt: number;
+  /** Moving average of the replicas' `mean`. */
+  mean: number;
+  statedAt: number;
+}
+
 interface Speed {
+  readonly service: string;
   /** Logarithm of the lasting slowdown. */
   lasting: number;
-  /** Sums of times measured at the replica, weighed by `averageMs`. */
+  measuredAt: number;
+  /** Number of measurements, of which short ones count less. */
   measuredWeight: number;
-  /** Mean of the stated slowdowns, and the latest deviation from it. */
+  /** Mean of the stated slowdowns. */
   mean: number;
+  /** Latest deviation from the mean. */
   deviation: number;
   statedAt: number;
 }
 
-/** Bounds of a stated or measured slowdown. */
+/** Least stated or measured slowdown. */
 const MIN_SLOWDOWN = 0.2;
+/** Largest stated or measured slowdown. */
 const MAX_SLOWDOWN = 8;
-/** Largest weight of a measurement, and its first weights' sum. */
+/** Weight of a measurement at a replica that has been measured often. */
 const MEASURED_WEIGHT = 0.05;
+/** Weight of the first measurements at a replica. */
 const MAX_FIRST_WEIGHT = 0.2;
+/** Weight of the newest replica's value in the average of a service. */
+const SERVICE_WEIGHT = 0.05;
+/** Time without a measurement after which a lasting slowdown fades, in ms. */
+const LASTING_LIFETIME_MS = 30_000;
 /** Work of this length has half of the largest weight, in ms. */
 const HALF_WEIGHT_MS = 10;
 /** Time over which stated slowdowns are averaged, in ms. */
 const MEAN_WINDOW_MS = 2000;
-/** A statement counts for this part of the window at most. */
+/** A stated slowdown counts for this part of the window at most. */
 const MAX_STATED_SPANS = 0.5;
 /** Time after which a deviation from the mean is over, on average, in ms. */
 const DEVIATION_MS = 150;
-/** Weight of the newest statement in the latest deviation. */
+/** Weight of the newest stated slowdown in the latest deviation. */
 const DEVIATION_WEIGHT = 0.5;
-/** Time without a statement after which the mean fades, in ms. */
+/** Time without a stated slowdown after which the mean fades, in ms. */
 const MEAN_LIFETIME_MS = 10_000;
 
 /**
@@ -46,6 +78,7 @@
 export class ReplicaSpeeds {
   readonly #clock: Clock;
   readonly #speeds: Map<string, Speed> = new Map();
+  readonly #services: Map<string, ServiceSpeed> = new Map();
 
   private constructor(clock: Clock) {
     this.#clock = clock;
@@ -56,18 +89,18 @@
     return new ReplicaSpeeds(clock);
   }
 
-  /** Number of replicas of which anything is known. */
-  get size(): number {
-    return this.#speeds.size;
-  }
-
   /** Forgets a replica that has restarted or is gone. */
   remove(replica: string): void {
+    const speed = this.#speeds.get(replica);
+    if (!speed) return;
     this.#speeds.delete(replica);
+    const average = this.#services.get(speed.service)!;
+    average.replicas -= 1;
+    if (average.replicas === 0) this.#services.delete(speed.service);
   }
 
   /** Records a slowdown that a replica stated; 1 is as usual. */
-  recordStated(replica: string, slowdown: number): void {
+  recordStated(replica: ReplicaOfService, slowdown: number): void {
     const speed = this.#speedOf(replica);
     const now = this.#clock.now();
     const age = now - speed.statedAt;
@@ -76,6 +109,10 @@
     const weight = 1 -
       Math.exp(-Math.min(age / MEAN_WINDOW_MS, MAX_STATED_SPANS));
     speed.mean = mean + weight * (bounded - mean);
+    const average = this.#services.get(speed.service)!;
+    average.mean = this.#meanOf(average);
+    average.mean += SERVICE_WEIGHT * (speed.mean - average.mean);
+    average.statedAt = now;
     const remaining = speed.deviation * Math.exp(-age / DEVIATION_MS);
     speed.deviation = remaining +
       DEVIATION_WEIGHT * (bounded - speed.mean - remaining);
@@ -84,19 +121,26 @@
 
   /** Records the time of work that has just ended. */
   recordMeasured(
-    replica: string,
+    replica: ReplicaOfService,
     { averageMs, elapsedMs }: MeasuredWork,
   ): void {
     if (!(averageMs > 0) || !(elapsedMs > 0)) return;
     const speed = this.#speedOf(replica);
     const share = averageMs / (averageMs + HALF_WEIGHT_MS);
+    const now = this.#clock.now();
+    speed.lasting = this.#lastingOf(speed);
+    speed.measuredWeight *= remainingOf(now - speed.measuredAt);
     speed.measuredWeight += share;
+    speed.measuredAt = now;
     const weight = share *
       Math.max(
         MEASURED_WEIGHT,
         Math.min(MAX_FIRST_WEIGHT, 1 / (1 + speed.measuredWeight)),
       );
-    const passing = this.#passing(speed, elapsedMs, elapsedMs);
+    const passing = this.#passing(speed, {
+      workMs: elapsedMs,
+      startedAgoMs: elapsedMs,
+    });
     const lasting = Math.exp(speed.lasting);
     // Twice or half of what is known, at most: one late response says little.
     const ratio = Math.min(
@@ -104,20 +148,36 @@
       Math.max(lasting / 2, elapsedMs / averageMs / passing),
     );
     speed.lasting += weight * (Math.log(clamp(ratio)) - speed.lasting);
+    const average = this.#services.get(speed.service)!;
+    average.lasting *= remainingOf(now - average.measuredAt);
+    average.lasting += SERVICE_WEIGHT * (speed.lasting - average.lasting);
+    average.measuredAt = now;
   }
 
   /**
    * Forecast slowdown of work that starts now and takes some time at an average
    * replica, in ms.
    */
-  forecast(replica: string, workMs: number): number {
-    const speed = this.#speeds.get(replica);
-    if (!speed) return 1;
-    return clamp(Math.exp(speed.lasting) * this.#passing(speed, workMs, 0));
+  forecast(replica: ReplicaOfService, workMs: number): number {
+    const speed = this.#speeds.get(replica.id) ??
+      this.#createSpeed(replica.service);
+    const passing = this.#passing(speed, { workMs, startedAgoMs: 0 });
+    return clamp(Math.exp(this.#lastingOf(speed)) * passing);
+  }
+
+  /** Lasting slowdown's logarithm, which fades to the service's average. */
+  #lastingOf({ service, lasting, measuredAt }: Speed): number {
+    const now = this.#clock.now();
+    const average = this.#services.get(service);
+    const averageLasting = average
+      ? average.lasting * remainingOf(now - average.measuredAt)
+      : 0;
+    return averageLasting +
+      (lasting - averageLasting) * remainingOf(now - measuredAt);
   }
 
   /** Mean stated slowdown from some time ago on, while work ran. */
-  #passing(speed: Speed, workMs: number, startedAgoMs: number): number {
+  #passing(speed: Speed, { workMs, startedAgoMs }: PassingWork): number {
     const age = this.#clock.now() - startedAgoMs - speed.statedAt;
     const spans = Math.max(workMs, 1) / DEVIATION_MS;
     const averageShare = (1 - Math.exp(-spans)) / spans;
@@ -127,26 +187,47 @@
   }
 
   /** Mean of the stated slowdowns, which fades to 1. */
-  #meanOf({ mean, statedAt }: Speed): number {
+  #meanOf({ mean, statedAt }: Pick<Speed, "mean" | "statedAt">): number {
     const age = this.#clock.now() - statedAt;
     return 1 + (mean - 1) * Math.exp(-age / MEAN_LIFETIME_MS);
   }
 
-  #speedOf(replica: string): Speed {
-    const existing = this.#speeds.get(replica);
+  #speedOf({ id, service }: ReplicaOfService): Speed {
+    const existing = this.#speeds.get(id);
     if (existing) return existing;
-    const created = {
-      lasting: 0,
+    const created = this.#createSpeed(service);
+    this.#speeds.set(id, created);
+    const now = this.#clock.now();
+    const average = this.#services.get(service) ??
+      { replicas: 0, lasting: 0, measuredAt: now, mean: 1, statedAt: now };
+    average.replicas += 1;
+    this.#services.set(service, average);
+    return created;
+  }
+
+  /** Assumes the service's average of a replica of which nothing is known. */
+  #createSpeed(service: string): Speed {
+    const now = this.#clock.now();
+    const average = this.#services.get(service);
+    return {
+      service,
+      lasting: average
+        ? average.lasting * remainingOf(now - average.measuredAt)
+        : 0,
+      measuredAt: now,
       measuredWeight: 0,
-      mean: 1,
+      mean: average ? this.#meanOf(average) : 1,
       deviation: 0,
-      statedAt: this.#clock.now() - MEAN_WINDOW_MS,
+      statedAt: now - MEAN_WINDOW_MS,
     };
-    this.#speeds.set(replica, created);
-    return created;
   }
 }
 
+/** Share of a lasting slowdown that remains without a measurement. */
+function remainingOf(ageMs: number): number {
+  return Math.exp(-ageMs / LASTING_LIFETIME_MS);
+}
+
 function clamp(slowdown: number): number {
   return Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, slowdown));
 }
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -37,12 +37,26 @@
   readonly sentAt: number;
 }
 
+/** How a response began. */
+export type ResponseStart =
+  /** With the result of its work. */
+  | "result"
+  /** With an error, which tells nothing of the replica's speed. */
+  | "error";
+
+/** What ended a request. */
+export type RequestEnd =
+  /** The end of its response. */
+  | "complete"
+  /** Its caller, its replacement or its connection. */
+  | "cut off";
+
 /** A request in flight at a replica, for its sender to mark its progress. */
 export interface TrackedRequest {
   /** Marks that the first byte of the response has arrived. */
-  readonly started: () => void;
-  /** Marks the end of the request, whatever its outcome. */
-  readonly finished: () => void;
+  readonly started: (start?: ResponseStart) => void;
+  /** Marks the end of the request. */
+  readonly finished: (end?: RequestEnd) => void;
 }
 
 /** Options of {@link ReplicaTracker.create}. */
@@ -84,6 +98,8 @@
 interface InFlightRequest extends RequestLoad {
   readonly server: BackendServer;
   readonly sentAt: number;
+  /** Requests of this entry that had ended at the replica before it was sent. */
+  readonly endedBefore: number;
   isStarted: boolean;
 }
 
@@ -133,6 +149,8 @@
   readonly #backlogs: ReportedBacklogs;
   /** Requests of this entry without a first byte, by replica. */
   readonly #unstarted: Map<string, Set<InFlightRequest>> = new Map();
+  /** Requests of this entry that have ended, by listed replica. */
+  readonly #ended: Map<string, number> = new Map();
   /** Monotonic time until which a replica is skipped, as `replica name`. */
   readonly #skipUntil: Map<string, number> = new Map();
   readonly #unreachableUntil: Map<string, number> = new Map();
@@ -171,6 +189,7 @@
       this.#unreachableUntil.delete(id);
       this.#firstBytes.speeds.remove(id);
       this.#backlogs.remove(id);
+      this.#ended.delete(id);
     }
     this.#servers = next;
   }
@@ -201,21 +220,34 @@
 
   /** Records the load that a replica stated in a response. */
   recordStatedLoad(
-    { id, startedAt }: BackendServer,
+    server: BackendServer,
     { requests, slowdown, sentAt }: StatedReplicaLoad,
   ): void {
+    const { id, startedAt } = server;
     if (this.#servers.get(id)?.startedAt !== startedAt) return;
     if (slowdown !== undefined) {
-      this.#firstBytes.speeds.recordStated(id, slowdown);
+      this.#firstBytes.speeds.recordStated(server, slowdown);
     }
     // The request that the response belongs to may have ended at the replica.
     let uncertain = 1;
+    let answered: InFlightRequest | undefined;
     for (const unstarted of this.#unstarted.get(id) ?? []) {
       if (unstarted.sentAt >= sentAt) uncertain += 1;
+      if (unstarted.sentAt > sentAt) continue;
+      if (answered && answered.sentAt >= unstarted.sentAt) continue;
+      answered = unstarted;
     }
+    const endedNow = this.#ended.get(id) ?? 0;
+    const ended = Math.max(0, endedNow - (answered?.endedBefore ?? endedNow));
     const own = this.#loads.ownRequestsAt(id);
     const others = this.#loads.countsAt(id).requests - own;
-    this.#backlogs.record(id, { reported: requests, own, uncertain, others });
+    this.#backlogs.record(id, {
+      reported: requests,
+      own,
+      ended,
+      uncertain,
+      others,
+    });
   }
 
   /** Skips a replica for a while for a model or adapter that it rejected. */
@@ -491,31 +523,38 @@
       model: request.model,
       adapter: request.adapter && formatModelName(request),
       sentAt: this.#options.clock.now(),
+      endedBefore: this.#ended.get(server.id) ?? 0,
       isStarted: false,
     };
     this.#loads.addRequest(server.id, inFlight);
     const unstarted = this.#unstarted.get(server.id) ?? new Set();
     this.#unstarted.set(server.id, unstarted.add(inFlight));
     this.#firstBytes.recordSent(request, server.id);
+    let isMeasured = false;
     return {
-      started: () => {
+      started: (start = "result") => {
         if (inFlight.isStarted) return;
         inFlight.isStarted = true;
         this.#loads.removePrefill(server.id, inFlight);
         this.#removeUnstarted(inFlight);
+        if (start === "error") return;
+        isMeasured = true;
         this.#firstBytes.recordStart(request, {
           selection,
           sentAt: inFlight.sentAt,
         });
       },
-      finished: () => {
+      finished: (end = "complete") => {
         const { isStarted } = inFlight;
+        if (this.#servers.has(server.id)) {
+          this.#ended.set(server.id, (this.#ended.get(server.id) ?? 0) + 1);
+        }
         this.#loads.removeRequest(server.id, inFlight, { isStarted });
         this.#removeUnstarted(inFlight);
+        if (!isMeasured || end === "cut off") return;
         this.#firstBytes.recordEnd(request, {
           selection,
           sentAt: inFlight.sentAt,
-          isStarted,
         });
       },
     };
--- a/packages/routing/src/reported_backlog.ts
+++ b/packages/routing/src/reported_backlog.ts
@@ -6,6 +6,8 @@
   readonly reported: number;
   /** This gateway's requests that are counted there now. */
   readonly own: number;
+  /** Those that have ended since the request of the stated load was sent. */
+  readonly ended: number;
   /** Those of them that may not be in the report. */
   readonly uncertain: number;
   /** Other gateways' requests that are counted there now. */
@@ -37,11 +39,6 @@
     return new ReportedBacklogs(clock);
   }
 
-  /** Number of replicas with a report. */
-  get size(): number {
-    return this.#others.size;
-  }
-
   /** Forgets a replica that has restarted or is gone. */
   remove(replica: string): void {
     this.#others.delete(replica);
@@ -50,9 +47,9 @@
   /** Records a report that has just arrived. */
   record(
     replica: string,
-    { reported, own, uncertain, others }: ReportedBacklog,
+    { reported, own, ended, uncertain, others }: ReportedBacklog,
   ): void {
-    const least = Math.max(0, reported - own);
+    const least = Math.max(0, reported - own - ended);
     const most = Math.max(least, reported - own + uncertain);
     this.#others.set(replica, {
       requests: Math.min(most, Math.max(least, others)),
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -41,6 +41,13 @@
   readonly permit?: PermitClass;
 }
 
+/** Predicted time to the first byte at a replica that isn't slow, in ms. */
+export function usualTimeMs(
+  { predictedMs, slowdown }: Pick<ReplicaSelection, "predictedMs" | "slowdown">,
+): number {
+  return predictedMs / Math.max(1, slowdown);
+}
+
 /** Formats a model or adapter as `model` or `model/adapter`. */
 export function formatModelName(
   { model, adapter }: { model?: string; adapter?: string },
