--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -135,7 +135,7 @@
     );
     this.slowdown = new Histogram({
       name: "banyanspool_replica_slowdown",
-      help: "Time of work at the selected replica, 1 on average",
+      help: "Forecast time of work at the selected replica, 1 as usual",
       labelNames: ["service"],
       buckets: SLOWDOWN_BUCKETS,
       registers,
--- a/packages/gateway/src/run_attempts.ts
+++ b/packages/gateway/src/run_attempts.ts
@@ -19,7 +19,7 @@
 import { fingerprintOf } from "./request_fingerprint.ts";
 import type { RequestOutcome } from "./request_scope.ts";
 
-/** Multiple of the time predicted without a slowdown after which a response is overdue. */
+/** Multiple of the usual time after which a response is overdue. */
 const OVERDUE_FACTOR = 3;
 /** Share of the route's target time before which no response is overdue. */
 const OVERDUE_TARGET_SHARE = 0.5;
--- a/packages/routing/src/replica_speed_test.ts
+++ b/packages/routing/src/replica_speed_test.ts
@@ -55,10 +55,10 @@
   t.true(short > 2.5, `${short}`);
   advance(1000);
   const later = speeds.forecast(replica("r"), SHORT_WORK_MS);
-  t.true(later < 2.2, `an old figure tells the mean only: ${later}`);
+  t.true(later < 2.2, `an old stated load tells the mean only: ${later}`);
 });
 
-test("a single figure is no jump, and figures that stop fade", (t) => {
+test("a single stated load is no jump, and they fade once they stop", (t) => {
   const { speeds, advance } = createSpeeds();
   speeds.recordStated(replica("r"), 10_000);
   t.true(speeds.forecast(replica("r"), LONG_WORK_MS) < 4.2);
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -242,7 +242,7 @@
     const own = this.#loads.ownRequestsAt(id);
     const others = this.#loads.countsAt(id).requests - own;
     this.#backlogs.record(id, {
-      reported: requests,
+      stated: requests,
       own,
       ended,
       uncertain,
--- a/packages/routing/src/reported_backlog.ts
+++ b/packages/routing/src/reported_backlog.ts
@@ -1,40 +1,40 @@
 import type { Clock } from "@banyanspool/types";
 
-/** Requests that a replica reported, beside those that are counted there. */
+/** Requests in a stated load, beside those that are counted at the replica. */
 export interface ReportedBacklog {
   /** Requests running and waiting at the replica. */
-  readonly reported: number;
+  readonly stated: number;
   /** This gateway's requests that are counted there now. */
   readonly own: number;
   /** Those that have ended since the request of the stated load was sent. */
   readonly ended: number;
-  /** Those of them that may not be in the report. */
+  /** Those counted there now that may not be in the stated load. */
   readonly uncertain: number;
   /** Other gateways' requests that are counted there now. */
   readonly others: number;
 }
 
-interface OthersReport {
+interface OthersRequests {
   readonly requests: number;
   readonly at: number;
 }
 
-/** Time in which a replica's report loses its weight, in ms. */
+/** Time in which a stated load loses its weight, in ms. */
 const REPORT_LIFETIME_MS = 500;
 
 /**
- * What other gateways have in flight at each replica, from the replica's reports.
- * A report tells the sum only, at some moment after its request was sent.
+ * What other gateways have in flight at each replica, from its stated loads.
+ * These tell the sum only, at some moment after its request was sent.
  */
 export class ReportedBacklogs {
   readonly #clock: Clock;
-  readonly #others: Map<string, OthersReport> = new Map();
+  readonly #others: Map<string, OthersRequests> = new Map();
 
   private constructor(clock: Clock) {
     this.#clock = clock;
   }
 
-  /** Creates backlogs without reports. */
+  /** Creates backlogs without stated loads. */
   static create({ clock }: { clock: Clock }): ReportedBacklogs {
     return new ReportedBacklogs(clock);
   }
@@ -44,13 +44,13 @@
     this.#others.delete(replica);
   }
 
-  /** Records a report that has just arrived. */
+  /** Records a stated load that has just arrived. */
   record(
     replica: string,
-    { reported, own, ended, uncertain, others }: ReportedBacklog,
+    { stated, own, ended, uncertain, others }: ReportedBacklog,
   ): void {
-    const least = Math.max(0, reported - own - ended);
-    const most = Math.max(least, reported - own + uncertain);
+    const least = Math.max(0, stated - own - ended);
+    const most = Math.max(least, stated - own + uncertain);
     this.#others.set(replica, {
       requests: Math.min(most, Math.max(least, others)),
       at: this.#clock.now(),
@@ -59,13 +59,13 @@
 
   /**
    * Requests that other gateways have in flight at a replica, given those that
-   * they reported themselves, which count more the older the replica's report is.
+   * they reported themselves, which count more the older the stated load is.
    */
   othersAt(replica: string, reportedByOthers: number): number {
-    const report = this.#others.get(replica);
-    if (!report) return reportedByOthers;
-    const age = this.#clock.now() - report.at;
+    const known = this.#others.get(replica);
+    if (!known) return reportedByOthers;
+    const age = this.#clock.now() - known.at;
     const weight = Math.max(0, 1 - age / REPORT_LIFETIME_MS);
-    return weight * report.requests + (1 - weight) * reportedByOthers;
+    return weight * known.requests + (1 - weight) * reportedByOthers;
   }
 }
--- a/packages/routing/src/reported_backlog_test.ts
+++ b/packages/routing/src/reported_backlog_test.ts
@@ -8,23 +8,23 @@
   return { backlogs, advance: (ms: number) => now += ms };
 }
 
-test("requests that may be in a report or not aren't counted twice", (t) => {
+test("requests that may be in a stated load or not aren't counted twice", (t) => {
   const { backlogs } = createBacklogs();
   const counted = { own: 5, ended: 0, uncertain: 2, others: 3 };
-  for (const reported of [6, 7, 8]) {
-    backlogs.record("r", { ...counted, reported });
-    t.is(backlogs.othersAt("r", 3), 3, `${reported} proves nothing`);
+  for (const stated of [6, 7, 8]) {
+    backlogs.record("r", { ...counted, stated });
+    t.is(backlogs.othersAt("r", 3), 3, `${stated} proves nothing`);
   }
-  backlogs.record("r", { ...counted, reported: 12 });
+  backlogs.record("r", { ...counted, stated: 12 });
   t.is(backlogs.othersAt("r", 3), 7);
-  backlogs.record("r", { ...counted, reported: 4 });
+  backlogs.record("r", { ...counted, stated: 4 });
   t.is(backlogs.othersAt("r", 3), 1);
 });
 
-test("a report gives way to what the other gateways tell later", (t) => {
+test("a stated load gives way to what the other gateways tell later", (t) => {
   const { backlogs, advance } = createBacklogs();
   backlogs.record("r", {
-    reported: 10,
+    stated: 10,
     own: 0,
     ended: 0,
     uncertain: 0,
