Evacuations: a report has a bound

Each report held all evacuations that the gateway knows, the last 64 taken back ones too. With thousands of rows of another writer the datagram is too long to be sent, and gateways without reports take each other for dead. A report now holds the last changed ones and others in turn, 16 in all; names of over 256 characters are known from the store alone.

--- a/packages/gateway/src/evacuation/evacuations.ts
+++ b/packages/gateway/src/evacuation/evacuations.ts
@@ -30,6 +30,11 @@
 
 /** Evacuations kept that were taken back. */
 const MAX_REMOVED = 64;
+/** Evacuations in one report: the last changed ones, and some of the others. */
+const MAX_REPORTED_NEWEST = 8;
+const MAX_REPORTED_OTHERS = 8;
+/** Longest name of a data centre in a report. */
+const MAX_REPORTED_NAME_LENGTH = 256;
 
 /**
  * The data centres that are evacuated, from the store's rows and from other
@@ -44,6 +49,9 @@
   /** Position of the last read of the whole table. */
   #readPosition: StorePosition | undefined;
 
+  /** Index of the next one of the others that is reported. */
+  #nextReported = 0;
+
   private constructor(options: EvacuationsOptions) {
     this.#options = options;
   }
@@ -63,9 +71,20 @@
     return [...this.#facts.keys()].filter((name) => this.isEvacuated(name));
   }
 
-  /** What other gateways are told. */
+  /**
+   * What other gateways are told now. A datagram has a bound, so that if there
+   * are many, each report holds the last changed ones and others in turn.
+   */
   report(): EvacuationFact[] {
-    return [...this.#facts.values()];
+    const others = [...this.#facts.values()].filter(({ dataCentre }) =>
+      dataCentre.length <= MAX_REPORTED_NAME_LENGTH
+    );
+    const newest = others.splice(-MAX_REPORTED_NEWEST);
+    if (others.length <= MAX_REPORTED_OTHERS) return [...others, ...newest];
+    const from = this.#nextReported % others.length;
+    this.#nextReported = from + MAX_REPORTED_OTHERS;
+    const inTurn = [...others.slice(from), ...others.slice(0, from)];
+    return [...inTurn.slice(0, MAX_REPORTED_OTHERS), ...newest];
   }
 
   /** Applies changed rows; returns whether anything new was learnt. */
