Cold replicas: no cold time is lost between list, configuration and rows

- The list may be read before the configuration: replicas that said that they are cold had no limit until the next read of the list.
- A row without a cold time, or with one that is no number, ended what an earlier row had said.
- A replica that became cold again while it was still cold wasn't passed on as a change, so gateways without the store lifted its limit too early.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -345,6 +345,7 @@
           log,
           onAccepted: ({ limits, version }, origin) => {
             this.#publicServer.applyLimits(limits);
+            this.#ctx.coldReplicas.recordConfiguration();
             this.#ctx.metrics.configurationVersion.set(version);
             // The calls that wait for changes are late, here or everywhere.
             if (origin === "check") this.#exchange.announceSoon();
--- a/packages/gateway/src/replica_registry.ts
+++ b/packages/gateway/src/replica_registry.ts
@@ -247,8 +247,9 @@
         epoch,
       });
     }
-    const isNewlyCold = (server.coldLeftMs ?? 0) > 0 &&
-      !((before.server.coldLeftMs ?? 0) > 0);
+    // The time only falls from row to row, unless it has become cold again.
+    const isNewlyCold = (server.coldLeftMs ?? 0) >
+      Math.max(0, before.server.coldLeftMs ?? 0);
     return hasDrainingChanged || hasRestarted || isNewlyCold ||
       server.address !== before.server.address ||
       server.softwareVersion !== before.server.softwareVersion ||
--- a/packages/gateway/src/replica_registry_test.ts
+++ b/packages/gateway/src/replica_registry_test.ts
@@ -96,6 +96,19 @@
   t.is(changes.length, 1);
 });
 
+// Gateways that the store doesn't reach sent it all that it could take.
+test("a replica that becomes cold again before it was warm is a change", (t) => {
+  const { registry, changes } = createRegistry();
+  for (const [i, coldLeftMs] of [900, 400, 3000, 2500, 0].entries()) {
+    const row = listed("a", i + 1, { coldLeftMs });
+    registry.applyList([row], { position: at(i + 1), now: 1000 * i });
+  }
+  const times = changes.map((change) =>
+    change.kind === "listed" ? change.server.coldLeftMs : undefined
+  );
+  t.deepEqual(times, [900, 3000]);
+});
+
 // A drain after a restore was ignored until versions had caught up.
 test("rows that are written after the store was restored count, whatever their versions", (t) => {
   const { registry, ids } = createRegistry();
--- a/packages/replica-limits/src/cold_replicas.ts
+++ b/packages/replica-limits/src/cold_replicas.ts
@@ -117,6 +117,14 @@
     this.#hasList ||= servers.length > 0;
   }
 
+  /** Records that other limits of services may be in force. */
+  recordConfiguration(): void {
+    this.#lastUntil = -Infinity;
+    for (const entry of this.#entries.values()) {
+      this.#lastUntil = Math.max(this.#lastUntil, this.#untilOf(entry));
+    }
+  }
+
   /**
    * Records that the replicas of a data centre may get requests again. They may
    * have become cold meanwhile without a row that says so.
@@ -153,6 +161,8 @@
     } else if (isNewRow) {
       entry.row = server;
       this.#change(replica, entry, () => {
+        // A row that doesn't say it leaves what an earlier one said.
+        if (server.coldLeftMs === undefined) return;
         const until = this.#endOf(replica, server);
         entry!.rowUntil = until > now ? until : Math.min(entry!.rowUntil, now);
       });
--- a/packages/replica-limits/src/cold_replicas_test.ts
+++ b/packages/replica-limits/src/cold_replicas_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import type { BackendServer } from "@banyanspool/types";
-import { ColdReplicas } from "./cold_replicas.ts";
+import { type ColdLimit, ColdReplicas } from "./cold_replicas.ts";
 
 const BORN = 1_000_000;
 const COLD_START_MS = 3000;
@@ -82,6 +82,33 @@
   t.is(cold.count, 0);
 });
 
+// A cold time that is no number is decoded as none.
+test("a row without a cold time ends none", (t) => {
+  const { cold, pass } = create();
+  const server = row({ startedAt: 1, coldLeftMs: 2000 });
+  cold.update([server]);
+  cold.update([{ ...server, coldLeftMs: undefined, sequence: 2 }]);
+  t.is(cold.count, 1);
+  pass(2000);
+  t.is(cold.count, 0);
+});
+
+// The list is read before the configuration, which may also change.
+test("replicas are cold from the moment that a configuration limits them", (t) => {
+  const limits = new Map<string, ColdLimit>();
+  const cold = ColdReplicas.create({
+    clock: { now: () => 0, wall: () => BORN },
+    limitOfService: (service) => limits.get(service),
+    onCold: () => {},
+    onImplausible: () => {},
+  });
+  cold.update([row({ coldLeftMs: 900 })]);
+  t.is(cold.limitOf(REPLICA), undefined);
+  limits.set("pool", { coldStartMs: COLD_START_MS, coldPerS: COLD_PER_S });
+  cold.recordConfiguration();
+  t.is(cold.limitOf(REPLICA), 6);
+});
+
 test("cold times that can't be are clamped and told", (t) => {
   const { cold, implausible, pass } = create();
   const server = row({ startedAt: 1, coldLeftMs: Infinity });
