--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -386,10 +386,13 @@
 
   /** Whether a request may go to none of the replicas that could serve it. */
   isBarred(request: SelectionRequest): boolean {
-    const eligible = [...this.#servers.values()]
-      .filter((server) => isEligible(server, request));
-    return eligible.length > 0 &&
-      !eligible.some((server) => this.allows(server, request));
+    let isAnyEligible = false;
+    for (const server of this.#servers.values()) {
+      if (!isEligible(server, request)) continue;
+      if (this.allows(server, request)) return false;
+      isAnyEligible = true;
+    }
+    return isAnyEligible;
   }
 
   #isEligible(server: BackendServer, request: SelectionRequest): boolean {
