A refusal code of its own for requests that may go to no replica

An evacuation or allowed regions that leave no replica were refused as no_replica, like a missing model, so that operators and callers could tell them apart by the message alone. The code is now no_allowed_replica, and `logs causes` names it.

--- a/packages/audit/src/attribute_causes.ts
+++ b/packages/audit/src/attribute_causes.ts
@@ -5,6 +5,7 @@
   | "rate limit reached"
   | "rate limit short of the rate"
   | "model not resident"
+  | "no allowed replica"
   | "replicas full"
   /** The replica sent nothing. */
   | "no response"
@@ -142,6 +143,8 @@
       return "replica lost";
     case "overloaded":
       return aroundCause(line, surroundings) ?? "replicas full";
+    case "no_allowed_replica":
+      return "no allowed replica";
     case "no_replica":
       return aroundCause(line, surroundings) ?? "model not resident";
     case "answered":
--- a/packages/audit/src/attribute_causes_test.ts
+++ b/packages/audit/src/attribute_causes_test.ts
@@ -78,6 +78,7 @@
     request(14_000, "overloaded"),
     request(16_000, "overloaded"),
     request(17_000, "no_replica"),
+    request(17_500, "no_allowed_replica"),
     request(18_000, "outcome_unknown"),
     request(19_000, "broken"),
   ];
@@ -87,6 +88,7 @@
     "refused: store outage",
     "refused: replicas full",
     "refused: model not resident",
+    "refused: no allowed replica",
     "failed: replica lost",
     "cut off: replica lost",
   ]);
--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -332,7 +332,7 @@
   const binds = allowedRegions.length > 0;
   metrics.barredRequests.inc({ regions: binds ? "bound" : "any" });
   return refuse(
-    "no_replica",
+    "no_allowed_replica",
     binds
       ? `No replica of "${service}" is in a region that the request allows`
       : `All replicas of "${service}" are in data centres that are evacuated`,
--- a/packages/gateway/src/evacuation_test.ts
+++ b/packages/gateway/src/evacuation_test.ts
@@ -24,7 +24,8 @@
   fleet.store.put("op", evacuate, {});
   await waitFor(async () => (await send("/look/")).status === 503);
   const refused = await send("/book/", { method: "POST", body: "{}" });
-  t.like(JSON.parse(refused.body).error, { code: "no_replica", ran: "no" });
+  const { error } = JSON.parse(refused.body);
+  t.like(error, { code: "no_allowed_replica", ran: "no" });
   t.truthy(refused.headers["retry-after"]);
   fleet.store.remove("op", evacuate);
   await waitFor(async () => (await send("/look/")).status === 200);
@@ -71,7 +72,9 @@
   const { send } = await startGateway(t, fleet, {
     regions: { north: "region of north", south: "region of south" },
   });
-  t.is((await send("/look/")).status, 503);
+  const { status, body } = await send("/look/");
+  t.is(status, 503);
+  t.is(JSON.parse(body).error.code, "no_allowed_replica");
   t.is((await send("/open/")).status, 200, "no key, no organisation");
   await fleet.addReplica({ id: "i-2", service: "desk", zone: "north" });
   await waitFor(async () => (await send("/look/")).status === 200);
--- a/packages/types/src/refusal.ts
+++ b/packages/types/src/refusal.ts
@@ -20,6 +20,7 @@
   | "model_forbidden"
   | "model_loading"
   | "model_not_found"
+  | "no_allowed_replica"
   | "no_replica"
   | "not_ready"
   | "outcome_unknown"
@@ -86,6 +87,7 @@
   model_forbidden: 403,
   model_loading: 503,
   model_not_found: 404,
+  no_allowed_replica: 503,
   no_replica: 503,
   not_ready: 503,
   outcome_unknown: 502,
