--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -128,7 +128,10 @@
         return err(refuseNoReplica(ctx, request));
       }
       if (name !== undefined) {
-        stopWaiting ??= waitingRequests.add(name, request.softwareVersion);
+        stopWaiting ??= waitingRequests.add(name, {
+          version: request.softwareVersion,
+          allowedRegions: intersect(request.allowedRegions ?? []),
+        });
       }
       const refusal = paused ??
         refuseUntilLoaded(ctx, scope, { request, waitUntil });
@@ -234,6 +237,16 @@
   return Math.min(deadlineAt, waitingSince + callerFirstByteTimeoutMs(route));
 }
 
+/** Regions that all lists name; undefined if there is no list. */
+function intersect(
+  lists: readonly (readonly string[])[],
+): readonly string[] | undefined {
+  const [first, ...others] = lists;
+  return first?.filter((region) =>
+    others.every((list) => list.includes(region))
+  );
+}
+
 /** False only if the service has an engine that does not list the model. */
 function isServable(
   { activeConfiguration }: RequestScope,
@@ -305,10 +318,12 @@
   { request, waitUntil }: { request: SelectionRequest; waitUntil: number },
 ): Refusal | undefined {
   const { clock, expectedModels, random, replicaTracker } = ctx;
-  const { model, softwareVersion } = request;
+  const { model, softwareVersion, allowedRegions } = request;
   if (model === undefined || replicaTracker.isResident(request)) return;
-  // The expected load may be at a replica of another version.
-  if (softwareVersion !== undefined) return;
+  // The expected load may be at a replica of another version or region.
+  if (softwareVersion !== undefined || (allowedRegions?.length ?? 0) > 0) {
+    return;
+  }
   const readyAt = expectedModels.readyAt(model);
   if (readyAt === undefined || readyAt <= waitUntil) return;
   const now = clock.now();
--- a/packages/gateway/src/adapter_scheduler.ts
+++ b/packages/gateway/src/adapter_scheduler.ts
@@ -14,6 +14,7 @@
 import type { EngineController } from "./engine_controller.ts";
 import type { EngineState } from "./engine_state.ts";
 import type { FleetDemand } from "./placement_models.ts";
+import { mayServeNeed } from "./serve_need.ts";
 import type { StreamNeed } from "./waiting_request_counts.ts";
 
 /** Options of {@link AdapterScheduler.create}. */
@@ -68,11 +69,12 @@
   /** Plans and starts the next loads of one service with the given replicas. */
   plan(engine: EngineSpec, servers: readonly BackendServer[]): void {
     const demand = this.#options.demand();
-    for (const { name, version } of this.#options.streamNeeds()) {
-      const ofVersion = servers.filter(({ softwareVersion }) =>
-        softwareVersion === version
+    const { replicaTracker } = this.#options;
+    for (const need of this.#options.streamNeeds()) {
+      const able = servers.filter((server) =>
+        mayServeNeed(server, { need, replicaTracker })
       );
-      this.#planLoad(name, { engine, servers: ofVersion, demand });
+      this.#planLoad(need.name, { engine, servers: able, demand });
     }
     for (const [name, { waiting }] of demand) {
       if (waiting > 0) this.#planLoad(name, { engine, servers, demand });
--- a/packages/gateway/src/evacuation_test.ts
+++ b/packages/gateway/src/evacuation_test.ts
@@ -79,3 +79,31 @@
   await fleet.addReplica({ id: "i-2", service: "desk", zone: "north" });
   await waitFor(async () => (await send("/look/")).status === 200);
 });
+
+// The model counted as resident, and its callers were refused for good.
+test("a model that is resident only outside the allowed regions is loaded inside, whichever gateway has the requests", async (t) => {
+  const fleet = await startFleet(t, { allowedRegions: ["region of north"] });
+  const south = { id: "i-1", service: "pool", zone: "south", holds: ["m1"] };
+  let wrong = 0;
+  await fleet.addReplica({
+    ...south,
+    answer: (_req, res) => {
+      wrong += 1;
+      res.end();
+    },
+  });
+  const north = { service: "pool", zone: "north", holds: [], answer };
+  await fleet.addReplica({ ...north, id: "i-2" });
+  const regions = { north: "region of north", south: "region of south" };
+  const port = await findFreePort();
+  await startGateway(t, fleet, { host: "127.0.0.1", port, regions });
+  const second = await startGateway(t, fleet, {
+    host: "127.0.0.2",
+    port,
+    regions,
+  });
+  await waitFor(async () =>
+    (await second.send("/draft/", chat("m1"))).status === 200
+  );
+  t.is(wrong, 0);
+});
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -433,6 +433,7 @@
         $typeName: "banyanspool.v1.StreamNeed",
         name: need.name,
         softwareVersion: need.version,
+        allowedRegions: [...need.allowedRegions ?? []],
       })),
       demand: [...this.#ownDemand().values()].map((demand) => ({
         $typeName: "banyanspool.v1.ModelDemandReport",
@@ -537,9 +538,12 @@
         slowReplicas: entry.slowReplicas,
       }]),
     );
-    const needs = state.streamNeeds.map(({ name, softwareVersion }) => ({
-      name,
-      version: softwareVersion,
+    const needs = state.streamNeeds.map((need) => ({
+      name: need.name,
+      version: need.softwareVersion,
+      allowedRegions: need.allowedRegions.length > 0
+        ? need.allowedRegions
+        : undefined,
     }));
     if (this.#demand.record(state.instance, demand, needs)) {
       ctx.fleet.changed.notify();
--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -21,6 +21,7 @@
   buildReplicaReport,
   type FleetDemand,
 } from "./placement_models.ts";
+import { mayServeNeed } from "./serve_need.ts";
 import type { StreamNeed } from "./waiting_request_counts.ts";
 
 /** Options of {@link ModelScheduler.create}. */
@@ -149,19 +150,26 @@
     for (const move of plan) this.#startMove(move, engine);
   }
 
-  /** The models that cut-off streams need at the versions that began them. */
+  /** The models that cut-off streams and bound requests need, and where. */
   #listGroupNeeds(
     engine: EngineSpec,
     servers: readonly BackendServer[],
   ): GroupNeed[] {
     const needs = new Map<string, GroupNeed>();
-    for (const { name, version } of this.#options.streamNeeds()) {
+    for (const need of this.#options.streamNeeds()) {
+      const { name, version, allowedRegions } = need;
       const model = name.split("/")[0]!;
       if (!engine.models.has(model)) continue;
       const replicas = servers
-        .filter(({ softwareVersion }) => softwareVersion === version)
+        .filter((server) =>
+          mayServeNeed(server, {
+            need,
+            replicaTracker: this.#options.replicaTracker,
+          })
+        )
         .map(({ id }) => id);
-      needs.set(`${model} ${version}`, { model, replicas: new Set(replicas) });
+      const key = JSON.stringify([model, version, allowedRegions]);
+      needs.set(key, { model, replicas: new Set(replicas) });
     }
     return [...needs.values()];
   }
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -67,7 +67,7 @@
   /** Whether a request may go to a replica at all; it may by default. */
   readonly allows?: (
     server: BackendServer,
-    request: SelectionRequest,
+    request: Pick<SelectionRequest, "allowedRegions">,
   ) => boolean;
 }
 
@@ -380,7 +380,10 @@
   }
 
   /** Whether a request may go to a replica at all, now or later. */
-  allows(server: BackendServer, request: SelectionRequest): boolean {
+  allows(
+    server: BackendServer,
+    request: Pick<SelectionRequest, "allowedRegions">,
+  ): boolean {
     return this.#options.allows?.(server, request) ?? true;
   }
 
