--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -81,7 +81,7 @@
   /** Whether a request may go to a replica at all; it may by default. */
   readonly allows?: (
     server: BackendServer,
-    request: SelectionRequest,
+    request: Pick<SelectionRequest, "allowedRegions">,
   ) => boolean;
 }
 
@@ -412,16 +412,22 @@
   }
 
   /** Whether a request may go to a replica at all, now or later. */
-  allows(server: BackendServer, request: SelectionRequest): boolean {
+  allows(
+    server: BackendServer,
+    request: Pick<SelectionRequest, "allowedRegions">,
+  ): boolean {
     return this.#options.allows?.(server, request) ?? true;
   }
 
   /** Whether a request may go to none of the replicas that could serve it. */
   isBarred(request: SelectionRequest): boolean {
-    const eligible = [...this.#servers.values()]
-      .filter((server) => isEligible(server, request));
-    return eligible.length > 0 &&
-      !eligible.some((server) => this.allows(server, request));
+    let isAnyEligible = false;
+    for (const server of this.#servers.values()) {
+      if (!isEligible(server, request)) continue;
+      if (this.allows(server, request)) return false;
+      isAnyEligible = true;
+    }
+    return isAnyEligible;
   }
 
   #isEligible(server: BackendServer, request: SelectionRequest): boolean {
