Gateway: limits that ordinary callers met, and callers that leave unnoticed

- A request that waits for others of its connection counted as stalled, and its connection was closed after caller_stall_ms with requests in flight at a replica (requests_ahead_test, 80 requests that take 12 s).
- A connection that isn't read doesn't tell that its caller has left.
- A caller that reads up to 40 KB/s lost a response of 16 MiB after 4.1 MB, as progress shows only when much of the system's buffer is free: the bound is six times that of a body (slow_reader_test).
- A request without a body that was evicted as it arrived was refused as deadline_passed (requests_ahead_test).
- What is to end with a connection wasn't ended if the connection had ended before (caller_connections_test).
- Heads took the reserve and waited for room, upon which their bodies were read too early (the latter read in the code).
Eviction takes the connection that holds most in a group (caller_memory_test; its other tests name a connection now and check the same).

--- a/packages/caller-memory/src/caller_memory.ts
+++ b/packages/caller-memory/src/caller_memory.ts
@@ -13,6 +13,10 @@
 export interface HoldingOptions {
   /** Organisation or other group among which memory is shared fairly. */
   readonly group: string;
+  /** Connection of the holding, among those of its group. */
+  readonly connection: unknown;
+  /** Bytes that are held from the start, which neither wait nor use the reserve. */
+  readonly bytes?: number;
   /** Called when a holding that had to wait may grow again. */
   readonly onRoom: () => void;
   /** Called when the holding is evicted. It is closed then. */
@@ -83,7 +87,7 @@
     return count;
   }
 
-  /** Opens an empty holding. */
+  /** Opens a holding, which may be evicted at once if memory is short. */
   open(options: HoldingOptions): Holding {
     const name = options.group;
     let group = this.#groups.get(name);
@@ -97,12 +101,14 @@
       close: () => this.#close(holding),
     });
     group.holdings.add(holding);
+    this.#count(holding, options.bytes ?? 0);
+    this.#evictExcess();
     return holding;
   }
 
   /**
-   * Evicts a holding in favour of those that wait: the largest of the group that
-   * holds most, or one that waits and holds nothing. Called when the first of
+   * Evicts a holding in favour of those that wait: the largest of the connection
+   * that holds most in the group that holds most, or an empty one that waits. Called when the first of
    * them has waited long enough. Returns false if none can be evicted.
    */
   evictOne(): boolean {
@@ -115,15 +121,19 @@
 
   #add(holding: OpenHolding, bytes: number): boolean {
     this.#count(holding, bytes);
-    while (this.#used > this.#options.totalBytes) {
-      if (!this.evictOne()) break;
-    }
+    this.#evictExcess();
     if (holding.isClosed) return false;
     if (this.#mayGrow(holding)) return true;
     this.#waiting.add(holding);
     return false;
   }
 
+  #evictExcess(): void {
+    while (this.#used > this.#options.totalBytes) {
+      if (!this.evictOne()) break;
+    }
+  }
+
   #remove(holding: OpenHolding, bytes: number): void {
     this.#count(holding, -Math.min(bytes, holding.bytes));
     this.#wakeWaiting();
@@ -222,15 +232,29 @@
   }
 }
 
-/** Returns the largest holding that may be evicted, the oldest of equals. */
+/**
+ * Returns the largest holding that may be evicted of the connection whose
+ * evictable holdings are largest, the oldest of equals.
+ */
 function largestEvictable(
   { holdings }: Group,
   reserveHolder: OpenHolding | undefined,
 ): OpenHolding | undefined {
-  let largest: OpenHolding | undefined;
+  const sums = new Map<unknown, { bytes: number; largest: OpenHolding }>();
   for (const holding of holdings) {
     if (holding.isKept || holding === reserveHolder) continue;
-    if (!largest || holding.bytes > largest.bytes) largest = holding;
+    const { connection } = holding.options;
+    const sum = sums.get(connection);
+    if (!sum) {
+      sums.set(connection, { bytes: holding.bytes, largest: holding });
+      continue;
+    }
+    sum.bytes += holding.bytes;
+    if (holding.bytes > sum.largest.bytes) sum.largest = holding;
+  }
+  let most: { bytes: number; largest: OpenHolding } | undefined;
+  for (const sum of sums.values()) {
+    if (!most || sum.bytes > most.bytes) most = sum;
   }
-  return largest;
+  return most?.largest;
 }
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { ReadAhead } from "./read_ahead.ts";
 
 /** Options of {@link CallerConnections.create}. */
 export interface CallerConnectionsOptions {
@@ -19,6 +20,7 @@
 interface ConnectionState {
   served: number;
   readonly waiting: (() => void)[];
+  readonly readAhead: ReadAhead;
   /** Ends of the requests that are open, as none is told of its connection's. */
   readonly open: Set<() => void>;
 }
@@ -51,19 +53,20 @@
       oldest.destroy();
       if (oldest === socket) return;
     }
-    const state = { served: 0, waiting: [], open: new Set<() => void>() };
+    const state: ConnectionState = {
+      served: 0,
+      waiting: [],
+      open: new Set(),
+      readAhead: ReadAhead.create(socket),
+    };
     this.#states.set(socket, state);
-    // Each request whose body is read resumes its connection.
-    socket.on("resume", () => {
-      if (state.waiting.length > 0) socket.pause();
-    });
     this.#fresh.add(socket);
     socket.once("close", () => this.#remove(socket));
   }
 
   /**
    * Opens a request, and serves it when few enough before it on its connection
-   * are unanswered. The connection is not read while requests wait.
+   * are unanswered. What follows is not parsed while requests wait.
    */
   serve(
     { req, res }: { req: IncomingMessage; res: ServerResponse },
@@ -82,7 +85,10 @@
     };
     state.open.add(close);
     res.once("close", close);
-    const run = open((callback) => callbacks.push(callback));
+    const run = open((callback) => {
+      if (state.open.has(close)) callbacks.push(callback);
+      else callback();
+    });
     const serve = () => {
       isServed = true;
       state.served += 1;
@@ -94,14 +100,14 @@
     }
     if (state.waiting.length === 0) this.#options.onPause();
     state.waiting.push(serve);
-    socket.pause();
+    state.readAhead.hold();
   }
 
   #finish(socket: Socket, state: ConnectionState): void {
     state.served -= 1;
     if (socket.destroyed) return;
     state.waiting.shift()?.();
-    if (state.waiting.length === 0) socket.resume();
+    if (state.waiting.length === 0) state.readAhead.release();
   }
 
   #remove(socket: Socket): void {
--- a/packages/gateway/src/caller_limits.ts
+++ b/packages/gateway/src/caller_limits.ts
@@ -8,7 +8,7 @@
   readonly maxConnections: number;
   /** Requests of one connection that are served at the same time. */
   readonly maxRequestsAhead: number;
-  /** Time without progress of a body or a response, in ms. */
+  /** Time without progress of a body, and a sixth of a response's, in ms. */
   readonly stallMs: number;
 }
 
--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -13,6 +13,8 @@
   readonly ended: AbortSignal;
   /** Why it was ended. */
   readonly cause: EndCause | undefined;
+  /** Called when it is served, and its body is read. */
+  markServed(): void;
   /** Called when its body is complete: it may run from now on. */
   markComplete(): void;
 }
@@ -21,7 +23,7 @@
 export interface OpenRequestsOptions {
   /** Memory for all requests, in bytes. */
   readonly memoryBytes: number;
-  /** Time without progress after which a request is ended, in ms. */
+  /** Time without progress of a body, and a sixth of a response's, in ms. */
   readonly stallMs: number;
   /** Called when a request is ended. */
   readonly onEnd: (cause: EndCause) => void;
@@ -34,6 +36,11 @@
 /** Share of the memory that one request may take when it is short. */
 const RESERVE_SHARE = 0.25;
 const SWEEP_MS = 250;
+/**
+ * The time without progress of a response, in those of a body. A slow reader's
+ * progress is seen only when the system has sent much of its buffer.
+ */
+const UNREAD_STALLS = 6;
 
 interface Watched {
   readonly req: IncomingMessage;
@@ -43,9 +50,14 @@
   stalledSweeps: number;
 }
 
-interface MutableRequest extends OpenRequest {
+interface EndState {
   readonly controller: AbortController;
   cause: EndCause | undefined;
+}
+
+interface MutableRequest extends OpenRequest {
+  readonly state: EndState;
+  isServed: boolean;
   isComplete: boolean;
 }
 
@@ -85,19 +97,28 @@
     },
   ): OpenRequest {
     const controller = new AbortController();
+    const state: EndState = { controller, cause: undefined };
     const holding = this.#memory.open({
       group,
+      connection: req.socket,
+      bytes: REQUEST_BYTES + FIELD_PART_BYTES * req.rawHeaders.length,
       onRoom: () => {
         req.resume();
       },
-      onEvict: () => this.#end(request, "memory"),
+      onEvict: () => this.#end(state, "memory"),
     });
     const request: MutableRequest = {
       holding,
-      controller,
+      state,
       ended: controller.signal,
-      cause: undefined,
+      get cause() {
+        return state.cause;
+      },
+      isServed: false,
       isComplete: false,
+      markServed: () => {
+        request.isServed = true;
+      },
       markComplete: () => {
         request.isComplete = true;
         holding.keep();
@@ -110,15 +131,14 @@
       this.#watched.delete(watched);
       holding.close();
     });
-    holding.add(REQUEST_BYTES + FIELD_PART_BYTES * req.rawHeaders.length);
     return request;
   }
 
-  #end(request: MutableRequest, cause: EndCause): void {
-    if (request.controller.signal.aborted) return;
-    request.cause = cause;
+  #end(state: EndState, cause: EndCause): void {
+    if (state.controller.signal.aborted) return;
+    state.cause = cause;
     this.#options.onEnd(cause);
-    request.controller.abort();
+    state.controller.abort();
   }
 
   /** Ends requests without progress, and one if others wait for memory. */
@@ -127,7 +147,9 @@
     for (const watched of this.#watched) {
       const { req, res, request } = watched;
       const { socket } = req;
-      const isArriving = !request.isComplete && !req.isPaused();
+      // One that waits for others of its connection is not read meanwhile.
+      const isArriving = request.isServed && !request.isComplete &&
+        !req.isPaused() && !socket.isPaused();
       const isUnread = res.headersSent && socket.writableLength > 0;
       const progress = isUnread
         ? socket.bytesWritten - socket.writableLength
@@ -139,13 +161,14 @@
         continue;
       }
       watched.stalledSweeps += 1;
-      if (watched.stalledSweeps < maxSweeps) continue;
+      const stalls = isUnread ? UNREAD_STALLS : 1;
+      if (watched.stalledSweeps < maxSweeps * stalls) continue;
       watched.stalledSweeps = 0;
       if (isUnread) {
         this.#options.onEnd("stalled");
         socket.destroy();
       } else {
-        this.#end(request, "stalled");
+        this.#end(request.state, "stalled");
       }
     }
     const hasWaiting = this.#memory.waitingCount > 0;
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -151,12 +151,15 @@
         group: req.headers.authorization ?? "",
         onClosed,
       });
-      request.ended.addEventListener("abort", () => {
+      const closeIfWaiting = () => {
         // It waits behind others whose responses aren't read.
         if (!isServed) req.socket.destroy();
-      });
+      };
+      request.ended.addEventListener("abort", closeIfWaiting);
+      if (request.ended.aborted) queueMicrotask(closeIfWaiting);
       return () => {
         isServed = true;
+        request.markServed();
         void this.#handle({ req, res, request, onClosed });
       };
     });
@@ -226,6 +229,10 @@
       });
       return;
     }
+    if (request.ended.aborted) {
+      refuseAndClose(req, res, refusalOf("aborted", request));
+      return;
+    }
     const { route, organisation } = authenticated.value;
     const abortController = new AbortController();
     this.#abortControllers.add(abortController);
@@ -234,7 +241,6 @@
       Math.min(route.timeoutMs, caller.deadlineMs ?? Infinity);
     const timer = setTimeout(abort, Math.max(0, deadlineAt - ctx.clock.now()));
     request.ended.addEventListener("abort", abort);
-    if (request.ended.aborted) abort();
     onClosed(() => {
       this.#abortControllers.delete(abortController);
       abort();
--- a/packages/gateway/src/testing/running_gateway.ts
+++ b/packages/gateway/src/testing/running_gateway.ts
@@ -93,6 +93,7 @@
     port?: number;
     isFirstStart?: boolean;
     regions?: Record<string, string>;
+    callerMemoryMb?: number;
   } = {},
 ): Promise<RunningGateway> {
   const { host = "127.0.0.1", isFirstStart = true } = options;
@@ -117,6 +118,7 @@
       log_lines_per_s: 100,
       status_max_connections: 64,
       regions: options.regions,
+      caller_memory_mb: options.callerMemoryMb,
     },
     log: SILENT,
   });
