Peer port: gateways that come back or start are heard sooner

A gateway that came back at another address counted as a stranger for as long as the member table couldn't be read: its name was known with the old address. It is taken for the known one now if that one is silent.

A stranger's datagram that arrived during a read or the gap after it was forgotten, so a gateway that had just written its row was heard only at its next report. It causes a read after the gap now. Strangers no longer shorten the pause after a failed read. The shortest gap grows by 1 ms a member, so that reads of gateways that start together don't grow with the square of their number.

--- a/packages/gateway/src/member_table.ts
+++ b/packages/gateway/src/member_table.ts
@@ -40,6 +40,11 @@
  */
 const MIN_STRANGER_GAP_MS = 100;
 const MAX_STRANGER_GAP_MS = 2000;
+/**
+ * Added to the shortest gap for each member, in ms, so that the reads of all
+ * gateways together don't grow with the square of their number.
+ */
+const GAP_PER_MEMBER_MS = 1;
 
 const memberSchema = z.object({ host: z.ipv4() });
 
@@ -48,57 +53,58 @@
   options: MembershipOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { instance, host, isStopping } = options;
+  const { instance, host, isStopping, strangerSignal } = options;
   let hasJustWritten = false;
   let strangerGapMs = MIN_STRANGER_GAP_MS;
   let known = "";
   let isEarly = false;
   while (!signal.aborted) {
-    const hosts = await readMembers(options);
-    options.onRead?.(hosts !== undefined);
-    const found = JSON.stringify([...hosts ?? []].sort());
-    strangerGapMs = isEarly && found === known
-      ? Math.min(MAX_STRANGER_GAP_MS, 2 * strangerGapMs)
-      : MIN_STRANGER_GAP_MS;
-    known = found;
-    let waitMs = RETRY_MS;
-    if (isStopping() || hosts?.get(instance) === host) {
-      waitMs = READ_INTERVAL_MS;
-    } else if (hosts && !hasJustWritten && await writeOwnRow(options)) {
-      // Of gateways that start together, the last to write finds all others.
-      hasJustWritten = true;
-      continue;
+    const round = new AbortController();
+    const roundSignal = AbortSignal.any([signal, round.signal]);
+    // A row may be written after the read began and before its reply.
+    const stranger = strangerSignal.wait(2 * READ_INTERVAL_MS, roundSignal);
+    try {
+      const hosts = await readMembers(options);
+      options.onRead?.(hosts !== undefined);
+      if (hosts) {
+        const found = JSON.stringify([...hosts].sort());
+        strangerGapMs = isEarly && found === known
+          ? Math.min(MAX_STRANGER_GAP_MS, 2 * strangerGapMs)
+          : MIN_STRANGER_GAP_MS + GAP_PER_MEMBER_MS * hosts.size;
+        known = found;
+      }
+      let waitMs = RETRY_MS;
+      if (isStopping() || hosts?.get(instance) === host) {
+        waitMs = READ_INTERVAL_MS;
+      } else if (hosts && !hasJustWritten && await writeOwnRow(options)) {
+        // Of gateways that start together, the last to write finds all others.
+        hasJustWritten = true;
+        continue;
+      }
+      hasJustWritten = false;
+      // A store that fails is read again after a fixed pause.
+      const early = hosts && waitForStranger(stranger, {
+        gapMs: strangerGapMs,
+        signal: roundSignal,
+      });
+      isEarly = await Promise.race([
+        options.restoredSignal.wait(waitMs, roundSignal).then(() => false),
+        ...early ? [early] : [],
+      ]);
+    } finally {
+      round.abort();
     }
-    hasJustWritten = false;
-    isEarly = await waitForRead(options, { waitMs, strangerGapMs, signal });
   }
 }
 
-/**
- * Waits for the next read, a restore of the store or, after a gap, a stranger.
- * Returns whether a stranger ended the wait.
- */
-async function waitForRead(
-  { restoredSignal, strangerSignal }: MembershipOptions,
-  { waitMs, strangerGapMs, signal }: {
-    waitMs: number;
-    strangerGapMs: number;
-    signal: AbortSignal;
-  },
-): Promise<boolean> {
-  const done = new AbortController();
-  const either = AbortSignal.any([signal, done.signal]);
-  const waitForStranger = async () => {
-    await sleep(strangerGapMs, either).catch(() => {});
-    await strangerSignal.wait(2 * waitMs, either);
-    return true;
-  };
-  const isEarly = await Promise.race([
-    restoredSignal.wait(waitMs, either).then(() => false),
-    waitForStranger(),
-  ]);
-  done.abort();
-  return isEarly;
+/** Waits for a stranger, and at least for a gap. */
+async function waitForStranger(
+  stranger: Promise<void>,
+  { gapMs, signal }: { gapMs: number; signal: AbortSignal },
+): Promise<true> {
+  await sleep(gapMs, signal).catch(() => {});
+  await stranger;
+  return true;
 }
 
 /** Removes this gateway's row during a graceful shutdown. */
--- a/packages/gateway/src/member_table_test.ts
+++ b/packages/gateway/src/member_table_test.ts
@@ -1,5 +1,5 @@
 import { setImmediate } from "node:timers/promises";
-import { ok } from "@banyanspool/types";
+import { err, ok } from "@banyanspool/types";
 import test from "ava";
 import { ChangeSignal } from "./change_signal.ts";
 import { maintainMembership, type MembershipOptions } from "./member_table.ts";
@@ -114,3 +114,56 @@
   // Two reads for the own row, and gaps of 100, 200, 400 and 800 ms.
   t.true(reads > 2 && reads <= 6, `${reads} reads`);
 });
+
+// Each stranger's datagram had shortened the pause after a failed read.
+test("strangers cause no reads of a store that fails before its next retry", async (t) => {
+  let reads = 0;
+  const strangerSignal = ChangeSignal.create();
+  const controller = new AbortController();
+  const task = maintainMembership({
+    ...createOptions("a", {
+      store: {
+        ...createStore(),
+        readTable: () => {
+          reads += 1;
+          return Promise.resolve(err({ kind: "unavailable", detail: "" }));
+        },
+      },
+      onMember: () => {},
+    }),
+    strangerSignal,
+  }, controller.signal);
+  const timer = setInterval(() => strangerSignal.notify(), 1);
+  await new Promise((resolve) => setTimeout(resolve, 900));
+  clearInterval(timer);
+  controller.abort();
+  await task;
+  t.true(reads <= 2, `${reads} reads`);
+});
+
+// Its next report came only after an interval between reports.
+test("a stranger's datagram that arrives during a read causes another read", async (t) => {
+  const store = createStore();
+  let reads = 0;
+  const strangerSignal = ChangeSignal.create();
+  const controller = new AbortController();
+  const task = maintainMembership({
+    ...createOptions("a", {
+      store: {
+        ...store,
+        readTable: async (table) => {
+          reads += 1;
+          const read = await store.readTable(table);
+          if (reads === 2) strangerSignal.notify();
+          return read;
+        },
+      },
+      onMember: () => {},
+    }),
+    strangerSignal,
+  }, controller.signal);
+  await new Promise((resolve) => setTimeout(resolve, 1000));
+  controller.abort();
+  await task;
+  t.is(reads, 3);
+});
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -387,7 +387,7 @@
     }
     onDatagram("received");
     if (state.instance === this.#options.instance) return;
-    if (mayBeUnlisted && !this.#peers.has(state.instance)) {
+    if (mayBeUnlisted && !this.isResponsive(state.instance)) {
       this.addPeer(state.instance, host);
       this.#unlistedHosts.add(host);
     }
--- a/packages/gateway/src/peer_exchange_test.ts
+++ b/packages/gateway/src/peer_exchange_test.ts
@@ -98,3 +98,40 @@
   await waitFor(() => heard.includes(50n));
   t.pass();
 });
+
+// It was a stranger until the store was back.
+test("a gateway that comes back at another address is heard while the member table can't be read", async (t) => {
+  const port = await findFreePort();
+  let nowMs = 0;
+  const heard: bigint[] = [];
+  const start = async (host: string, incarnation: number) => {
+    const exchange = PeerExchange.create({
+      instance: host === "127.0.0.1" ? "listener" : "returning",
+      incarnation,
+      host,
+      port,
+      clock: { now: () => nowMs, wall: () => nowMs },
+      log: SILENT_LOG,
+      buildReport: () => REPORT,
+      buildPeerReport: () => undefined,
+      onState: (state) => {
+        if (host === "127.0.0.1") heard.push(state.incarnation);
+      },
+      onMessage: () => {},
+      onDatagram: () => {},
+      isMembershipKnown: () => false,
+    });
+    await exchange.listen();
+    t.teardown(() => exchange.close());
+    exchange.addPeer("listener", "127.0.0.1");
+    return exchange;
+  };
+  const listener = await start("127.0.0.1", 1);
+  listener.addPeer("returning", "127.0.0.2");
+  (await start("127.0.0.2", 1)).announce();
+  await waitFor(() => heard.includes(1n));
+  nowMs = 600;
+  (await start("127.0.0.3", 2)).announce();
+  await waitFor(() => heard.includes(2n));
+  t.deepEqual(listener.peers.map(({ host }) => host), ["127.0.0.3"]);
+});
