Entry: callers' bodies are counted against a budget of memory

Nothing bounded the bodies that many callers send at once: 120 clients with 4 MiB each took a process to 592 MB. Bodies are counted now; above three quarters of caller_memory_mb (64 by default) the entry stops reading, and the largest of the organisation that holds most gets 503 "not run". A body counts until its request ends.

--- a/packages/entry/src/context.ts
+++ b/packages/entry/src/context.ts
@@ -1,4 +1,5 @@
 import type { Clock, Random, Sleep } from "@banyanspool/types";
+import type { CallerMemory } from "@banyanspool/caller-memory";
 import type { DecisionLog } from "@banyanspool/audit";
 import type { FleetMember } from "@banyanspool/fleet";
 import type { TokenBucketLimiter } from "@banyanspool/limits";
@@ -47,6 +48,8 @@
   readonly retryBudget: RetryBudget;
   /** Receives decision records. */
   readonly decisions: DecisionLog;
+  /** Counts the bodies that are held for callers. */
+  readonly callerMemory: CallerMemory;
   readonly metrics: Metrics;
   /** Returns the next attempt's sequence number, from 1. */
   readonly nextAttemptSequence: () => number;
--- a/packages/entry/src/entry_components.ts
+++ b/packages/entry/src/entry_components.ts
@@ -1,3 +1,4 @@
+import { CallerMemory } from "@banyanspool/caller-memory";
 import type { Clock, Random } from "@banyanspool/types";
 import type { Document } from "@banyanspool/config";
 import {
@@ -19,6 +20,7 @@
 import { createAdviceSender } from "./send_advice.ts";
 import { ServiceRouter } from "./service_router.ts";
 
+const BYTES_PER_MB = 1024 * 1024;
 const SHARE_LEASE_MS = 8000;
 const MAX_PENDING_DECISIONS = 20_000;
 const REPORT_LAG_MS = 1500;
@@ -110,6 +112,10 @@
       ratio: RETRY_RATIO,
       burst: () => RETRY_BURST,
     }),
+    callerMemory: CallerMemory.create({
+      totalBytes: cfg.caller_memory_mb * BYTES_PER_MB,
+      reserveBytes: cfg.max_body_bytes,
+    }),
     nextAttemptSequence: createCounter(),
     isDraining,
   };
--- a/packages/entry/src/handle_model.ts
+++ b/packages/entry/src/handle_model.ts
@@ -39,6 +39,10 @@
   const body = await readBody(req, {
     maxBytes: ctx.cfg.max_body_bytes,
     timeoutMs: ctx.cfg.body_timeout_ms,
+    memory: ctx.callerMemory,
+    group: caller.value.organisation,
+    onHeld: (holding) => scope.hold(holding),
+    onEvicted: () => ctx.metrics.callerLimits.inc({ cause: "memory" }),
   });
   if (!body.ok) return body.error;
   const { document } = ctx.member.config.current!;
--- a/packages/entry/src/handle_service.ts
+++ b/packages/entry/src/handle_service.ts
@@ -50,6 +50,10 @@
   const body = await readBody(req, {
     maxBytes: ctx.cfg.max_body_bytes,
     timeoutMs: ctx.cfg.body_timeout_ms,
+    memory: ctx.callerMemory,
+    group: caller?.organisation ?? "",
+    onHeld: (holding) => scope.hold(holding),
+    onEvicted: () => ctx.metrics.callerLimits.inc({ cause: "memory" }),
   });
   if (!body.ok) return body.error;
   const headers = pickHeaders(req);
--- a/packages/entry/src/request_scope.ts
+++ b/packages/entry/src/request_scope.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Holding } from "@banyanspool/caller-memory";
 import type { KeyOwner } from "@banyanspool/keys";
 import { type Clock, type Refusal, refuse } from "@banyanspool/types";
 
@@ -29,6 +30,7 @@
   readonly #options: RequestScopeOptions;
   readonly #startedAt: number;
   readonly #deadlineTimer: NodeJS.Timeout;
+  #holding: Holding | undefined;
 
   private constructor(options: RequestScopeOptions) {
     const { req, res, clock, timeoutMs } = options;
@@ -80,8 +82,14 @@
     if (this.#options.res.writableNeedDrain) this.#options.res.destroy();
   }
 
-  /** Stops the deadline timer. */
+  /** Closes a holding of memory when the request ends. */
+  hold(holding: Holding): void {
+    this.#holding = holding;
+  }
+
+  /** Stops the deadline timer and frees the memory. */
   end(): void {
     clearTimeout(this.#deadlineTimer);
+    this.#holding?.close();
   }
 }
--- a/packages/metrics/src/mod.ts
+++ b/packages/metrics/src/mod.ts
@@ -60,6 +60,8 @@
   readonly controlBytes: Counter;
   /** Decision records by outcome, `written` or `dropped`. */
   readonly decisions: Counter;
+  /** Callers' requests that a limit ended, by cause. */
+  readonly callerLimits: Counter;
   /** Connections of the metrics port that a limit ended, by cause. */
   readonly metricsLimits: Counter;
 
@@ -103,6 +105,11 @@
     this.decisions = counter("decisions_total", "Decision records", [
       "outcome",
     ]);
+    this.callerLimits = counter(
+      "caller_limits_total",
+      "Callers' requests that a limit ended",
+      ["cause"],
+    );
     this.metricsLimits = counter(
       "metrics_limits_total",
       "Connections of the metrics port that a limit ended",
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -33,6 +33,7 @@
   public_listen: address,
   public_tls: tlsSchema.optional(),
   max_body_bytes: z.number().int().positive().default(4 * 1024 * 1024),
+  caller_memory_mb: z.number().positive().default(64),
   max_connections: z.number().int().positive().default(10_000),
   header_timeout_ms: z.number().int().positive().default(10_000),
   body_timeout_ms: z.number().int().positive().default(30_000),
