Entry: bodies name the connection that holds them

The budget shares the memory of a group among its connections first; the entry's bodies named none, and the build failed after both changes had been merged.

--- a/packages/entry/src/read_body.ts
+++ b/packages/entry/src/read_body.ts
@@ -41,6 +41,7 @@
   let wake = () => {};
   const holding = memory.open({
     group,
+    connection: req.socket,
     onRoom: () => wake(),
     onEvict: () => wake(),
   });
