--- a/packages/caller-memory/src/caller_memory.ts
+++ b/packages/caller-memory/src/caller_memory.ts
@@ -108,8 +108,9 @@
 
   /**
    * Evicts a holding in favour of those that wait: the largest of the connection
-   * that holds most in the group that holds most, or an empty one that waits. Called when the first of
-   * them has waited long enough. Returns false if none can be evicted.
+   * that holds most in the group that holds most, or an empty one that waits.
+   * Called when the first of them has waited long enough. Returns false if none
+   * can be evicted.
    */
   evictOne(): boolean {
     const victim = this.#findVictim();
--- a/packages/routing/src/replica_speed.ts
+++ b/packages/routing/src/replica_speed.ts
@@ -51,7 +51,7 @@
 const MAX_SLOWDOWN = 8;
 /** Weight of a measurement at a replica that has been measured often. */
 const MEASURED_WEIGHT = 0.05;
-/** Weight of the first measurements at a replica. */
+/** Largest weight of the first measurements at a replica. */
 const MAX_FIRST_WEIGHT = 0.2;
 /** Weight of the newest replica's value in the average of a service. */
 const SERVICE_WEIGHT = 0.05;
