Settings: fields that the platform doesn't have leave their defaults

The template wrote a table of regions and bare numbers. The values are texts now, which may be empty.

--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -54,6 +54,20 @@
   drain_ms: z.number().int().nonnegative().default(2000),
 });
 
+/**
+ * Reads a value that a template put into a text, as JSON. A field that the
+ * platform doesn't have leaves the text empty, and the setting at its default.
+ */
+function readTemplateValue(value: unknown): unknown {
+  if (typeof value !== "string") return value;
+  if (value === "") return undefined;
+  try {
+    return JSON.parse(value);
+  } catch {
+    return value;
+  }
+}
+
 const gatewaySchema = z.object({
   instance: z.string().min(1),
   data_centre: z.string().min(1),
@@ -73,9 +87,15 @@
   log_lines_per_s: z.number().positive().default(400),
   status_max_connections: z.number().int().positive().default(64),
   /** Region of each data centre. */
-  regions: z.record(z.string(), z.string()).optional(),
-  memory_mb: z.number().positive().optional(),
-  max_fds: z.number().int().positive().optional(),
+  regions: z.preprocess(
+    readTemplateValue,
+    z.record(z.string(), z.string()).optional(),
+  ),
+  memory_mb: z.preprocess(readTemplateValue, z.number().positive().optional()),
+  max_fds: z.preprocess(
+    readTemplateValue,
+    z.number().int().positive().optional(),
+  ),
   caller_memory_mb: z.number().positive().optional(),
   max_connections: z.number().int().positive().optional(),
   max_requests_ahead: z.number().int().positive().optional(),
