--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -115,10 +115,10 @@
     },
     onCold: (replica, forMs) =>
       log.write("replica cold", { replica, for_ms: Math.round(forMs) }),
-    onImplausible: (replica, coldLeftMs) =>
+    onImplausible: (replica, coldForMs) =>
       log.write("cold time implausible", {
         replica,
-        cold_left_ms: String(coldLeftMs),
+        cold_for_ms: String(coldForMs),
       }),
   });
   metrics.countColdReplicas(() => coldReplicas.count);
--- a/packages/gateway/src/replica_change_codec.ts
+++ b/packages/gateway/src/replica_change_codec.ts
@@ -27,7 +27,7 @@
   }
   const { service, address, dataCentre, slots, draining, softwareVersion } =
     change.server;
-  const { coldLeftMs } = change.server;
+  const { coldForMs } = change.server;
   return {
     ...common,
     gone: false,
@@ -37,7 +37,7 @@
     slots: toUint32(slots),
     leaving: draining,
     softwareVersion,
-    coldLeftMs: coldLeftMs === undefined ? undefined : toUint32(coldLeftMs),
+    coldForMs: coldForMs === undefined ? undefined : toUint32(coldForMs),
   };
 }
 
@@ -55,7 +55,7 @@
   }
   const { service, address, dataCentre, slots, leaving, softwareVersion } =
     message;
-  const { coldLeftMs } = message;
+  const { coldForMs } = message;
   const server = {
     id,
     service,
@@ -66,7 +66,7 @@
     softwareVersion,
     startedAt,
     sequence,
-    coldLeftMs,
+    coldForMs,
     models: [],
   };
   return { kind: "listed", server, position };
--- a/packages/gateway/src/replica_registry.ts
+++ b/packages/gateway/src/replica_registry.ts
@@ -248,8 +248,8 @@
       });
     }
     // The time only falls from row to row, unless it has become cold again.
-    const isNewlyCold = (server.coldLeftMs ?? 0) >
-      Math.max(0, before.server.coldLeftMs ?? 0);
+    const isNewlyCold = (server.coldForMs ?? 0) >
+      Math.max(0, before.server.coldForMs ?? 0);
     return hasDrainingChanged || hasRestarted || isNewlyCold ||
       server.address !== before.server.address ||
       server.softwareVersion !== before.server.softwareVersion ||
--- a/packages/gateway/src/replica_registry_test.ts
+++ b/packages/gateway/src/replica_registry_test.ts
@@ -99,12 +99,12 @@
 // Gateways that the store doesn't reach sent it all that it could take.
 test("a replica that becomes cold again before it was warm is a change", (t) => {
   const { registry, changes } = createRegistry();
-  for (const [i, coldLeftMs] of [900, 400, 3000, 2500, 0].entries()) {
-    const row = listed("a", i + 1, { coldLeftMs });
+  for (const [i, coldForMs] of [900, 400, 3000, 2500, 0].entries()) {
+    const row = listed("a", i + 1, { coldForMs });
     registry.applyList([row], { position: at(i + 1), now: 1000 * i });
   }
   const times = changes.map((change) =>
-    change.kind === "listed" ? change.server.coldLeftMs : undefined
+    change.kind === "listed" ? change.server.coldForMs : undefined
   );
   t.deepEqual(times, [900, 3000]);
 });
--- a/packages/replica-limits/src/cold_replicas.ts
+++ b/packages/replica-limits/src/cold_replicas.ts
@@ -21,7 +21,7 @@
   /** Called when a replica becomes cold, with the time that is left, in ms. */
   readonly onCold: (replica: string, forMs: number) => void;
   /** Called with a cold time that is replaced by the nearest possible one. */
-  readonly onImplausible: (replica: string, coldLeftMs: number) => void;
+  readonly onImplausible: (replica: string, coldForMs: number) => void;
 }
 
 interface Entry {
@@ -162,7 +162,7 @@
       entry.row = server;
       this.#change(replica, entry, () => {
         // A row that doesn't say it leaves what an earlier one said.
-        if (server.coldLeftMs === undefined) return;
+        if (server.coldForMs === undefined) return;
         const until = this.#endOf(replica, server);
         entry!.rowUntil = until > now ? until : Math.min(entry!.rowUntil, now);
       });
@@ -175,20 +175,20 @@
    * finds at its own start, and what says itself how long it stays cold, hasn't
    * started unless its time of start tells so.
    */
-  #startOf({ startedAt, coldLeftMs }: BackendServer): number {
+  #startOf({ startedAt, coldForMs }: BackendServer): number {
     const { clock } = this.#options;
-    if (!this.#hasList && coldLeftMs !== undefined) return -Infinity;
+    if (!this.#hasList && coldForMs !== undefined) return -Infinity;
     if (startedAt > 0) {
       return clock.now() - Math.max(0, clock.wall() - startedAt);
     }
-    return this.#hasList && coldLeftMs === undefined ? clock.now() : -Infinity;
+    return this.#hasList && coldForMs === undefined ? clock.now() : -Infinity;
   }
 
   /** Time until which a row that is read now says that its replica is cold. */
-  #endOf(replica: string, { coldLeftMs = 0 }: BackendServer): number {
-    const leftMs = Math.min(MAX_COLD_LEFT_MS, Math.max(0, coldLeftMs));
-    if (leftMs !== coldLeftMs) {
-      this.#options.onImplausible(replica, coldLeftMs);
+  #endOf(replica: string, { coldForMs = 0 }: BackendServer): number {
+    const leftMs = Math.min(MAX_COLD_LEFT_MS, Math.max(0, coldForMs));
+    if (leftMs !== coldForMs) {
+      this.#options.onImplausible(replica, coldForMs);
     }
     return leftMs > 0 ? this.#options.clock.now() + leftMs : -Infinity;
   }
--- a/packages/replica-limits/src/cold_replicas_test.ts
+++ b/packages/replica-limits/src/cold_replicas_test.ts
@@ -42,7 +42,7 @@
 
 test("a replica is cold from the first moment that it is listed, whatever its row says", (t) => {
   const { cold, pass } = create();
-  cold.update([row({ coldLeftMs: 0 })]);
+  cold.update([row({ coldForMs: 0 })]);
   t.is(cold.limitOf(REPLICA), 6);
   pass(COLD_START_MS);
   t.is(cold.limitOf(REPLICA), 6);
@@ -52,7 +52,7 @@
 // All gateways would have chosen the idle replica in the same moment.
 test("the limit rises without a step after the cold time, then ends", (t) => {
   const { cold, pass } = create();
-  cold.update([row({ coldLeftMs: 500, startedAt: BORN - 60_000 })]);
+  cold.update([row({ coldForMs: 500, startedAt: BORN - 60_000 })]);
   const replica = `i-1 ${BORN - 60_000}`;
   pass(500);
   const limits = [0, 250, 250, 250].map((ms) => {
@@ -66,10 +66,10 @@
 
 test("a replica may become cold again, and an unchanged row doesn't lengthen its time", (t) => {
   const { cold, pass } = create();
-  const server = row({ startedAt: 1, coldLeftMs: 0 });
+  const server = row({ startedAt: 1, coldForMs: 0 });
   cold.update([server]);
   t.is(cold.limitOf("i-1 1"), undefined);
-  const again = { ...server, coldLeftMs: 2000, sequence: 2 };
+  const again = { ...server, coldForMs: 2000, sequence: 2 };
   cold.update([again]);
   t.is(cold.limitOf("i-1 1"), 6);
   pass(1900);
@@ -77,17 +77,17 @@
   t.is(cold.count, 1);
   pass(100);
   t.is(cold.count, 0);
-  cold.update([{ ...again, coldLeftMs: 5000, sequence: 3 }]);
-  cold.update([{ ...again, coldLeftMs: 0, sequence: 4 }]);
+  cold.update([{ ...again, coldForMs: 5000, sequence: 3 }]);
+  cold.update([{ ...again, coldForMs: 0, sequence: 4 }]);
   t.is(cold.count, 0);
 });
 
 // A cold time that is no number is decoded as none.
 test("a row without a cold time ends none", (t) => {
   const { cold, pass } = create();
-  const server = row({ startedAt: 1, coldLeftMs: 2000 });
+  const server = row({ startedAt: 1, coldForMs: 2000 });
   cold.update([server]);
-  cold.update([{ ...server, coldLeftMs: undefined, sequence: 2 }]);
+  cold.update([{ ...server, coldForMs: undefined, sequence: 2 }]);
   t.is(cold.count, 1);
   pass(2000);
   t.is(cold.count, 0);
@@ -102,7 +102,7 @@
     onCold: () => {},
     onImplausible: () => {},
   });
-  cold.update([row({ coldLeftMs: 900 })]);
+  cold.update([row({ coldForMs: 900 })]);
   t.is(cold.limitOf(REPLICA), undefined);
   limits.set("pool", { coldStartMs: COLD_START_MS, coldPerS: COLD_PER_S });
   cold.recordConfiguration();
@@ -111,21 +111,21 @@
 
 test("cold times that can't be are clamped and told", (t) => {
   const { cold, implausible, pass } = create();
-  const server = row({ startedAt: 1, coldLeftMs: Infinity });
+  const server = row({ startedAt: 1, coldForMs: Infinity });
   cold.update([server]);
   t.is(cold.count, 1);
   pass(600_000);
   t.is(cold.count, 0);
-  cold.update([{ ...server, coldLeftMs: -5 }]);
+  cold.update([{ ...server, coldForMs: -5 }]);
   t.is(cold.limitOf("i-1 1"), 6, "its limit still rises");
   t.deepEqual(implausible, [Infinity, -5]);
 });
 
 test("replicas that a gateway finds at its start are cold only if they say so", (t) => {
   const first = [
-    row({ coldLeftMs: 0 }),
+    row({ coldForMs: 0 }),
     row({ id: "i-2", startedAt: 0 }),
-    row({ id: "i-3", startedAt: 1, coldLeftMs: 700 }),
+    row({ id: "i-3", startedAt: 1, coldForMs: 700 }),
   ];
   const { cold } = create({ first });
   t.deepEqual(
@@ -137,7 +137,7 @@
 // Rows are older than the evacuation's end, at which replicas may be cold.
 test("replicas are cold when an evacuation of their data centre is taken back", (t) => {
   const { cold } = create();
-  cold.update([row({ startedAt: 1, coldLeftMs: 0 })]);
+  cold.update([row({ startedAt: 1, coldForMs: 0 })]);
   cold.recordReturn("south");
   t.is(cold.count, 0);
   cold.recordReturn("north");
@@ -146,7 +146,7 @@
 
 test("services without such a limit, and gateways that have just started", (t) => {
   const { cold, pass } = create();
-  cold.update([row(), row({ id: "i-4", service: "desk", coldLeftMs: 900 })]);
+  cold.update([row(), row({ id: "i-4", service: "desk", coldForMs: 900 })]);
   t.is(cold.limitOf(`i-4 ${BORN}`), undefined);
   t.true(cold.mayIssue(`i-4 ${BORN}`));
   t.false(cold.mayIssue(REPLICA), "it may not know the others");
--- a/packages/types/src/gateway.ts
+++ b/packages/types/src/gateway.ts
@@ -162,7 +162,7 @@
   /** Rises with each time that it writes its row, within one run. */
   readonly sequence: number;
   /** Time for which it stays cold, in ms, if its row says so. */
-  readonly coldLeftMs?: number;
+  readonly coldForMs?: number;
   /** Models that were resident when it wrote its row. */
   readonly models: readonly ResidentModel[];
 }
