--- a/packages/soak/src/schedule_test.ts
+++ b/packages/soak/src/schedule_test.ts
@@ -10,7 +10,7 @@
 
 test("a long run has every kind of fault, and most faults overlap", (t) => {
   const steps = drawSchedule(1, { ...SIZES, durationMs: 600_000 });
-  t.is(new Set(steps.map(({ kind }) => kind)).size, 29);
+  t.is(new Set(steps.map(({ kind }) => kind)).size, 30);
   const overlaps = steps.filter((step, i) =>
     i > 0 && steps[i - 1]!.atMs + steps[i - 1]!.durationMs > step.atMs
   );
