Soak: a restore loses more writes than the rest of a run makes

The planted defect versionAlone wasn't detected in a whole run beside load. Cause: a defective gateway ignores what is written after a restore only until the store has counted up to the versions that it lost. A run lost about 90 of them, and 45 were given out again by four seconds after the drain notice, when the check begins.

The writes by others between copy and restore are 2,000 in place of 50, so the count doesn't catch up within a run.

--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -113,7 +113,7 @@
 const MEMORY_MIB = 256;
 const MS_PER_S = 1000;
 /** Writes to the store by others between a copy and a restore. */
-const OTHER_WRITES = 50;
+const OTHER_WRITES = 2000;
 /** Requests a second that a replica with a limit takes. */
 const REPLICA_LIMIT_PER_S = 1.2;
 /** Time after which a crashed replica is back. */
