Placement lease: a lapse doesn't withdraw the published models

Callers were refused for models that a replica had loaded: all gateways forgot them for some hundred ms after a lapse of the placement lease.

Cause: a renewal that spans the lapse regains the lease without waking the placement loop. Until its next round the holder follows no replica, and its reports said so, which withdrew what it had published.

Nothing is published before the replicas are followed in the present term, and a new term wakes the placement loop. engine_controller_test.ts: the new test failed before. replica_limit_test.ts beside a load of 20 to 24: one of six runs failed before, none of six after.

--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -85,6 +85,8 @@
   readonly #options: EngineControllerOptions;
   readonly #engines: Map<string, EngineState> = new Map();
   #version = 0;
+  /** Term of the lease in which the replicas were last followed. */
+  #followedTerm: number | undefined;
 
   private constructor(options: EngineControllerOptions) {
     this.#options = options;
@@ -110,8 +112,15 @@
     return this.#version;
   }
 
-  /** Models and adapters available at each replica with a current report. */
-  listAvailableModels(): { server: BackendServer; names: string[] }[] {
+  /**
+   * Models and adapters available at each replica with a current report.
+   * Undefined if the lease isn't held, and until the replicas are followed in its
+   * present term: what other gateways know of them still counts.
+   */
+  listAvailableModels():
+    | { server: BackendServer; names: string[] }[]
+    | undefined {
+    if (!this.holdsLease || this.#followedTerm !== this.leaseTerm) return;
     return [...this.#engines.values()]
       .filter(({ isSynced }) => isSynced)
       .map((state) => ({
@@ -137,10 +146,12 @@
   /** Discards all state, as another process may have sent orders meanwhile. */
   clear(): void {
     this.#engines.clear();
+    this.#followedTerm = undefined;
   }
 
   /** Adds or updates the given replicas and removes all others. */
   follow(servers: ReadonlyMap<string, BackendServer>): void {
+    this.#followedTerm = this.leaseTerm;
     for (const server of servers.values()) this.#followOne(server);
     for (const id of this.#engines.keys()) {
       if (!servers.has(id)) this.#engines.delete(id);
--- a/packages/gateway/src/engine_controller_test.ts
+++ b/packages/gateway/src/engine_controller_test.ts
@@ -90,6 +90,25 @@
   t.deepEqual(replica.orders, ["load m2"]);
 });
 
+// An empty list was published after a lapse of the lease, so that gateways took
+// all models that had been loaded meanwhile for gone.
+test("after a lapse of the lease, nothing is said of replicas until they are followed again", async (t) => {
+  const { lease, controller, follow } = await startController(t);
+  const listed = controller.listAvailableModels();
+  t.deepEqual(listed?.map(({ names }) => names), [["m1"]]);
+  lease.held = false;
+  t.is(controller.listAvailableModels(), undefined);
+  controller.clear();
+  lease.held = true;
+  lease.term = 2;
+  t.is(controller.listAvailableModels(), undefined);
+  follow();
+  t.deepEqual(controller.listAvailableModels(), []);
+  t.deepEqual([...controller.listUnsettledReplicas()], ["i-1"]);
+  await controller.get("i-1")!.lastTask;
+  t.is(controller.listAvailableModels()?.length, 1);
+});
+
 test("a wrong count of accepted orders is corrected by the engine's reports", async (t) => {
   const { replica, controller } = await startController(t);
   const state = controller.get("i-1")!;
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -344,13 +344,13 @@
 
   #applyOwnAvailableModels(): void {
     const { ctx, engineController } = this.#options;
-    if (!engineController.holdsLease) return;
-    const models: ReplicaModels[] = engineController.listAvailableModels()
-      .map(({ server, names }) => ({
-        replica: server.id,
-        startedAt: server.startedAt,
-        names,
-      }));
+    const available = engineController.listAvailableModels();
+    if (!available) return;
+    const models: ReplicaModels[] = available.map(({ server, names }) => ({
+      replica: server.id,
+      startedAt: server.startedAt,
+      names,
+    }));
     const unsettled = engineController.listUnsettledReplicas();
     const hasChanged = this.#heldModels.update(models, unsettled);
     ctx.expectedModels.update(this.#options.expectedLoads());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -420,9 +420,11 @@
         // The store may be away when the stop begins.
         isReleased ||= await this.#lease.release();
       } else if (this.#exchange.mayHoldLease()) {
-        const wasHeld = this.#lease.held;
+        const { held, term } = this.#lease;
         await this.#lease.renew();
-        if (this.#lease.held !== wasHeld) fleet.changed.notify();
+        // The lease may have lapsed and been regained during the renewal.
+        const isNewTerm = this.#lease.term !== term;
+        if (isNewTerm || this.#lease.held !== held) fleet.changed.notify();
       }
       await sleep(this.#cfg.lease_ms / RENEWALS_PER_LEASE, signal)
         .catch(() => {});
