Gateway: requests wait for a replica in one bounded queue, in order

A request without a replica polled every 60 ms, every change woke all of them, and whoever woke first took what had become free. Priorities and fairness had no say, and nothing bounded what waits.

Requests now wait in queues by service and model: by priority, then fair over organisations (the counters of FairQueue, moved to a class of their own), then by the time at which the caller leaves. A freed place goes to the first request that can use it. The bound in entries and bytes sheds the least urgent of the organisation that holds most. A less urgent request with slack waits here while the wait at the best replica is beyond what a more urgent kind can accept.

Tests of the gateway that touch waiting are unchanged. cold_replica_test failed once beside other tests at a load of 25 to 30 on 7 cores, and passed alone.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,7 @@
   startReadinessServer,
   type StatusServer,
 } from "./status_servers.ts";
+import { WaitingRoom } from "./waiting_room.ts";
 
 /** Options of {@link Gateway.create}. */
 export interface GatewayOptions {
@@ -152,6 +153,8 @@
       recalled: () => this.#recoveryTable.recalled,
       onNews: () => this.#exchange.announceSoon(),
     });
+    const waitingRoom = WaitingRoom.of(this.#ctx);
+    metrics.countWaitingRequests(() => waitingRoom.countByService());
     this.#recoveryTable = RecoveryTable.create({
       store: this.#store,
       ctx: this.#ctx,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -30,6 +30,10 @@
   readonly firstByte: Histogram;
   /** Time that requests waited for a replica. */
   readonly wait: Histogram;
+  /** Requests that wait for a replica, by service. */
+  readonly waiting: Gauge;
+  /** Waiting requests refused as too many waited, by service and priority. */
+  readonly shedRequests: Counter;
   /** Delay of a timer of the event loop, beyond its time. */
   readonly eventLoopDelay: Histogram;
   /** Store calls by call and outcome. */
@@ -68,6 +72,7 @@
   readonly droppedLines: Gauge;
 
   #countCold: () => number = () => 0;
+  #countWaiting: () => ReadonlyMap<string, number> = () => new Map();
 
   private constructor() {
     const registers = [this.registry];
@@ -96,7 +101,26 @@
     this.firstByte = histogram("gateway_first_byte_seconds", "First byte", [
       "route",
     ]);
-    this.wait = histogram("gateway_wait_seconds", "Wait for a replica", []);
+    this.wait = histogram("gateway_wait_seconds", "Wait for a replica", [
+      "priority",
+    ]);
+    this.waiting = new Gauge({
+      name: "banyanspool_waiting_requests",
+      help: "Requests that wait for a replica",
+      labelNames: ["service"],
+      registers,
+      collect: () => {
+        this.waiting.reset();
+        for (const [service, count] of this.#countWaiting()) {
+          this.waiting.set({ service }, count);
+        }
+      },
+    });
+    this.shedRequests = counter(
+      "shed_requests_total",
+      "Waiting requests refused as too many waited",
+      ["service", "priority", "cause"],
+    );
     this.eventLoopDelay = histogram(
       "event_loop_delay_seconds",
       "Delay of a periodic timer",
@@ -187,6 +211,11 @@
     this.#countCold = count;
   }
 
+  /** Sets how the waiting requests of each service are counted. */
+  countWaitingRequests(count: () => ReadonlyMap<string, number>): void {
+    this.#countWaiting = count;
+  }
+
   /** Records that an evacuation began or was taken back. */
   recordEvacuation(dataCentre: string, isEvacuated: boolean): void {
     const labels = { data_centre: dataCentre };
--- a/packages/gateway/src/pending_attempt.ts
+++ b/packages/gateway/src/pending_attempt.ts
@@ -7,6 +7,7 @@
 import type { Sleep } from "@banyanspool/types";
 import type { RequestExecution } from "./request_execution.ts";
 import { type AttemptOutcome, sendAttempt } from "./send_attempt.ts";
+import { WaitingRoom } from "./waiting_room.ts";
 
 /** An attempt of a request, until its response has ended. */
 export class PendingAttempt {
@@ -17,6 +18,8 @@
   /** Resolves with this attempt once the head has arrived or it has failed. */
   readonly settled: Promise<PendingAttempt>;
   readonly #superseded = new AbortController();
+  /** Called when the replica may take another request. */
+  readonly #onPlace: () => void;
   #outcome: AttemptOutcome | undefined;
   #isFinished = false;
 
@@ -28,6 +31,7 @@
     this.selection = selection;
     const { server, slowdown } = selection;
     ctx.metrics.slowdown.observe({ service: server.service }, slowdown);
+    this.#onPlace = () => WaitingRoom.of(ctx).wake(server.service);
     this.trackedRequest = ctx.replicaTracker.dispatch(request, selection);
     this.settled = sendAttempt(ctx, scope, {
       selection,
@@ -36,6 +40,7 @@
       signal: this.#superseded.signal,
     }).then((outcome) => {
       this.#outcome = outcome;
+      this.#onPlace();
       return this;
     });
   }
@@ -66,6 +71,7 @@
     if (this.#isFinished) return;
     this.#isFinished = true;
     this.trackedRequest.finished(end);
+    this.#onPlace();
   }
 }
 
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -19,7 +19,11 @@
 import { type BodyFailure, readBody } from "./read_body.ts";
 import { refuseAndClose } from "./refuse_and_close.ts";
 import { sendRefusal } from "./refusals.ts";
-import type { RequestOutcome, RequestScope } from "./request_scope.ts";
+import {
+  priorityOf,
+  type RequestOutcome,
+  type RequestScope,
+} from "./request_scope.ts";
 import { serveRequest } from "./serve_request.ts";
 
 /** Maximum size of a request's head. */
@@ -301,11 +305,13 @@
     const { log, metrics, clock, fleet } = this.#ctx;
     const { caller, route, organisation, arrivedAt } = scope;
     metrics.requests.inc({ route: route.name, outcome: outcome.result });
-    metrics.wait.observe(outcome.waitedMs / 1000);
+    const priority = priorityOf(scope);
+    metrics.wait.observe({ priority }, outcome.waitedMs / 1000);
     log.write("request", {
       id: caller.id,
       route: route.name,
       organisation: organisation?.name,
+      priority,
       cost: scope.cost,
       model: caller.model,
       adapter: caller.adapter,
--- a/packages/gateway/src/replica_permit.ts
+++ b/packages/gateway/src/replica_permit.ts
@@ -7,7 +7,7 @@
 } from "@banyanspool/routing";
 import { type BackendServer, incarnationOf } from "@banyanspool/types";
 import type { GatewayContext } from "./context.ts";
-import type { RequestScope } from "./request_scope.ts";
+import { priorityOf, type RequestScope } from "./request_scope.ts";
 
 /** Result of a claim for a permit at replicas whose permits are used up. */
 export type PermitClaim =
@@ -68,16 +68,15 @@
     : { kind: "denied", retryInMs: 0 };
 }
 
-function requesterOf(
-  { organisation, route, caller, req, body }: RequestScope,
-): PermitRequester {
+function requesterOf(scope: RequestScope): PermitRequester {
+  const { organisation, caller, req, body } = scope;
   const { target, model, adapter, tokens, promptParts } = caller;
   const fields = [req.method, target, model, adapter, tokens, promptParts];
   const digest = createHash("md5").update(JSON.stringify(fields))
     .update(body ?? "").digest("base64url");
   return {
     organisation: organisation?.name ?? "",
-    priority: Math.max(0, organisation?.priority ?? route.priority),
+    priority: priorityOf(scope),
     request: digest,
   };
 }
--- a/packages/gateway/src/request_scope.ts
+++ b/packages/gateway/src/request_scope.ts
@@ -33,6 +33,13 @@
   readonly signal: AbortSignal;
 }
 
+/** Priority of a request, its organisation's before its route's; 0 is the most urgent. */
+export function priorityOf(
+  { organisation, route }: Pick<RequestScope, "organisation" | "route">,
+): number {
+  return Math.max(0, organisation?.priority ?? route.priority);
+}
+
 /** Outcome of a request for log and metrics. */
 export interface RequestOutcome {
   /** Label of the request counter; `left` if the caller disconnected. */
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -10,7 +10,7 @@
   type ResponseHead,
 } from "./replica_call.ts";
 import { recordReplicaNotices } from "./replica_notices.ts";
-import type { RequestScope } from "./request_scope.ts";
+import { priorityOf, type RequestScope } from "./request_scope.ts";
 
 /** A response of a replica whose head has arrived. */
 export interface StartedResponse {
@@ -169,7 +169,6 @@
   return { kind: "unknown", reason };
 }
 
-function enginePriority({ organisation, route }: RequestScope): number {
-  const priority = organisation?.priority ?? route.priority;
-  return Math.min(LOWEST_ENGINE_PRIORITY, Math.max(0, priority));
+function enginePriority(scope: RequestScope): number {
+  return Math.min(LOWEST_ENGINE_PRIORITY, priorityOf(scope));
 }
--- a/packages/queue/src/fair_queue.ts
+++ b/packages/queue/src/fair_queue.ts
@@ -1,4 +1,5 @@
 import type { RequestClass } from "@banyanspool/types";
+import { ServedCounters } from "./served_counters.ts";
 
 /** A waiting request. */
 export interface QueueItem<T> {
@@ -41,7 +42,7 @@
 export class FairQueue<T> {
   readonly #options: FairQueueOptions;
   readonly #waiting: Map<string, QueueItem<T>[]> = new Map();
-  readonly #counters: Map<string, number> = new Map();
+  readonly #counters: ServedCounters;
   readonly #running: Map<string, number> = new Map();
   #length = 0;
   #tokens = 0;
@@ -50,6 +51,7 @@
 
   private constructor(options: FairQueueOptions) {
     this.#options = options;
+    this.#counters = ServedCounters.create(options.weightOf);
   }
 
   /** Creates an empty queue. */
@@ -132,9 +134,7 @@
 
   /** Adds served tokens to an organisation's counter. */
   charge(organisation: string, tokens: number): void {
-    const counter = this.#counters.get(organisation) ?? 0;
-    const weight = this.#options.weightOf(organisation);
-    this.#counters.set(organisation, counter + tokens / weight);
+    this.#counters.charge(organisation, tokens);
   }
 
   /** Marks the end of a request that {@link shift} or {@link take} removed. */
@@ -194,7 +194,7 @@
     let best: QueueItem<T> | undefined;
     let smallest = Infinity;
     for (const [organisation, items] of this.#waiting) {
-      const counter = this.#counters.get(organisation) ?? 0;
+      const counter = this.#counters.of(organisation);
       if (counter >= smallest) continue;
       const item = pickLeast(items.filter(matches), ({ dueAt }) => dueAt);
       if (item === undefined) continue;
@@ -206,13 +206,7 @@
 
   #raiseCounter(organisation: string): void {
     if (this.#running.has(organisation)) return;
-    let smallest = Infinity;
-    for (const active of this.#activeOrganisations()) {
-      smallest = Math.min(smallest, this.#counters.get(active) ?? 0);
-    }
-    if (smallest === Infinity) return;
-    const counter = this.#counters.get(organisation) ?? 0;
-    this.#counters.set(organisation, Math.max(counter, smallest));
+    this.#counters.raise(organisation, this.#activeOrganisations());
   }
 
   #activeOrganisations(): Set<string> {
