--- a/packages/gateway/src/waiting_room.ts
+++ b/packages/gateway/src/waiting_room.ts
@@ -241,9 +241,8 @@
       if ((isBlocked || isHeld) && !isDue) continue;
       item.value.decidedAt = now;
       const decision = this.#decide(item);
-      switch (decision?.kind) {
-        case undefined:
-          break;
+      if (!decision) continue;
+      switch (decision.kind) {
         case "wait":
           blocked.add(options.needs);
           break;
@@ -265,6 +264,7 @@
       }
     }
   }
+
   /** Decides about a request; its wait ends with the error if that fails. */
   #decide(item: WaitingItem<Waiter>): Decision | undefined {
     try {
