--- a/packages/gateway/src/hold_back.ts
+++ b/packages/gateway/src/hold_back.ts
@@ -25,10 +25,13 @@
   if (request.model === undefined || !isFirstAttempt) return undefined;
   const { waitMs, predictedMs } = selection;
   const urgentTargetMs = shortestUrgentTargetMs(scope, request.service);
-  if (waitMs <= urgentTargetMs * MIN_QUEUE_SHARE) return undefined;
-  const until = arrivedAt + route.targetLatencyMs * MAX_HELD_SHARE -
+  const excessMs = waitMs - urgentTargetMs * MIN_QUEUE_SHARE;
+  if (excessMs <= 0) return undefined;
+  const now = clock.now();
+  const latest = arrivedAt + route.targetLatencyMs * MAX_HELD_SHARE -
     predictedMs;
-  return until > clock.now() ? until : undefined;
+  // The replica still has work when the excess has been worked off.
+  return latest > now ? Math.min(latest, now + excessMs) : undefined;
 }
 
 /** Shortest target of the more urgent routes of a service; Infinity if none. */
--- a/packages/gateway/src/waiting_room.ts
+++ b/packages/gateway/src/waiting_room.ts
@@ -50,6 +50,8 @@
 const MAX_WAITING_BYTES = 32 * 1024 * 1024;
 /** Interval at which the first requests are looked at without a change, in ms. */
 const RECHECK_INTERVAL_MS = 60;
+/** Shortest such interval, if the time of one of them comes before, in ms. */
+const MIN_CHECK_INTERVAL_MS = 5;
 /** Interval at which all others are, in ms. */
 const RECHECK_ALL_INTERVAL_MS = 250;
 /** Retry-after of requests that were shed, as a share of their wait. */
@@ -187,8 +189,11 @@
     const { clock, replicaPauses, replicaTracker } = this.#ctx;
     const now = clock.now();
     let inMs = RECHECK_INTERVAL_MS;
-    for (const { leavesAt } of this.#queue.items) {
-      if (leavesAt > now) inMs = Math.min(inMs, leavesAt - now);
+    for (const { leavesAt, value: { heldUntil } } of this.#queue.items) {
+      for (const at of [leavesAt, heldUntil]) {
+        if (at <= now) continue;
+        inMs = Math.min(inMs, Math.max(MIN_CHECK_INTERVAL_MS, at - now));
+      }
     }
     if (replicaPauses.isEmpty) return inMs;
     for (const server of replicaTracker.servers.values()) {
