Evacuations: the operators' client shows them and cold replicas

Operators had log lines and metrics only, by gateway. A gateway serves a report of bounded length at /evacuations of its metrics port, and the command `banyanspool evacuations ADDRESS` prints it: since when, known by which gateways, requests refused, models that only the data centre holds; cold replicas with time left, limit and permits issued. Names are printed without control characters.

Tests: npx ava packages/gateway/src/evacuation packages/cli/src/evacuation_report_test.ts, the first with a gateway and the client as processes.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -9,6 +9,7 @@
 import { ConfigHistoryCommand } from "./commands/config_history.ts";
 import { ConfigShowCommand } from "./commands/config_show.ts";
 import { ConfigStatusCommand } from "./commands/config_status.ts";
+import { EvacuationsCommand } from "./commands/evacuations.ts";
 import { KeysGrantCommand } from "./commands/keys_grant.ts";
 import { KeysWithdrawCommand } from "./commands/keys_withdraw.ts";
 import { LogsCausesCommand } from "./commands/logs_causes.ts";
@@ -26,6 +27,7 @@
   ConfigHistoryCommand,
   ConfigShowCommand,
   ConfigStatusCommand,
+  EvacuationsCommand,
   KeysGrantCommand,
   KeysWithdrawCommand,
   LogsCausesCommand,
--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -3,6 +3,7 @@
 import type { Refusal, Result, Route } from "@banyanspool/types";
 import { err, ok, refuse } from "@banyanspool/types";
 import type { GatewayContext } from "./context.ts";
+import { recordEvacuationRefusal } from "./evacuation/record_evacuation_refusal.ts";
 import { jitterRetryAfter } from "./refusals.ts";
 import { claimPermit, type PermitClaim, takePermit } from "./replica_permit.ts";
 import { refuseQuarantined } from "./refuse_quarantined.ts";
@@ -345,10 +346,13 @@
 
 /** Refuses at once a request that may go to no replica of its service. */
 function refuseBarred(
-  { metrics, random }: GatewayContext,
-  { service, allowedRegions = [] }: SelectionRequest,
+  ctx: GatewayContext,
+  request: SelectionRequest,
 ): Refusal {
+  const { metrics, random } = ctx;
+  const { service, allowedRegions = [] } = request;
   const binds = allowedRegions.length > 0;
+  recordEvacuationRefusal(ctx, request);
   metrics.barredRequests.inc({ regions: binds ? "bound" : "any" });
   return refuse(
     "no_allowed_replica",
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -14,6 +14,7 @@
 import type { BackendServer, Clock, Random, Sleep } from "@banyanspool/types";
 import type { ConnectionPools } from "./connection_pools.ts";
 import type { CrashWatch } from "./crash_watch.ts";
+import type { EvacuationRecords } from "./evacuation/evacuation_records.ts";
 import type { Evacuations } from "./evacuation/evacuations.ts";
 import type { ExpectedModels } from "./expected_models.ts";
 import type { FleetState } from "./fleet_state.ts";
@@ -34,6 +35,10 @@
   readonly replicaTracker: ReplicaTracker;
   /** Data centres to whose replicas nothing may be sent. */
   readonly evacuations: Evacuations;
+  /** What operators are told of the evacuations in force. */
+  readonly evacuationRecords: EvacuationRecords;
+  /** Region of each data centre. */
+  readonly regions: Readonly<Record<string, string>>;
   /** Limits of replicas that are cold. */
   readonly coldReplicas: ColdReplicas;
   /** Limits that replicas name in their responses. */
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -27,6 +27,7 @@
 import type { GatewayContext } from "./context.ts";
 import { CrashWatch, tryConnect } from "./crash_watch.ts";
 import { findBar } from "./evacuation/allowed_replicas.ts";
+import { EvacuationRecords } from "./evacuation/evacuation_records.ts";
 import { Evacuations } from "./evacuation/evacuations.ts";
 import { ExpectedModels } from "./expected_models.ts";
 import type { FleetState } from "./fleet_state.ts";
@@ -141,8 +142,11 @@
     onPause: (replica, forMs) =>
       log.write("replica paused", { replica, for_ms: Math.round(forMs) }),
   });
+  const regions = cfg.regions ?? {};
+  const evacuationRecords = EvacuationRecords.create({ clock });
   const evacuations = Evacuations.create({
     onChange: (dataCentre, isEvacuated) => {
+      evacuationRecords.recordChange(dataCentre, isEvacuated);
       metrics.recordEvacuation(dataCentre, isEvacuated);
       const replicas = [...replicaTracker.servers.values()]
         .filter((server) => server.dataCentre === dataCentre).length;
@@ -172,7 +176,7 @@
       replicaPauses.admits(incarnationOf(server), waiting),
     allows: (server, request) =>
       findBar(request, {
-        regions: cfg.regions ?? {},
+        regions,
         isEvacuated: (dataCentre) => evacuations.isEvacuated(dataCentre),
         server,
       }) === undefined,
@@ -184,6 +188,8 @@
     fleet,
     replicaTracker,
     evacuations,
+    evacuationRecords,
+    regions,
     coldReplicas,
     replicaLimits,
     replicaPermits,
--- a/packages/gateway/src/evacuation/evacuations.ts
+++ b/packages/gateway/src/evacuation/evacuations.ts
@@ -66,9 +66,14 @@
     return this.#facts.get(dataCentre)?.removed === false;
   }
 
+  /** The evacuations in force. */
+  get inForce(): EvacuationFact[] {
+    return [...this.#facts.values()].filter(({ removed }) => !removed);
+  }
+
   /** Data centres that are evacuated. */
   get dataCentres(): string[] {
-    return [...this.#facts.keys()].filter((name) => this.isEvacuated(name));
+    return this.inForce.map(({ dataCentre }) => dataCentre);
   }
 
   /**
--- a/packages/gateway/src/fleet_exchange.ts
+++ b/packages/gateway/src/fleet_exchange.ts
@@ -251,6 +251,7 @@
     );
     const present = new Set(this.#peers.peers.map(({ instance }) => instance));
     this.#demand.retain(present);
+    this.#options.ctx.evacuationRecords.retain(present);
     for (const instance of this.#knownByPeer.keys()) {
       if (!present.has(instance)) this.#knownByPeer.delete(instance);
     }
@@ -517,7 +518,13 @@
         ]),
       ),
     });
-    ctx.evacuations.applyReport(decodeEvacuations(state));
+    const evacuations = decodeEvacuations(state);
+    ctx.evacuations.applyReport(evacuations);
+    ctx.evacuationRecords.recordReport(
+      state.instance,
+      state.incarnation,
+      evacuations,
+    );
     ctx.replicaLimits.applyReport(state.replicaLimits);
     if (ctx.quarantine.applyReport(decodeQuarantineReport(state))) {
       // This gateway may be able to clear parts that were in flight.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import { watchConfiguration } from "./configuration_watch.ts";
 import type { GatewayContext } from "./context.ts";
 import { createContext } from "./create_context.ts";
+import { buildEvacuationReport } from "./evacuation/evacuation_status.ts";
 import { applyEvacuationRows } from "./evacuation/evacuation_rows.ts";
 import { EngineController } from "./engine_controller.ts";
 import { FleetState } from "./fleet_state.ts";
@@ -256,6 +257,12 @@
         metrics,
         log,
         clock: this.#ctx.clock,
+        evacuationReport: () =>
+          buildEvacuationReport(this.#ctx, {
+            instance: cfg.instance,
+            liveGateways: this.#exchange.liveGateways
+              .map(({ instance }) => instance),
+          }),
       }),
     );
     const { host, port } = splitAddress(cfg.public_listen);
--- a/packages/gateway/src/status_servers.ts
+++ b/packages/gateway/src/status_servers.ts
@@ -9,6 +9,7 @@
 import { READINESS_PATH } from "@banyanspool/platform-adapter";
 import { splitAddress } from "@banyanspool/settings";
 import type { Clock } from "@banyanspool/types";
+import type { EvacuationReport } from "./evacuation/evacuation_status.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 
 /** A running server of readiness or metrics. */
@@ -37,13 +38,17 @@
   readonly log: EventLog;
   /** Time source. */
   readonly clock: Clock;
+  /** What operators are told of evacuations and cold replicas. */
+  readonly evacuationReport: () => EvacuationReport;
 }
 
 const MAX_HEAD_BYTES = 8 * 1024;
 const MAX_HEAD_FIELDS = 64;
 /** Time for a request and its answer, in ms. */
 const MAX_CONNECTION_AGE_MS = 5000;
-/** Time for which the text of the metrics is served again, in ms. */
+/** Path of the report of evacuations and cold replicas at the metrics port. */
+const EVACUATION_REPORT_PATH = "/evacuations";
+/** Time for which the metrics, or the report, are served again, in ms. */
 const METRICS_AGE_MS = 1000;
 
 /**
@@ -64,15 +69,28 @@
   });
 }
 
-/** Starts the server of the metrics in Prometheus' text format. */
+/**
+ * Starts the server of the metrics in Prometheus' text format, and of the report
+ * of evacuations and cold replicas as JSON.
+ */
 export async function startMetricsServer(
   address: string,
   options: MetricsServerOptions,
 ): Promise<StatusServer> {
-  const { metrics, log, clock } = options;
+  const { metrics, log, clock, evacuationReport } = options;
   let text = Promise.resolve("");
   let textAt = -Infinity;
-  return await startStatusServer(address, options, async (_req, res) => {
+  let report = "";
+  let reportAt = -Infinity;
+  return await startStatusServer(address, options, async (req, res) => {
+    if (req.url === EVACUATION_REPORT_PATH) {
+      if (clock.now() - reportAt >= METRICS_AGE_MS) {
+        reportAt = clock.now();
+        report = JSON.stringify(evacuationReport());
+      }
+      res.writeHead(200, { "content-type": "application/json" }).end(report);
+      return;
+    }
     if (clock.now() - textAt >= METRICS_AGE_MS) {
       textAt = clock.now();
       metrics.droppedLines.set(log.dropped());
--- a/packages/replica-limits/src/cold_replicas.ts
+++ b/packages/replica-limits/src/cold_replicas.ts
@@ -82,6 +82,13 @@
       .filter((entry) => this.#untilOf(entry) > now).length;
   }
 
+  /** Time for which a replica stays cold, in ms; 0 if it isn't. */
+  leftMs(replica: string): number {
+    const entry = this.#entries.get(replica);
+    if (!entry || !this.hasLimits) return 0;
+    return Math.max(0, this.#untilOf(entry) - this.#options.clock.now());
+  }
+
   /** Limit of a replica, in requests a second; undefined if it has none. */
   limitOf(replica: string): number | undefined {
     const entry = this.#entries.get(replica);
--- a/packages/replica-limits/src/permit_schedule.ts
+++ b/packages/replica-limits/src/permit_schedule.ts
@@ -66,6 +66,8 @@
 /** Longest time ahead for which permits are promised, in ms. */
 const MAX_PROMISE_MS = 10_000;
 const MAX_PROMISES = 64;
+/** Permits that are counted for operators. */
+const MAX_COUNTED = 1000;
 /** One of this many permits in turn is promised to an organisation at most. */
 const MIN_PLACES = 2;
 
@@ -80,6 +82,8 @@
   readonly #usage: Map<string, Usage> = new Map();
   /** In order of time. */
   #promises: PermitPromise[] = [];
+  /** Times of the permits of the last second. */
+  #issuedAt: number[] = [];
   #ratePerS = 0;
   #permits = 0;
   #updatedAt: number;
@@ -97,6 +101,12 @@
     return new PermitSchedule(clock);
   }
 
+  /** Permits issued in the last second; at most 1,000 are counted. */
+  get issuedLately(): number {
+    const since = this.#clock.now() - MS_PER_S;
+    return this.#issuedAt.filter((at) => at > since).length;
+  }
+
   /** Takes a permit, at a rate that may differ from that of the last call. */
   take(
     permitClass: PermitClass,
@@ -210,6 +220,7 @@
     now: number,
   ): PermitResult {
     this.#permits -= 1;
+    this.#recordIssued(now);
     const usage = this.#usageOf(organisation, now);
     usage.cost += 1 / weightOf(priority);
     usage.requestedAt = now;
@@ -217,6 +228,12 @@
     return GRANTED;
   }
 
+  #recordIssued(now: number): void {
+    this.#issuedAt.push(now);
+    const isOld = this.#issuedAt[0]! <= now - MS_PER_S;
+    if (isOld || this.#issuedAt.length > MAX_COUNTED) this.#issuedAt.shift();
+  }
+
   #deny(
     { organisation }: PermitRequester,
     now: number,
--- a/packages/replica-limits/src/replica_permits.ts
+++ b/packages/replica-limits/src/replica_permits.ts
@@ -228,8 +228,18 @@
     }
   }
 
+  /** Limit of a replica, in requests a second; undefined if it has none. */
+  limitOf(replica: string): number | undefined {
+    return this.#options.limitOf(replica);
+  }
+
+  /** Permits that this gateway issued for a replica in the last second. */
+  issuedLately(replica: string): number {
+    return this.#schedules.get(replica)?.issuedLately ?? 0;
+  }
+
   /** The first gateway in the ranking that reports; this one at the latest. */
-  #issuerOf(replica: string): string {
+  issuerOf(replica: string): string {
     const { instance, issuersOf, isResponsive } = this.#options;
     const issuer = issuersOf(replica).find((candidate) =>
       candidate === instance || isResponsive(candidate)
@@ -243,7 +253,7 @@
     const { instance, limitOf } = this.#options;
     const ratePerS = limitOf(query.replica);
     if (ratePerS === undefined) return GRANTED;
-    const issuer = this.#issuerOf(query.replica);
+    const issuer = this.issuerOf(query.replica);
     return issuer === instance
       ? this.#issue({ ...query, ratePerS })
       : await this.#query(issuer, { ...query, ratePerS });
@@ -252,7 +262,7 @@
   #answer(query: PermitQuery): PermitResult {
     const { instance, limitOf } = this.#options;
     // Both gateways must agree on the issuer, or two would issue permits.
-    if (this.#issuerOf(query.replica) !== instance) {
+    if (this.issuerOf(query.replica) !== instance) {
       return { granted: false, retryInMs: OTHER_ISSUER_RETRY_MS };
     }
     const ratePerS = limitOf(query.replica) ?? query.ratePerS;
