Placement: models that only an evacuated data centre holds come first

A model that lost its last usable replica to an evacuation was ranked by its demand among all copies, so that loads of copies went before it while all its callers were refused. The planning round now names those that callers ask for as needs, which come before copies and displace no model at its least number.

--- a/packages/gateway/src/evacuation/evacuation_status.ts
+++ b/packages/gateway/src/evacuation/evacuation_status.ts
@@ -71,7 +71,7 @@
   options: EvacuationReportOptions,
 ): EvacuationReport {
   const facts = ctx.evacuations.inForce;
-  const modelsHeldOnly = findModelsHeldOnly(ctx);
+  const modelsHeldOnly = listModelsByDataCentre(ctx);
   return {
     gateway: options.instance,
     evacuations: mapFirst(
@@ -112,6 +112,30 @@
   };
 }
 
+/** Models that only evacuated data centres hold, as `service/model`. */
+function listModelsByDataCentre(
+  { evacuations, fleet, replicaTracker }: GatewayContext,
+): Map<string, string[]> {
+  const byDataCentre = new Map<string, string[]>();
+  const services = fleet.activeConfiguration?.configuration.services;
+  for (const [service, { engine }] of services ?? []) {
+    if (!engine) continue;
+    const held = findModelsHeldOnly(engine.models.keys(), {
+      servers: [...replicaTracker.servers.values()]
+        .filter((server) => server.service === service),
+      isEvacuated: (dataCentre) => evacuations.isEvacuated(dataCentre),
+      replicaTracker,
+    });
+    for (const [model, dataCentres] of held) {
+      for (const dataCentre of dataCentres) {
+        const names = byDataCentre.get(dataCentre) ?? [];
+        byDataCentre.set(dataCentre, [...names, `${service}/${model}`]);
+      }
+    }
+  }
+  return byDataCentre;
+}
+
 function listColdReplicas(
   { replicaTracker, coldReplicas, replicaPermits }: GatewayContext,
   instance: string,
--- a/packages/gateway/src/evacuation/models_held_only.ts
+++ b/packages/gateway/src/evacuation/models_held_only.ts
@@ -1,37 +1,66 @@
-import type { GatewayContext } from "../context.ts";
+import type { ReplicaTracker } from "@banyanspool/routing";
+import type { BackendServer } from "@banyanspool/types";
+import type { FleetDemand } from "../placement_models.ts";
+import type { StreamNeed } from "../waiting_request_counts.ts";
+
+/** Demand that a waiting request stands for, in replicas kept busy. */
+const REPLICAS_PER_WAITING_REQUEST = 0.05;
+
+/** Options of {@link findModelsHeldOnly}. */
+export interface HeldOnlyOptions {
+  /** Replicas of a service. */
+  readonly servers: readonly BackendServer[];
+  /** Whether nothing may be sent to the replicas of a data centre. */
+  readonly isEvacuated: (dataCentre: string) => boolean;
+  /** Knows what each replica has. */
+  readonly replicaTracker: Pick<ReplicaTracker, "isAvailable">;
+}
 
 /**
- * The models that only an evacuated data centre holds, as `service/model`, by
- * data centre. A model that two evacuated ones hold is listed for both.
+ * Finds the models that only evacuated data centres hold. Returns the data
+ * centres that hold each.
  */
 export function findModelsHeldOnly(
-  { evacuations, fleet, replicaTracker }: GatewayContext,
-): Map<string, string[]> {
-  const held = new Map<string, string[]>();
-  if (evacuations.inForce.length === 0) return held;
-  const services = fleet.activeConfiguration?.configuration.services;
-  for (const [service, { engine }] of services ?? []) {
-    if (!engine) continue;
-    const servers = [...replicaTracker.servers.values()]
-      .filter((server) => server.service === service);
-    const isEvacuated = ({ dataCentre }: { dataCentre: string }) =>
-      evacuations.isEvacuated(dataCentre);
-    const inside = servers.filter(isEvacuated);
-    const outside = servers.filter((server) =>
-      !server.draining && !isEvacuated(server)
-    );
-    for (const model of engine.models.keys()) {
-      const holders = inside.filter((server) =>
-        replicaTracker.isAvailable(server, model)
-      );
-      if (holders.length === 0) continue;
-      if (outside.some((s) => replicaTracker.isAvailable(s, model))) continue;
-      for (const dataCentre of new Set(holders.map((s) => s.dataCentre))) {
-        const names = held.get(dataCentre) ?? [];
-        names.push(`${service}/${model}`);
-        held.set(dataCentre, names);
-      }
-    }
+  models: Iterable<string>,
+  { servers, isEvacuated, replicaTracker }: HeldOnlyOptions,
+): Map<string, Set<string>> {
+  const held = new Map<string, Set<string>>();
+  const inside = servers.filter(({ dataCentre }) => isEvacuated(dataCentre));
+  if (inside.length === 0) return held;
+  const outside = servers.filter(({ draining, dataCentre }) =>
+    !draining && !isEvacuated(dataCentre)
+  );
+  for (const model of models) {
+    const hasModel = (server: BackendServer) =>
+      replicaTracker.isAvailable(server, model);
+    const holders = inside.filter(hasModel);
+    if (holders.length === 0 || outside.some(hasModel)) continue;
+    held.set(model, new Set(holders.map(({ dataCentre }) => dataCentre)));
   }
   return held;
 }
+
+/**
+ * What placement loads before all copies: of models that no replica has left
+ * those that callers ask for, the most wanted first.
+ */
+export function listUrgentNeeds(
+  models: Iterable<string>,
+  demand: ReadonlyMap<string, FleetDemand>,
+): StreamNeed[] {
+  const wanted = new Map([...models].map((model) => [model, 0]));
+  for (const [name, entry] of demand) {
+    const model = name.split("/")[0]!;
+    const before = wanted.get(model);
+    if (before !== undefined) wanted.set(model, before + valueOf(entry));
+  }
+  return [...wanted]
+    .filter(([, value]) => value > 0)
+    .sort(([, a], [, b]) => b - a)
+    .map(([name]) => ({ name }));
+}
+
+function valueOf({ fastReplicas, slowReplicas, waiting }: FleetDemand): number {
+  return Math.max(fastReplicas, slowReplicas) +
+    waiting * REPLICAS_PER_WAITING_REQUEST;
+}
--- a/packages/gateway/src/placement_controller.ts
+++ b/packages/gateway/src/placement_controller.ts
@@ -4,6 +4,10 @@
 import { AdapterScheduler } from "./adapter_scheduler.ts";
 import type { EngineController } from "./engine_controller.ts";
 import type { FleetState } from "./fleet_state.ts";
+import {
+  findModelsHeldOnly,
+  listUrgentNeeds,
+} from "./evacuation/models_held_only.ts";
 import { ModelScheduler } from "./model_scheduler.ts";
 import type { FleetDemand } from "./placement_models.ts";
 import type { StreamNeed } from "./waiting_request_counts.ts";
@@ -46,10 +50,15 @@
   readonly #options: PlacementControllerOptions;
   readonly #modelScheduler: ModelScheduler;
   readonly #adapterScheduler: AdapterScheduler;
+  /** Models of the service in hand that only evacuated replicas hold. */
+  #urgentNeeds: readonly StreamNeed[] = [];
 
   private constructor(options: PlacementControllerOptions) {
     this.#options = options;
-    this.#modelScheduler = ModelScheduler.create(options);
+    this.#modelScheduler = ModelScheduler.create({
+      ...options,
+      streamNeeds: () => [...options.streamNeeds(), ...this.#urgentNeeds],
+    });
     this.#adapterScheduler = AdapterScheduler.create({
       ...options,
       hasMoveInProgress: (replica) =>
@@ -106,10 +115,17 @@
     if (!this.#options.hasFleetDemand()) return;
     for (const [name, { engine }] of services) {
       if (!engine) continue;
-      const servers = [...replicas.values()]
-        .filter(({ service, dataCentre }) =>
-          service === name && !this.#options.isEvacuated(dataCentre)
-        );
+      const { isEvacuated, demand } = this.#options;
+      const listed = [...replicas.values()]
+        .filter(({ service }) => service === name);
+      const servers = listed
+        .filter(({ dataCentre }) => !isEvacuated(dataCentre));
+      const heldOnly = findModelsHeldOnly(engine.models.keys(), {
+        servers: listed,
+        isEvacuated,
+        replicaTracker,
+      });
+      this.#urgentNeeds = listUrgentNeeds(heldOnly.keys(), demand());
       // An engine accepts no adapter while it loads a model, which takes
       // seconds, so adapters go first.
       this.#adapterScheduler.plan(engine, servers);
