Cold replicas: gateways that return together don't settle for two seconds

After a loss of power all replicas are cold and all gateways have just started, and no gateway issued permits for two seconds. A gateway whose row was in the member table at its first read knows all that ran before, and issues once each of them reports. One without an earlier row settles as before.

The property test of the sum over all gateways plays returning gateways with 5 in faults and 1, 4, 30 and 100 clean, and three sides of a cut; a planted gateway that doesn't wait is found (npx ava packages/bench/src/cold_replica_simulation_test.ts).

--- a/packages/bench/src/cold_replica_simulation_test.ts
+++ b/packages/bench/src/cold_replica_simulation_test.ts
@@ -74,6 +74,62 @@
   t.true(worst <= ALLOWED, `${worst} requests`);
 });
 
+test("no faults send a cold replica more than it takes from gateways that issue once they have heard all others", async (t) => {
+  const worst = await findWorst({ ...COLD, gateways: 5, heardShare: 1 });
+  t.true(worst <= ALLOWED, `${worst} requests`);
+});
+
+for (const gateways of [1, 4, 30, 100]) {
+  // A start of all after a loss of power: requests were refused for two seconds.
+  test(`${gateways} gateways that return together serve from a cold replica within the first second, and no more than it takes`, async (t) => {
+    const scenario = {
+      ...COLD,
+      gateways,
+      firstGatewayShare: 1 / gateways,
+      heardShare: 1,
+    };
+    const early = await simulateReplicaLimit({ ...scenario, durationMs: 1000 });
+    t.true(early.worstWindowOfAll > 0);
+    const { worstWindowOfAll } = await simulateReplicaLimit(scenario);
+    t.true(worstWindowOfAll <= ALLOWED, `${worstWindowOfAll} requests`);
+  });
+}
+
+for (const coldPerS of [COLD_PER_S, 60]) {
+  test(`three sides of a cut send a cold replica that takes ${coldPerS} a second no more than that`, async (t) => {
+    const faults = [0, 1].map((gateway) => ({
+      kind: "cut" as const,
+      gateway,
+      atMs: 3000,
+      forMs: 4000,
+    }));
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const { worstWindowOfAll } = await simulateReplicaLimit({
+        ...COLD,
+        limitPerS: coldPerS * ISSUED_SHARE,
+        requestsPerS: 400,
+        faults,
+        heardShare: 1,
+        seed,
+      });
+      const allowed = 1.5 * coldPerS + 5;
+      t.true(worstWindowOfAll <= allowed, `${worstWindowOfAll} requests`);
+    }
+  });
+}
+
+test("the simulation finds gateways that return and don't wait for the others", async (t) => {
+  const { worstWindowOfAll } = await simulateReplicaLimit({
+    ...COLD,
+    gateways: 100,
+    firstGatewayShare: 1 / 100,
+    heardShare: 0,
+    learnMs: 6000,
+    requestsPerS: 2000,
+  });
+  t.true(worstWindowOfAll > ALLOWED, `${worstWindowOfAll} requests`);
+});
+
 test("the simulation finds gateways that issue before they know each other", async (t) => {
   const { worstWindowOfAll } = await simulateReplicaLimit({
     ...COLD,
--- a/packages/bench/src/replica_limit_simulation.ts
+++ b/packages/bench/src/replica_limit_simulation.ts
@@ -52,6 +52,11 @@
   readonly learnMs?: number;
   /** Time after its start in which a gateway issues no permits, in ms. */
   readonly settleMs?: number;
+  /**
+   * Share of the others from which a gateway must have heard to issue permits in
+   * that time; it issues none by default.
+   */
+  readonly heardShare?: number;
 }
 
 /** What the replica got. */
@@ -103,6 +108,7 @@
   /** When each gateway's process started. */
   readonly #startedAt: number[] = [];
   readonly #arrivals: Arrival[] = [];
+  readonly #learnShares: Map<number, Map<number, number>> = new Map();
   #requests = 0;
   #messages = 0;
 
@@ -184,7 +190,8 @@
       instance: this.#names[self]!,
       limitOf: () => this.#scenario.limitPerS,
       mayIssue: () =>
-        this.#time.now - startedAt >= (this.#scenario.settleMs ?? 0),
+        this.#time.now - startedAt >= (this.#scenario.settleMs ?? 0) ||
+        this.#hasHeardEnough(self),
       issuersOf: (replica) =>
         rankByAffinity(
           replica,
@@ -208,6 +215,24 @@
     });
   }
 
+  #hasHeardEnough(self: number): boolean {
+    const { heardShare } = this.#scenario;
+    if (heardShare === undefined) return false;
+    const heard = this.#names.filter((_, peer) =>
+      this.#silenceOf(self, peer) < UNRESPONSIVE_MS
+    );
+    return heard.length >= heardShare * this.#names.length;
+  }
+
+  /** Share of the time to learn that passes until one gateway hears another. */
+  #learnShare(self: number, peer: number): number {
+    const pairs = this.#learnShares.get(self) ?? new Map<number, number>();
+    this.#learnShares.set(self, pairs);
+    const share = pairs.get(peer) ?? this.#random();
+    pairs.set(peer, share);
+    return share;
+  }
+
   #send(from: number, to: number, message: PermitMessage): void {
     this.#messages += 1;
     if (this.#random() < this.#scenario.lostShare) return;
@@ -223,7 +248,13 @@
     if (self === peer) return 0;
     const now = this.#time.now;
     const { learnMs = 0 } = this.#scenario;
-    if (now - (this.#startedAt[self] ?? 0) < learnMs) return Infinity;
+    const { heardShare } = this.#scenario;
+    const learnShare = heardShare === undefined
+      ? 1
+      : this.#learnShare(self, peer);
+    if (now - (this.#startedAt[self] ?? 0) < learnMs * learnShare) {
+      return Infinity;
+    }
     let silentSince = now;
     for (const { kind, gateway, atMs, forMs } of this.#scenario.faults) {
       const isOfPair = gateway === peer ||
--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -50,6 +50,8 @@
   readonly fleet: FleetState;
   /** Number of gateways that reported lately, including this one. */
   readonly liveCount: () => number;
+  /** Whether this gateway knows all others, though it may have just started. */
+  readonly knowsOthers: () => boolean;
   /** Live gateways, including this one. */
   readonly liveGateways: () => readonly RankedGateway[];
   /** Whether a replica is listed and not draining. */
@@ -114,6 +116,7 @@
       if (spec?.coldPerS === undefined) return undefined;
       return { coldStartMs: spec.coldStartMs ?? 0, coldPerS: spec.coldPerS };
     },
+    knowsOthers: options.knowsOthers,
     onCold: (replica, forMs) =>
       log.write("replica cold", { replica, for_ms: Math.round(forMs) }),
     onImplausible: (replica, coldForMs) =>
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import { FleetExchange } from "./fleet_exchange.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { SharedReadSchedule } from "./shared_read_schedule.ts";
+import { KnownMembers } from "./known_members.ts";
 import { leaveMembership, maintainMembership } from "./member_table.ts";
 import { PlacementController } from "./placement_controller.ts";
 import { PublicServer } from "./public_server.ts";
@@ -86,6 +87,7 @@
   readonly #freshness: ConfigurationFreshness;
   readonly #restoredSignal: ChangeSignal = ChangeSignal.create();
   readonly #strangerSignal: ChangeSignal = ChangeSignal.create();
+  readonly #knownMembers: KnownMembers;
   #isMembershipKnown = false;
   readonly #servers: StatusServer[] = [];
   #isClosed = false;
@@ -126,7 +128,13 @@
       rivalClock: clock,
       isFirstStart: cfg.first_start,
     });
+    this.#knownMembers = KnownMembers.create({
+      instance: cfg.instance,
+      host,
+      isResponsive: (instance) => this.#exchange.isResponsive(instance),
+    });
     this.#ctx = createContext({
+      knowsOthers: () => this.#knownMembers.hasHeardAll,
       cfg,
       clock,
       log,
@@ -390,8 +398,9 @@
           isStopping: () => fleet.isStopping,
           restoredSignal: this.#restoredSignal,
           strangerSignal: this.#strangerSignal,
-          onRead: (hasSucceeded) => {
-            this.#isMembershipKnown = hasSucceeded;
+          onRead: (hosts) => {
+            this.#isMembershipKnown = hosts !== undefined;
+            if (hosts) this.#knownMembers.recordRead(hosts);
           },
           log,
           onMember: (instance, host) => this.#exchange.addPeer(instance, host),
--- a/packages/gateway/src/member_table.ts
+++ b/packages/gateway/src/member_table.ts
@@ -18,8 +18,8 @@
   readonly restoredSignal: ChangeSignal;
   /** Notified when a datagram comes from an address that isn't known. */
   readonly strangerSignal: ChangeSignal;
-  /** Called after each read with whether it succeeded. */
-  readonly onRead?: (hasSucceeded: boolean) => void;
+  /** Called after each read with the hosts by instance, undefined if it failed. */
+  readonly onRead?: (hosts: ReadonlyMap<string, string> | undefined) => void;
   /** Structured log. */
   readonly log: EventLog;
   /** Called with each other gateway that has a row, at every read. */
@@ -65,7 +65,7 @@
     const stranger = strangerSignal.wait(2 * READ_INTERVAL_MS, roundSignal);
     try {
       const hosts = await readMembers(options);
-      options.onRead?.(hosts !== undefined);
+      options.onRead?.(hosts);
       if (hosts) {
         const found = JSON.stringify([...hosts].sort());
         strangerGapMs = isEarly && found === known
--- a/packages/replica-limits/src/cold_replicas.ts
+++ b/packages/replica-limits/src/cold_replicas.ts
@@ -18,6 +18,8 @@
   readonly clock: Clock;
   /** What cold replicas of a service take; undefined for no limit. */
   readonly limitOfService: (service: string) => ColdLimit | undefined;
+  /** Whether this gateway knows all others; not known by default. */
+  readonly knowsOthers?: () => boolean;
   /** Called when a replica becomes cold, with the time that is left, in ms. */
   readonly onCold: (replica: string, forMs: number) => void;
   /** Called with a cold time that is replaced by the nearest possible one. */
@@ -102,11 +104,12 @@
 
   /**
    * Whether this gateway may issue permits of a replica. One that has just started
-   * may take itself for the only one.
+   * may take itself for the only one, unless it knows all others.
    */
   mayIssue(replica: string): boolean {
     return this.limitOf(replica) === undefined ||
-      this.#options.clock.now() - this.#startedAt >= SETTLE_MS;
+      this.#options.clock.now() - this.#startedAt >= SETTLE_MS ||
+      this.#options.knowsOthers?.() === true;
   }
 
   /** Applies the listed replicas; forgets others. */
--- a/packages/replica-limits/src/cold_replicas_test.ts
+++ b/packages/replica-limits/src/cold_replicas_test.ts
@@ -24,7 +24,9 @@
 }
 
 /** A gateway that has a list already, at the start of a replica. */
-function create({ first = [row({ id: "i-0" })] } = {}) {
+function create(
+  { first = [row({ id: "i-0" })], knowsOthers = false } = {},
+) {
   let now = 0;
   const implausible: number[] = [];
   const cold = ColdReplicas.create({
@@ -33,6 +35,7 @@
       service === "pool"
         ? { coldStartMs: COLD_START_MS, coldPerS: COLD_PER_S }
         : undefined,
+    knowsOthers: () => knowsOthers,
     onCold: () => {},
     onImplausible: (_replica, ms) => implausible.push(ms),
   });
@@ -153,3 +156,10 @@
   pass(2000);
   t.true(cold.mayIssue(REPLICA));
 });
+
+// After a loss of power all replicas are cold, and all gateways have just started.
+test("a gateway that has just started issues permits if it knows all others", (t) => {
+  const { cold } = create({ knowsOthers: true });
+  cold.update([row()]);
+  t.true(cold.mayIssue(REPLICA));
+});
