Tests: evacuations and cold replicas over restores, cuts, restarts, two operators and clock steps

An evacuation known from an old epoch, one taken back while a gateway is cut off, two operators at once, a restart in the middle of a cold time, and steps of the wall clock had no test.

--- a/packages/gateway/src/evacuation/evacuations_test.ts
+++ b/packages/gateway/src/evacuation/evacuations_test.ts
@@ -81,6 +81,44 @@
   t.false(evacuations.isEvacuated("north"));
 });
 
+test("a gateway that read a restored store is told an evacuation of the old epoch that the copy lacks", (t) => {
+  const before = create().evacuations;
+  before.applyRows([set(5)], 1);
+  before.applyTable([], { epoch: 2, version: 4 });
+  const { evacuations } = create();
+  evacuations.applyTable([], { epoch: 2, version: 4 });
+  t.true(evacuations.applyReport(before.report()));
+  t.true(evacuations.isEvacuated("north"));
+  evacuations.applyRows([set(6)], 2);
+  evacuations.applyRows([removed(7)], 2);
+  t.false(evacuations.isEvacuated("north"));
+  t.false(evacuations.applyReport(before.report()), "it is older");
+});
+
+test("an evacuation that is taken back while a gateway is cut off ends there with the first report, also over a restore", (t) => {
+  const cutOff = create().evacuations;
+  const { evacuations } = create();
+  for (const each of [cutOff, evacuations]) each.applyRows([set(5)], 1);
+  const reportBefore = cutOff.report();
+  evacuations.applyRows([removed(9)], 1);
+  evacuations.applyTable([set(5)], { epoch: 2, version: 6 });
+  t.false(evacuations.applyReport(reportBefore));
+  t.true(cutOff.applyReport(evacuations.report()));
+  t.false(cutOff.isEvacuated("north"));
+});
+
+test("of two operators that evacuate two data centres, one takes one back while the other's is halfway to the gateways", (t) => {
+  const first = create().evacuations;
+  const second = create().evacuations;
+  first.applyRows([set(5), set(6, "south")], 1);
+  second.applyRows([set(5)], 1);
+  second.applyRows([removed(7)], 1);
+  const reports = [first.report(), second.report()];
+  first.applyReport(reports[1]!);
+  second.applyReport(reports[0]!);
+  for (const each of [first, second]) t.deepEqual(each.dataCentres, ["south"]);
+});
+
 test("removed rows are forgotten, evacuations aren't", (t) => {
   const { evacuations } = create();
   evacuations.applyRows([set(1)], 1);
--- a/packages/replica-limits/src/cold_replicas_test.ts
+++ b/packages/replica-limits/src/cold_replicas_test.ts
@@ -28,9 +28,10 @@
   { first = [row({ id: "i-0" })], knowsOthers = false } = {},
 ) {
   let now = 0;
+  let wallOffset = 0;
   const implausible: number[] = [];
   const cold = ColdReplicas.create({
-    clock: { now: () => now, wall: () => BORN + now },
+    clock: { now: () => now, wall: () => BORN + now + wallOffset },
     limitOfService: (service) =>
       service === "pool"
         ? { coldStartMs: COLD_START_MS, coldPerS: COLD_PER_S }
@@ -40,7 +41,12 @@
     onImplausible: (_replica, ms) => implausible.push(ms),
   });
   cold.update(first);
-  return { cold, implausible, pass: (ms: number) => now += ms };
+  return {
+    cold,
+    implausible,
+    pass: (ms: number) => now += ms,
+    setWall: (offset: number) => wallOffset = offset,
+  };
 }
 
 test("a replica is cold from the first moment that it is listed, whatever its row says", (t) => {
@@ -163,3 +169,26 @@
   cold.update([row()]);
   t.true(cold.mayIssue(REPLICA));
 });
+
+test("steps of the wall clock neither shorten nor lengthen a cold time that runs", (t) => {
+  const { cold, pass, setWall } = create();
+  cold.update([row()]);
+  for (const offset of [3_600_000, -3_600_000]) {
+    setWall(offset);
+    cold.update([row({ sequence: offset })]);
+    t.is(cold.leftMs(REPLICA), COLD_START_MS);
+  }
+  pass(COLD_START_MS);
+  t.is(cold.count, 0);
+});
+
+// Its row may say nothing, and the process before knew when it was listed.
+test("a gateway that restarts in the middle of a cold time keeps the rest of it", (t) => {
+  const startedAt = BORN - 1000;
+  const { cold } = create({
+    first: [row({ startedAt, coldForMs: undefined })],
+  });
+  t.is(cold.leftMs(`i-1 ${startedAt}`), COLD_START_MS - 1000);
+  const told = create({ first: [row({ startedAt: 1, coldForMs: 700 })] });
+  t.is(told.cold.leftMs("i-1 1"), 700);
+});
