--- a/packages/gateway/src/replica_decision.ts
+++ b/packages/gateway/src/replica_decision.ts
@@ -10,6 +10,7 @@
   RESPONSE_RESERVE_MS,
 } from "./caller_wait.ts";
 import type { GatewayContext } from "./context.ts";
+import { recordEvacuationRefusal } from "./evacuation/record_evacuation_refusal.ts";
 import { holdUntil } from "./hold_back.ts";
 import { MIN_QUEUE_SHARE } from "./queue_share.ts";
 import { jitterRetryAfter } from "./refusals.ts";
@@ -200,10 +201,13 @@
 
 /** Refuses at once a request that may go to no replica of its service. */
 export function refuseBarred(
-  { metrics, random }: GatewayContext,
-  { service, allowedRegions = [] }: SelectionRequest,
+  ctx: GatewayContext,
+  request: SelectionRequest,
 ): Refusal {
+  const { metrics, random } = ctx;
+  const { service, allowedRegions = [] } = request;
   const binds = allowedRegions.length > 0;
+  recordEvacuationRefusal(ctx, request);
   metrics.barredRequests.inc({ regions: binds ? "bound" : "any" });
   return refuse(
     "no_allowed_replica",
