Gateway: refused senders are read in turns, and keep no body or head

A body whose request was ended was held by listeners of the request until its connection had closed, up to a second later, and so were the strings of its head; neither was counted any more. Each connection of a crowd was read on at once for up to 1 MiB, and what is read is freed late: up to 32 MB of young buffers.

--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -14,6 +14,7 @@
 import { CallerConnections, type OnClosed } from "./caller_connections.ts";
 import type { CallerLimits } from "./caller_limits.ts";
 import type { GatewayContext } from "./context.ts";
+import { Discards } from "./discards.ts";
 import type { ActiveConfiguration } from "./fleet_state.ts";
 import { type OpenRequest, OpenRequests } from "./open_requests.ts";
 import { type BodyFailure, readBody } from "./read_body.ts";
@@ -53,6 +54,7 @@
   readonly #abortControllers: Set<AbortController> = new Set();
   readonly #connections: CallerConnections;
   readonly #openRequests: OpenRequests;
+  readonly #discards: Discards = Discards.create();
 
   private constructor(ctx: GatewayContext, limits: CallerLimits) {
     this.#ctx = ctx;
@@ -204,20 +206,20 @@
       );
       return;
     }
+    const refuseUnread = (refusal: Refusal) =>
+      refuseAndClose(req, refusal, { res, discards: this.#discards });
     const activeConfiguration = await this.#awaitConfiguration(caller, res);
     if (res.destroyed) return;
     if (hasTooManyFields(req, activeConfiguration)) {
       ctx.metrics.callerLimits.inc({ cause: "fields" });
-      refuseAndClose(
-        req,
-        res,
+      refuseUnread(
         refuse("too_many_fields", "The head has too many fields"),
       );
       return;
     }
     const authenticated = authenticateRequest(activeConfiguration, caller);
     if (!authenticated.ok) {
-      refuseAndClose(req, res, authenticated.error);
+      refuseUnread(authenticated.error);
       ctx.metrics.requests.inc({
         route: "",
         outcome: authenticated.error.code,
@@ -230,7 +232,7 @@
       return;
     }
     if (request.ended.aborted) {
-      refuseAndClose(req, res, refusalOf("aborted", request));
+      refuseUnread(refusalOf("aborted", request));
       return;
     }
     const { route, organisation } = authenticated.value;
@@ -253,7 +255,7 @@
     });
     if (typeof body === "string") {
       clearTimeout(timer);
-      if (body !== "broken") refuseAndClose(req, res, refusalOf(body, request));
+      if (body !== "broken") refuseUnread(refusalOf(body, request));
       return;
     }
     request.markComplete();
--- a/packages/gateway/src/read_body.ts
+++ b/packages/gateway/src/read_body.ts
@@ -35,10 +35,15 @@
   const failure = await new Promise<BodyFailure | undefined>((resolve) => {
     const end = (failure?: BodyFailure) => {
       req.off("data", onData);
+      req.off("end", onEnd);
+      req.off("error", onBroken);
+      req.off("close", onBroken);
       signal.removeEventListener("abort", onAbort);
       if (failure !== undefined) req.pause();
       resolve(failure);
     };
+    const onEnd = () => end();
+    const onBroken = () => end("broken");
     const onData = (piece: Buffer) => {
       if (body.length + piece.length > maxBytes) return end("tooLarge");
       body.append(piece);
@@ -47,9 +52,9 @@
     const onAbort = () => end("aborted");
     signal.addEventListener("abort", onAbort);
     req.on("data", onData);
-    req.once("end", () => end());
-    req.once("error", () => end("broken"));
-    req.once("close", () => end("broken"));
+    req.on("end", onEnd);
+    req.on("error", onBroken);
+    req.on("close", onBroken);
   });
   return failure ?? body.takeAll();
 }
--- a/packages/gateway/src/refuse_and_close.ts
+++ b/packages/gateway/src/refuse_and_close.ts
@@ -1,13 +1,17 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Refusal } from "@banyanspool/types";
+import type { Discards } from "./discards.ts";
 import { sendRefusal } from "./refusals.ts";
 
 /** Rest of a body that is discarded on a connection that stays open. */
 const MAX_SHORT_REST_BYTES = 64 * 1024;
-/** Bytes and time for which a connection is read after its last response. */
-const MAX_DISCARDED_BYTES = 1024 * 1024;
-const MAX_DISCARD_MS = 1000;
-const DISCARD_POLL_MS = 20;
+/** Where a refusal is sent. */
+export interface RefusalTarget {
+  /** Response to the request. */
+  readonly res: ServerResponse;
+  /** Connections that are closed after their last response. */
+  readonly discards: Discards;
+}
 
 /**
  * Refuses a request whose body has not been read. Unless the rest is short, the
@@ -16,32 +20,24 @@
  */
 export function refuseAndClose(
   req: IncomingMessage,
-  res: ServerResponse,
   refusal: Refusal,
+  target: RefusalTarget,
 ): void {
   const length = Number(req.headers["content-length"] ?? 0);
   const isChunked = req.headers["transfer-encoding"] !== undefined;
   const isShort = !isChunked && length <= MAX_SHORT_REST_BYTES;
-  if (!req.complete && !isShort) closeAfterResponse(req, res);
-  sendRefusal(res, refusal);
+  if (!req.complete && !isShort) closeAfterResponse(req, target);
+  sendRefusal(target.res, refusal);
+  // The connection may keep the request for as long as its rest is discarded.
+  req.headers = {};
+  req.rawHeaders = [];
 }
 
 /** Closes a request's connection after its response, without a reset. */
-export function closeAfterResponse(
-  req: IncomingMessage,
-  res: ServerResponse,
+function closeAfterResponse(
+  { socket }: IncomingMessage,
+  { res, discards }: RefusalTarget,
 ): void {
-  const { socket } = req;
   if (!res.headersSent) res.setHeader("connection", "close");
-  socket.destroySoon = () => {
-    socket.end();
-    const maxRead = socket.bytesRead + MAX_DISCARDED_BYTES;
-    let polls = MAX_DISCARD_MS / DISCARD_POLL_MS;
-    const timer = setInterval(() => {
-      polls -= 1;
-      if (polls > 0 && socket.bytesRead <= maxRead) return;
-      socket.destroy();
-    }, DISCARD_POLL_MS);
-    socket.once("close", () => clearInterval(timer));
-  };
+  socket.destroySoon = () => discards.end(socket);
 }
