Caller memory: an eviction costs the logarithm of a crowd, and closes one connection

Each eviction looked through all holdings of the fullest groups, so its cost grew with the square of a crowd while memory stayed short. A test counts comparisons: under three times as many an opening with 16,000 holdings as with 1000. The work couldn't be counted before, so that test shows nothing on the code before.

The heads of several connections were evicted before the first of them had closed: two connections with 64 requests in flight each ended where one was enough. A connection whose waiting head is evicted now gives back all it holds at once.

--- a/packages/caller-memory/src/caller_memory.ts
+++ b/packages/caller-memory/src/caller_memory.ts
@@ -1,3 +1,5 @@
+import { type Ranked, RankedSet } from "./ranked_set.ts";
+
 /** Options of {@link CallerMemory.create}. */
 export interface CallerMemoryOptions {
   /** Bytes that may be held for all callers together. */
@@ -7,6 +9,8 @@
    * single request always gets through.
    */
   readonly reserveBytes: number;
+  /** Called for each comparison of what is held, to count the work. */
+  readonly onCompare?: () => void;
 }
 
 /** Options of {@link CallerMemory.open}. */
@@ -55,6 +59,9 @@
   readonly #waitBytes: number;
   #used = 0;
   readonly #groups: Map<string, Group> = new Map();
+  /** Groups with holdings that may be evicted. */
+  readonly #evictable: RankedSet<Group>;
+  #opened = 0;
   /** Holdings that wait, in order. */
   readonly #waiting: Set<OpenHolding> = new Set();
   /** The one holding that may grow although memory is short. */
@@ -63,6 +70,7 @@
   private constructor(options: CallerMemoryOptions) {
     this.#options = options;
     this.#waitBytes = options.totalBytes * WAIT_SHARE;
+    this.#evictable = RankedSet.create(options.onCompare);
   }
 
   /** Creates an unused budget. */
@@ -83,24 +91,25 @@
   /** Number of open holdings. */
   get holdingCount(): number {
     let count = 0;
-    for (const group of this.#groups.values()) count += group.holdings.size;
+    for (const group of this.#groups.values()) count += group.holdingCount;
     return count;
   }
 
   /** Opens a holding, which may be evicted at once if memory is short. */
   open(options: HoldingOptions): Holding {
-    const name = options.group;
-    let group = this.#groups.get(name);
-    if (!group) {
-      group = { name, bytes: 0, holdings: new Set() };
-      this.#groups.set(name, group);
-    }
-    const holding: OpenHolding = new OpenHolding(options, group, {
-      add: (bytes) => this.#add(holding, bytes),
-      remove: (bytes) => this.#remove(holding, bytes),
-      close: () => this.#close(holding),
-    });
-    group.holdings.add(holding);
+    const group = this.#groupOf(options.group);
+    const connection = this.#connectionOf(group, options.connection);
+    const holding: OpenHolding = new OpenHolding(
+      { options, group, connection, order: this.#nextOrder() },
+      {
+        add: (bytes) => this.#add(holding, bytes),
+        remove: (bytes) => this.#remove(holding, bytes),
+        keep: () => this.#protect(holding),
+        close: () => this.#close(holding),
+      },
+    );
+    group.holdingCount += 1;
+    connection.holdingCount += 1;
     this.#count(holding, options.bytes ?? 0);
     this.#evictExcess();
     return holding;
@@ -113,7 +122,8 @@
    * can be evicted.
    */
   evictOne(): boolean {
-    const victim = this.#findVictim();
+    const group = this.#evictable.first;
+    const victim = group?.evictable.first?.holdings.first;
     if (!victim) return false;
     this.#close(victim);
     victim.options.onEvict();
@@ -144,24 +154,90 @@
     if (holding.isClosed) return;
     this.#count(holding, -holding.bytes);
     holding.isClosed = true;
-    const { group } = holding;
-    group.holdings.delete(holding);
-    if (group.holdings.size === 0) this.#groups.delete(group.name);
+    this.#protect(holding);
+    const { group, connection } = holding;
+    connection.holdingCount -= 1;
+    if (connection.holdingCount === 0) group.connections.delete(connection.key);
+    group.holdingCount -= 1;
+    if (group.holdingCount === 0) this.#groups.delete(group.name);
     this.#waiting.delete(holding);
     if (this.#reserveHolder === holding) this.#reserveHolder = undefined;
     this.#wakeWaiting();
   }
 
   #count(holding: OpenHolding, bytes: number): void {
-    holding.bytes += bytes;
-    holding.group.bytes += bytes;
+    const { group, connection } = holding;
     this.#used += bytes;
+    const groupBytes = group.bytes + bytes;
+    if (holding.isProtected) {
+      holding.bytes += bytes;
+    } else {
+      connection.holdings.rank(holding, holding.bytes + bytes);
+      group.evictable.rank(connection, connection.bytes + bytes);
+    }
+    if (group.evictable.first) this.#evictable.rank(group, groupBytes);
+    else group.bytes = groupBytes;
+  }
+
+  /** Takes a holding out of those that may be evicted. */
+  #protect(holding: OpenHolding): void {
+    if (holding.isProtected) return;
+    const { group, connection } = holding;
+    holding.isProtected = true;
+    connection.holdings.delete(holding);
+    const bytes = connection.bytes - holding.bytes;
+    if (connection.holdings.first) {
+      group.evictable.rank(connection, bytes);
+      return;
+    }
+    group.evictable.delete(connection);
+    connection.bytes = bytes;
+    if (!group.evictable.first) this.#evictable.delete(group);
+  }
+
+  #groupOf(name: string): Group {
+    const known = this.#groups.get(name);
+    if (known) return known;
+    const group: Group = {
+      name,
+      bytes: 0,
+      order: this.#nextOrder(),
+      place: -1,
+      holdingCount: 0,
+      connections: new Map(),
+      evictable: RankedSet.create(this.#options.onCompare),
+    };
+    this.#groups.set(name, group);
+    return group;
+  }
+
+  #connectionOf(group: Group, key: unknown): Connection {
+    const known = group.connections.get(key);
+    if (known) return known;
+    const connection: Connection = {
+      key,
+      bytes: 0,
+      order: this.#nextOrder(),
+      place: -1,
+      holdingCount: 0,
+      holdings: RankedSet.create(this.#options.onCompare),
+    };
+    group.connections.set(key, connection);
+    return connection;
+  }
+
+  #nextOrder(): number {
+    this.#opened += 1;
+    return this.#opened;
   }
 
   #mayGrow(holding: OpenHolding): boolean {
     if (this.#used <= this.#waitBytes) return true;
     if (holding.bytes > this.#options.reserveBytes) return false;
-    this.#reserveHolder ??= holding;
+    if (!this.#reserveHolder) {
+      this.#reserveHolder = holding;
+      this.#protect(holding);
+    }
     return this.#reserveHolder === holding;
   }
 
@@ -175,44 +251,57 @@
       holding.options.onRoom();
     }
   }
-
-  #findVictim(): OpenHolding | undefined {
-    let best: OpenHolding | undefined;
-    let bestGroup: Group | undefined;
-    for (const group of this.#groups.values()) {
-      if (bestGroup && group.bytes <= bestGroup.bytes) continue;
-      const largest = largestEvictable(group, this.#reserveHolder);
-      if (!largest) continue;
-      best = largest;
-      bestGroup = group;
-    }
-    return best;
-  }
 }
 
-interface Group {
+interface Group extends Ranked {
   readonly name: string;
-  bytes: number;
-  readonly holdings: Set<OpenHolding>;
+  holdingCount: number;
+  readonly connections: Map<unknown, Connection>;
+  /** Connections with holdings that may be evicted. */
+  readonly evictable: RankedSet<Connection>;
+}
+
+/** A connection; its bytes are those of the holdings that may be evicted. */
+interface Connection extends Ranked {
+  readonly key: unknown;
+  holdingCount: number;
+  readonly holdings: RankedSet<OpenHolding>;
 }
 
 interface HoldingActions {
   readonly add: (bytes: number) => boolean;
   readonly remove: (bytes: number) => void;
+  readonly keep: () => void;
   readonly close: () => void;
 }
 
-class OpenHolding implements Holding {
+interface HoldingPlace {
+  readonly options: HoldingOptions;
+  readonly group: Group;
+  readonly connection: Connection;
+  readonly order: number;
+}
+
+class OpenHolding implements Holding, Ranked {
   readonly options: HoldingOptions;
   readonly group: Group;
+  readonly connection: Connection;
+  readonly order: number;
   readonly #actions: HoldingActions;
   bytes = 0;
+  place = -1;
   isClosed = false;
-  isKept = false;
+  /** Whether it may not be evicted. */
+  isProtected = false;
 
-  constructor(options: HoldingOptions, group: Group, actions: HoldingActions) {
+  constructor(
+    { options, group, connection, order }: HoldingPlace,
+    actions: HoldingActions,
+  ) {
     this.options = options;
     this.group = group;
+    this.connection = connection;
+    this.order = order;
     this.#actions = actions;
   }
 
@@ -225,37 +314,10 @@
   }
 
   keep(): void {
-    this.isKept = true;
+    this.#actions.keep();
   }
 
   close(): void {
     this.#actions.close();
   }
 }
-
-/**
- * Returns the largest holding that may be evicted of the connection whose
- * evictable holdings are largest, the oldest of equals.
- */
-function largestEvictable(
-  { holdings }: Group,
-  reserveHolder: OpenHolding | undefined,
-): OpenHolding | undefined {
-  const sums = new Map<unknown, { bytes: number; largest: OpenHolding }>();
-  for (const holding of holdings) {
-    if (holding.isKept || holding === reserveHolder) continue;
-    const { connection } = holding.options;
-    const sum = sums.get(connection);
-    if (!sum) {
-      sums.set(connection, { bytes: holding.bytes, largest: holding });
-      continue;
-    }
-    sum.bytes += holding.bytes;
-    if (holding.bytes > sum.largest.bytes) sum.largest = holding;
-  }
-  let most: { bytes: number; largest: OpenHolding } | undefined;
-  for (const sum of sums.values()) {
-    if (!most || sum.bytes > most.bytes) most = sum;
-  }
-  return most?.largest;
-}
--- a/packages/caller-memory/src/caller_memory_test.ts
+++ b/packages/caller-memory/src/caller_memory_test.ts
@@ -187,3 +187,98 @@
   t.true(body.add(RESERVE_BYTES / 3));
   t.false(body.isClosed);
 });
+
+// The search went through all holdings of the fullest group each time.
+test("the work of an eviction hardly grows with the crowd", (t) => {
+  const comparisonsOf = (holdings: number) => {
+    let comparisons = 0;
+    const memory = CallerMemory.create({
+      totalBytes: holdings,
+      reserveBytes: 0,
+      onCompare: () => comparisons += 1,
+    });
+    for (let i = 0; i < 2 * holdings; i += 1) {
+      memory.open({
+        group: GROUPS[i % GROUPS.length]!,
+        connection: i % 50,
+        bytes: 1,
+        onRoom: () => {},
+        onEvict: () => {},
+      });
+    }
+    t.is(memory.usedBytes, holdings);
+    return comparisons / (2 * holdings);
+  };
+  const few = comparisonsOf(1000);
+  t.true(few > 0);
+  t.true(comparisonsOf(16_000) < 3 * few);
+});
+
+test("the evicted holding is the one that a full search finds", (t) => {
+  fc.assert(fc.property(
+    fc.array(
+      fc.record({
+        group: fc.constantFrom(...GROUPS),
+        connection: fc.nat(3),
+        bytes: fc.nat(20),
+        isKept: fc.boolean(),
+        removed: fc.nat(20),
+      }),
+      { minLength: 1, maxLength: 60 },
+    ),
+    (crowd) => {
+      const memory = CallerMemory.create({
+        totalBytes: TOTAL_BYTES * 10,
+        reserveBytes: 0,
+      });
+      const evicted: Holding[] = [];
+      const holdings = crowd.map((each) => {
+        const holding = memory.open({
+          ...each,
+          onRoom: () => {},
+          onEvict: () => evicted.push(holding),
+        });
+        if (each.isKept) holding.keep();
+        holding.remove(each.removed);
+        return { ...each, holding };
+      });
+      const most = <T>(items: readonly T[], bytesOf: (item: T) => number) =>
+        Math.max(...items.map(bytesOf));
+      const sum = (items: typeof holdings) =>
+        items.reduce((bytes, { holding }) => bytes + holding.bytes, 0);
+      const evictable = holdings.filter(({ isKept }) => !isKept);
+      const ofGroup = (name: string) =>
+        holdings.filter(({ group }) => group === name);
+      const ofConnection = (of: typeof crowd[number]) =>
+        evictable.filter(({ group, connection }) =>
+          group === of.group && connection === of.connection
+        );
+      const sums = holdings.map(({ group, holding }) => ({
+        holding,
+        group: sum(ofGroup(group)),
+      }));
+      const connections = holdings.map((each) => sum(ofConnection(each)));
+      const sizes = holdings.map(({ holding }) => holding.bytes);
+      t.is(memory.evictOne(), evictable.length > 0);
+      if (evictable.length === 0) return;
+      const at = holdings.findIndex(({ holding }) => holding === evicted[0]);
+      const { group } = holdings[at]!;
+      const groups = new Set(evictable.map((each) => each.group));
+      t.is(
+        sums[at]!.group,
+        most(
+          sums.filter((_, i) => groups.has(crowd[i]!.group)),
+          (s) => s.group,
+        ),
+      );
+      const inGroup = holdings.flatMap((each, i) =>
+        each.group === group && !each.isKept ? [i] : []
+      );
+      t.is(connections[at], most(inGroup, (i) => connections[i]!));
+      const inConnection = inGroup.filter((i) =>
+        crowd[i]!.connection === crowd[at]!.connection
+      );
+      t.is(sizes[at], most(inConnection, (i) => sizes[i]!));
+    },
+  ));
+});
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -103,6 +103,12 @@
     state.readAhead.hold();
   }
 
+  /** Closes a connection, and ends its requests at once. */
+  drop(socket: Socket): void {
+    socket.destroy();
+    this.#remove(socket);
+  }
+
   #finish(socket: Socket, state: ConnectionState): void {
     state.served -= 1;
     if (socket.destroyed) return;
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -155,7 +155,7 @@
       });
       const closeIfWaiting = () => {
         // It waits behind others whose responses aren't read.
-        if (!isServed) req.socket.destroy();
+        if (!isServed) this.#connections.drop(req.socket);
       };
       request.ended.addEventListener("abort", closeIfWaiting);
       if (request.ended.aborted) queueMicrotask(closeIfWaiting);
--- a/packages/gateway/src/requests_ahead_test.ts
+++ b/packages/gateway/src/requests_ahead_test.ts
@@ -1,4 +1,4 @@
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import {
   STANDIN_HOST,
@@ -17,6 +17,7 @@
 /** More than are served at a time on a connection. */
 const REQUESTS = 80;
 const MAX_REQUESTS_AHEAD = 64;
+const SMALL_CROWD = 10;
 /** Well before the time without progress after which a request is ended. */
 const MAX_LEAVE_MS = 5000;
 /** In which requests that were sent are read, in ms. */
@@ -46,15 +47,18 @@
     timeoutMs: PATIENCE_MS,
     targetLatencyMs: PATIENCE_MS,
   });
-  const replica = { working: 0 };
+  const replica = { working: 0, ids: new Set<string>() };
   await fleet.addReplica({
     id: "i-1",
     service: "desk",
-    answer: (_req, res) => {
+    answer: (req, res) => {
+      const id = String(req.headers["request-id"]);
       replica.working += 1;
+      replica.ids.add(id);
       const timer = setTimeout(() => res.end("ok"), workMs);
       res.once("close", () => {
         replica.working -= 1;
+        replica.ids.delete(id);
         clearTimeout(timer);
       });
     },
@@ -113,3 +117,40 @@
   t.is(res.status, 503);
   t.regex(res.body, /memory/);
 });
+
+// Heads of several connections were evicted before the first of them had closed,
+// and all their requests ended.
+test("a connection whose waiting heads are evicted ends with its requests in flight", async (t) => {
+  const { socket: first, replica, port, send } = await start(t, PATIENCE_MS, 1);
+  const open = () => {
+    const socket = connect({ host: "127.0.0.1", port });
+    socket.on("error", () => {});
+    t.teardown(() => socket.destroy());
+    return socket;
+  };
+  const second = open();
+  const third = open();
+  const closed: Socket[] = [];
+  for (const socket of [first, second, third]) {
+    socket.resume();
+    socket.once("close", () => closed.push(socket));
+  }
+  const isWorking = (prefix: string) =>
+    [...replica.ids].some((id) => id.startsWith(prefix));
+  first.write(heads("first", REQUESTS));
+  second.write(heads("second", REQUESTS));
+  await waitFor(() => isWorking("first") && isWorking("second"));
+  await delay(SETTLE_MS);
+  t.deepEqual(closed, []);
+  // More than the memory holds; those in flight aren't evicted.
+  third.write(heads("third", SMALL_CROWD));
+  await waitFor(() => closed.length > 0);
+  const [ended, other] = closed[0] === first
+    ? ["first", "second"]
+    : ["second", "first"];
+  await waitFor(() => !isWorking(ended!));
+  t.is(closed.length, 1);
+  t.true(isWorking(other!));
+  const res = await send("/none/");
+  t.is(res.status, 404);
+});
