Gateway: answers that callers don't read count in the memory for callers

They were bounded for each connection alone (256 KiB read ahead and 256 KiB unsent), so a process held as many times that as it had connections. What a caller doesn't take at once is now counted until it reads on, with what its replica sends meanwhile and with the rest of ended answers. When memory is short such replicas aren't read; when all of it is used the connection that holds most is reset, so a cut answer doesn't look complete. Gauges gateway_caller_bytes and gateway_unread_bytes, cause unread.

--- a/packages/caller-memory/src/caller_memory.ts
+++ b/packages/caller-memory/src/caller_memory.ts
@@ -38,6 +38,11 @@
    * `onRoom` is called.
    */
   add(bytes: number): boolean;
+  /**
+   * Adds bytes that neither wait nor use the reserve. Returns false if memory is
+   * short, and no more should be read.
+   */
+  count(bytes: number): boolean;
   /** Frees some of the bytes. */
   remove(bytes: number): void;
   /** Protects the holding from being evicted, as its request may be running. */
@@ -103,6 +108,7 @@
       { options, group, connection, order: this.#nextOrder() },
       {
         add: (bytes) => this.#add(holding, bytes),
+        count: (bytes) => this.#countOnly(holding, bytes),
         remove: (bytes) => this.#remove(holding, bytes),
         keep: () => this.#protect(holding),
         close: () => this.#close(holding),
@@ -139,6 +145,12 @@
     return false;
   }
 
+  #countOnly(holding: OpenHolding, bytes: number): boolean {
+    this.#count(holding, bytes);
+    this.#evictExcess();
+    return !holding.isClosed && this.#used <= this.#waitBytes;
+  }
+
   #evictExcess(): void {
     while (this.#used > this.#options.totalBytes) {
       if (!this.evictOne()) break;
@@ -270,6 +282,7 @@
 
 interface HoldingActions {
   readonly add: (bytes: number) => boolean;
+  readonly count: (bytes: number) => boolean;
   readonly remove: (bytes: number) => void;
   readonly keep: () => void;
   readonly close: () => void;
@@ -309,6 +322,10 @@
     return this.isClosed ? false : this.#actions.add(bytes);
   }
 
+  count(bytes: number): boolean {
+    return this.isClosed ? false : this.#actions.count(bytes);
+  }
+
   remove(bytes: number): void {
     if (!this.isClosed) this.#actions.remove(bytes);
   }
--- a/packages/caller-memory/src/caller_memory_test.ts
+++ b/packages/caller-memory/src/caller_memory_test.ts
@@ -21,6 +21,7 @@
     "add",
     "add",
     "add",
+    "count",
     "remove",
     "close",
     "evict",
@@ -64,6 +65,10 @@
             reader.bytes += bytes;
             const mayGrow = reader.holding.add(bytes);
             if (!reader.holding.isClosed) reader.isWaiting = !mayGrow;
+          } else if (kind === "count") {
+            reader.bytes += bytes;
+            const mayArrive = reader.holding.count(bytes);
+            t.true(!mayArrive || memory.usedBytes <= TOTAL_BYTES * 0.75);
           } else if (kind === "remove") {
             reader.bytes -= Math.min(bytes, reader.bytes);
             reader.holding.remove(bytes);
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -24,6 +24,10 @@
   readonly requests: Counter;
   /** Requests and connections that met a limit for callers, by cause. */
   readonly callerLimits: Counter;
+  /** Bytes held for callers. */
+  readonly callerBytes: Gauge;
+  /** Those of responses that callers don't read. */
+  readonly unreadBytes: Gauge;
   /** Retries by the reason why the previous attempt failed. */
   readonly retries: Counter;
   /** Time to the head of a plain response or to the first event, by route. */
@@ -92,6 +96,11 @@
       "Requests and connections that met a limit",
       ["cause"],
     );
+    this.callerBytes = gauge("gateway_caller_bytes", "Bytes held for callers");
+    this.unreadBytes = gauge(
+      "gateway_unread_bytes",
+      "Bytes of responses that callers don't read",
+    );
     this.retries = counter("gateway_retries_total", "Retries", ["reason"]);
     this.firstByte = histogram("gateway_first_byte_seconds", "First byte", [
       "route",
--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -3,7 +3,15 @@
 import type { OnClosed } from "./caller_connections.ts";
 
 /** Why a request of a caller is ended. */
-export type EndCause = "memory" | "stalled";
+export type EndCause = "memory" | "stalled" | "unread";
+
+/** Bytes of a response that its caller doesn't read at present. */
+export interface UnreadBytes {
+  /** Adds bytes. Returns false if its replica should not be read on. */
+  count(bytes: number): boolean;
+  /** Called when the caller reads on. */
+  close(): void;
+}
 
 /** A request from the arrival of its head until its response is sent. */
 export interface OpenRequest {
@@ -17,6 +25,19 @@
   markServed(): void;
   /** Called when its body is complete: it may run from now on. */
   markComplete(): void;
+  /**
+   * Holds bytes of its response that the caller doesn't read. When memory is
+   * short, the connection may be reset.
+   */
+  holdUnread(bytes: number): UnreadBytes;
+}
+
+/** Bytes that are held for callers. */
+export interface HeldBytes {
+  /** All of them. */
+  readonly all: number;
+  /** Those of responses that callers don't read. */
+  readonly unread: number;
 }
 
 /** Options of {@link OpenRequests.create}. */
@@ -27,6 +48,8 @@
   readonly stallMs: number;
   /** Called when a request is ended. */
   readonly onEnd: (cause: EndCause) => void;
+  /** Called with what is held, as long as requests are open. */
+  readonly onHeld: (held: HeldBytes) => void;
 }
 
 /** Bytes that a request takes without its fields and its body. */
@@ -68,6 +91,7 @@
   readonly #watched: Set<Watched> = new Set();
   #timer: NodeJS.Timeout | undefined;
   #hadWaiting = false;
+  #unreadBytes = 0;
 
   private constructor(options: OpenRequestsOptions) {
     this.#options = options;
@@ -107,6 +131,7 @@
       },
       onEvict: () => this.#end(state, "memory"),
     });
+    let unread: UnreadBytes | undefined;
     const request: MutableRequest = {
       holding,
       state,
@@ -123,17 +148,62 @@
         request.isComplete = true;
         holding.keep();
       },
+      holdUnread: (bytes) => {
+        unread = this.#openUnread({ req, group, bytes });
+        return unread;
+      },
     };
     const watched = { req, res, request, progress: 0, stalledSweeps: 0 };
     this.#watched.add(watched);
     this.#timer ??= setInterval(() => this.#sweep(), SWEEP_MS).unref();
     onClosed(() => {
       this.#watched.delete(watched);
+      unread?.close();
       holding.close();
     });
     return request;
   }
 
+  #openUnread(
+    { req, group, bytes }: {
+      req: IncomingMessage;
+      group: string;
+      bytes: number;
+    },
+  ): UnreadBytes {
+    const { socket } = req;
+    let held = 0;
+    const free = () => {
+      this.#unreadBytes -= held;
+      held = 0;
+    };
+    const holding = this.#memory.open({
+      group,
+      connection: socket,
+      onRoom: () => {},
+      onEvict: () => {
+        free();
+        this.#options.onEnd("unread");
+        // A response that is cut off must not look complete.
+        socket.resetAndDestroy();
+      },
+    });
+    const unread: UnreadBytes = {
+      count: (bytes) => {
+        if (holding.isClosed) return false;
+        held += bytes;
+        this.#unreadBytes += bytes;
+        return holding.count(bytes);
+      },
+      close: () => {
+        free();
+        holding.close();
+      },
+    };
+    unread.count(bytes);
+    return unread;
+  }
+
   #end(state: EndState, cause: EndCause): void {
     if (state.controller.signal.aborted) return;
     state.cause = cause;
@@ -174,6 +244,10 @@
     const hasWaiting = this.#memory.waitingCount > 0;
     if (hasWaiting && this.#hadWaiting) this.#memory.evictOne();
     this.#hadWaiting = hasWaiting;
+    this.#options.onHeld({
+      all: this.#memory.usedBytes,
+      unread: this.#unreadBytes,
+    });
     if (this.#watched.size > 0) return;
     clearInterval(this.#timer);
     this.#timer = undefined;
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -69,6 +69,10 @@
       memoryBytes: limits.memoryBytes,
       stallMs: limits.stallMs,
       onEnd: count,
+      onHeld: ({ all, unread }) => {
+        ctx.metrics.callerBytes.set(all);
+        ctx.metrics.unreadBytes.set(unread);
+      },
     });
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -270,6 +274,7 @@
       cost: rateLimitCost(caller, organisation),
       arrivedAt,
       deadlineAt,
+      holdUnread: request.holdUnread,
       signal: abortController.signal,
     };
     try {
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -5,7 +5,7 @@
   framingOf,
   MAX_EVENT_BYTES,
 } from "@banyanspool/responses";
-import { ReplicaCallError } from "./replica_call.ts";
+import { type ReplicaCall, ReplicaCallError } from "./replica_call.ts";
 import type { RequestScope } from "./request_scope.ts";
 import type { StartedResponse } from "./send_attempt.ts";
 import { truncateResponse } from "./truncate_response.ts";
@@ -32,6 +32,9 @@
 /** Size up to which a plain response is buffered until it is complete. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
+/** Smaller ends of responses aren't counted as unread. */
+const MIN_HELD_BYTES = 4 * 1024;
+
 /** Relays a plain response when complete, or chunk by chunk if it is large. */
 export async function relayPlainResponse(
   scope: RequestScope,
@@ -44,13 +47,13 @@
   try {
     for await (const chunk of call.body()) {
       if (res.headersSent) {
-        await write(scope, chunk);
+        await write(scope, call, chunk);
         continue;
       }
       unsent.append(chunk);
       if (unsent.length < MAX_BUFFERED_BYTES) continue;
       res.writeHead(head.status, selectCallerHeaders(head.headers));
-      await write(scope, unsent.takeAll());
+      await write(scope, call, unsent.takeAll());
     }
   } catch (error) {
     if (!(error instanceof ReplicaCallError)) throw error;
@@ -68,7 +71,7 @@
     });
     res.write(unsent.takeAll());
   }
-  res.end();
+  end(scope);
   return { kind: "whole" };
 }
 
@@ -137,7 +140,7 @@
       hasEvents = true;
       onEvents();
       lastEventId = events.lastId ?? lastEventId;
-      await write(scope, events.bytes);
+      await write(scope, call, events.bytes);
     }
   } catch (error) {
     if (!(error instanceof ReplicaCallError)) throw error;
@@ -154,19 +157,30 @@
     res.writeHead(head.status, selectCallerHeaders(head.headers));
   }
   if (splitter.incompleteBytes > 0) res.write(splitter.incompleteEvent);
-  res.end();
+  end(scope);
   return { kind: "whole" };
 }
 
+/** Ends a response, and holds what of it the caller hasn't taken. */
+function end({ res, holdUnread }: RequestScope): void {
+  res.end();
+  if (res.destroyed || res.writableLength < MIN_HELD_BYTES) return;
+  holdUnread(res.writableLength);
+}
+
 /**
  * Writes to the caller and waits while its buffer is full, but no longer than
- * the request's deadline.
+ * the request's deadline. What is held meanwhile is counted, and the replica is
+ * not read on if memory is short.
  */
 async function write(
-  { res, signal }: RequestScope,
+  { res, signal, holdUnread }: RequestScope,
+  call: ReplicaCall,
   bytes: Buffer,
 ): Promise<void> {
   if (res.destroyed || res.write(bytes) || signal.aborted) return;
+  const unread = holdUnread(res.writableLength);
+  unread.count(call.countUnread((arrived) => unread.count(arrived)));
   await new Promise<void>((resolve) => {
     const end = () => {
       res.off("drain", end);
@@ -178,4 +192,6 @@
     res.on("close", end);
     signal.addEventListener("abort", end);
   });
+  call.countUnread(undefined);
+  unread.close();
 }
--- a/packages/gateway/src/replica_call.ts
+++ b/packages/gateway/src/replica_call.ts
@@ -88,6 +88,7 @@
   #rejectHead!: (error: ReplicaCallError) => void;
   #controller: Dispatcher.DispatchController | undefined;
   readonly #unread: ByteBuffer = ByteBuffer.create();
+  #onUnread: ((bytes: number) => boolean) | undefined;
   #isComplete = false;
   #isAborted = false;
   #error: ReplicaCallError | undefined;
@@ -187,6 +188,15 @@
     }
   }
 
+  /**
+   * Sets a function that is called with the bytes that arrive while the body
+   * isn't read on, and returns whether more may. Returns their present number.
+   */
+  countUnread(onUnread: ((bytes: number) => boolean) | undefined): number {
+    this.#onUnread = onUnread;
+    return this.#unread.length;
+  }
+
   /** Called by the transport before it writes the first byte. */
   onRequestStart(controller: Dispatcher.DispatchController): void {
     if (this.#controller) {
@@ -235,7 +245,10 @@
       return;
     }
     this.#unread.append(chunk);
-    if (this.#unread.length >= MAX_UNREAD_BYTES) controller.pause();
+    const mayArrive = this.#onUnread?.(chunk.length) ?? true;
+    if (!mayArrive || this.#unread.length >= MAX_UNREAD_BYTES) {
+      controller.pause();
+    }
     this.#notifyReader();
   }
 
--- a/packages/gateway/src/request_scope.ts
+++ b/packages/gateway/src/request_scope.ts
@@ -6,6 +6,7 @@
   Route,
 } from "@banyanspool/types";
 import type { ActiveConfiguration } from "./fleet_state.ts";
+import type { OpenRequest } from "./open_requests.ts";
 
 /** A request that passed its checks, until its response has ended. */
 export interface RequestScope {
@@ -29,6 +30,8 @@
   readonly arrivedAt: number;
   /** Time by which the caller must have the final response, in ms. */
   readonly deadlineAt: number;
+  /** Holds bytes of the response that the caller doesn't read. */
+  readonly holdUnread: OpenRequest["holdUnread"];
   /** Aborted when the caller disconnects or the deadline passes. */
   readonly signal: AbortSignal;
 }
