--- a/packages/caller-memory/src/mod.ts
+++ b/packages/caller-memory/src/mod.ts
@@ -3,9 +3,5 @@
  *
  * @module
  */
-export {
-  CallerMemory,
-  type CallerMemoryOptions,
-  type Holding,
-  type HoldingOptions,
-} from "./caller_memory.ts";
+export { CallerMemory, type CallerMemoryOptions } from "./caller_memory.ts";
+export type { Holding, HoldingOptions } from "./open_holding.ts";
