Routing: what equal replicas share isn't taken for the speed of one

A gateway took the difference between the assumed time of a request, 30 ms, and the real one, 2 ms, for the speed of the replica that got the first requests. Prefill speeds had the same fault.

The estimate of a service now follows what its replicas share, with a geometric mean of the first measurements, then their moving average. A replica's speed is relative to its siblings: with none of them measured lately nothing is learnt of it, and after few measurements it is taken to be near the average. What was measured while an older estimate was in force is compared with the present one. Costs within 5% count as equal.

The attempt line of the log has the slowdown of the replica.

--- a/packages/gateway/src/run_attempts.ts
+++ b/packages/gateway/src/run_attempts.ts
@@ -182,6 +182,7 @@
     replica: selection.server.id,
     model: scope.caller.model,
     predicted_ms: Math.round(selection.predictedMs),
+    slowdown: Number(selection.slowdown.toFixed(2)),
     in_flight: selection.inFlight,
     version: ctx.fleet.version,
     outcome: outcome.kind,
--- a/packages/routing/src/first_byte_prediction.ts
+++ b/packages/routing/src/first_byte_prediction.ts
@@ -2,6 +2,7 @@
 import { PrefixHistory } from "./prefix_history.ts";
 import { ReplicaSpeeds } from "./replica_speed.ts";
 import type { InFlightLoad } from "./replica_loads.ts";
+import { type MovingMean, ServiceEstimate } from "./service_estimate.ts";
 import {
   formatModelName,
   type ReplicaSelection,
@@ -29,15 +30,8 @@
   readonly preference: number;
 }
 
-/** Assumed prefill speed before a measurement, in tokens per ms. */
-const INITIAL_PREFILL_TOKENS_PER_MS = 30;
-/** Weight of the newest measurement in the moving averages. */
-const SMOOTHING = 0.05;
 /** A prefill of fewer tokens is too short to measure the prefill speed. */
 const MIN_MEASURED_TOKENS = 1000;
-/** Assumed time of a request before a measurement, in ms. */
-const INITIAL_SERVICE_TIME_MS = 30;
-const INITIAL_GENERATION_TIME_MS = 1000;
 /** Round trip and first decode step, in ms. */
 const BASE_LATENCY_MS = 8;
 /** Delay that each request in flight adds to another one, in ms. */
@@ -56,6 +50,13 @@
 /** Number of replicas that all entries prefer for a session. */
 export const PREFERRED_REPLICAS = PREFERRED_CACHED_SHARES.length;
 
+/** A request that was sent to the selected replica. */
+interface SentRequest {
+  readonly selection: ReplicaSelection;
+  /** When it was sent, in ms. */
+  readonly sentAt: number;
+}
+
 /** Predicts the time to the first byte from the times measured so far. */
 export class FirstBytePredictor {
   /** Present speeds of the replicas. */
@@ -65,10 +66,7 @@
   readonly #prefixes: PrefixHistory = PrefixHistory.create({
     maxBlocks: MAX_PREFIXES,
   });
-  /** Measured prefill speed, by model. */
-  readonly #prefillTokensPerMs: Map<string, number> = new Map();
-  /** Measured time of a request, by service. */
-  readonly #serviceTimeMs: Map<string, number> = new Map();
+  readonly #estimates: Map<string, ServiceEstimate> = new Map();
 
   private constructor({ clock, kvCapacityOf }: FirstBytePredictorOptions) {
     this.#clock = clock;
@@ -95,7 +93,8 @@
     { server, load, preference }: PredictionContext,
   ): ReplicaSelection {
     const inFlight = load.requests;
-    const serviceTimeMs = this.#serviceTimeMsOf(request);
+    const estimate = this.#estimateOf(request);
+    const serviceTimeMs = estimate.requestMs.value;
     const queuedRequests = Math.max(0, inFlight + 1 - server.slots);
     const slotWaitMs = queuedRequests * serviceTimeMs / server.slots;
     if (request.model === undefined) {
@@ -108,20 +107,21 @@
         waitMs: slotWaitMs * slowdown,
         uncachedTokens: 0,
         slowdown,
+        unitMs: serviceTimeMs,
         inFlight,
       };
     }
-    const tokensPerMs = this.#prefillTokensPerMsOf(request.model);
+    const prefillMs = estimate.prefillMsOf(request.model).value;
     const uncachedTokens = Math.max(
       0,
       request.promptTokens - this.#cachedTokens(server, request, preference),
     );
-    let waitMs = load.prefillTokens / tokensPerMs +
+    let waitMs = load.prefillTokens * prefillMs +
       inFlight * DELAY_PER_REQUEST_MS + slotWaitMs;
     const capacity = this.#kvCapacityOf(server.service) ?? Infinity;
     const kvTokens = load.kvTokens + request.promptTokens;
     if (kvTokens > capacity * KV_PRESSURE_SHARE) waitMs += KV_PRESSURE_WAIT_MS;
-    const averageMs = waitMs + uncachedTokens / tokensPerMs;
+    const averageMs = waitMs + uncachedTokens * prefillMs;
     const slowdown = this.speeds.forecast(server, averageMs);
     return {
       server,
@@ -129,14 +129,11 @@
       waitMs: waitMs * slowdown,
       uncachedTokens,
       slowdown,
+      unitMs: prefillMs,
       inFlight,
     };
   }
 
-  #prefillTokensPerMsOf(model: string): number {
-    return this.#prefillTokensPerMs.get(model) ?? INITIAL_PREFILL_TOKENS_PER_MS;
-  }
-
   /** Leading prompt tokens that are probably cached at a replica. */
   #cachedTokens(
     server: BackendServer,
@@ -159,74 +156,79 @@
    * Measures the prefill speed, or the time of a request without a model, by a
    * response that begins now.
    */
-  recordStart(
-    request: SelectionRequest,
-    { selection, sentAt }: { selection: ReplicaSelection; sentAt: number },
-  ): void {
+  recordStart(request: SelectionRequest, sent: SentRequest): void {
     const { model } = request;
+    const { selection, sentAt } = sent;
+    const estimate = this.#estimateOf(request);
     if (model === undefined) {
-      this.#recordWork(selection, { sentAt, latencyMs: 0 });
-      const before = this.#serviceTimeMsOf(request);
       // What was predicted has the wait and the slowdown in it as well.
       const error = (this.#clock.now() - sentAt) / selection.predictedMs;
-      this.#recordServiceTime(request, before * error);
+      estimate.requestMs.add(selection.unitMs * error);
+      const unit = estimate.requestMs;
+      const { certainty } = unit;
+      this.#recordWork(sent, { unit, certainty, latencyMs: 0 });
+      this.#shareSlowdown(request);
       return;
     }
-    this.#recordWork(selection, { sentAt, latencyMs: BASE_LATENCY_MS });
+    const unit = estimate.prefillMsOf(model);
     const tokens = selection.uncachedTokens +
-      selection.waitMs / selection.slowdown * this.#prefillTokensPerMsOf(model);
-    if (tokens < MIN_MEASURED_TOKENS) return;
-    const elapsedMs = Math.max(
-      1,
-      (this.#clock.now() - sentAt - BASE_LATENCY_MS) / selection.slowdown,
-    );
-    const before = this.#prefillTokensPerMsOf(model);
-    const measured = Math.min(tokens / elapsedMs, before * 4);
-    this.#prefillTokensPerMs.set(
-      model,
-      before + SMOOTHING * (measured - before),
-    );
-  }
-
-  #serviceTimeMsOf(
-    { service, model }: { service: string; model?: string },
-  ): number {
-    return this.#serviceTimeMs.get(service) ??
-      (model === undefined
-        ? INITIAL_SERVICE_TIME_MS
-        : INITIAL_GENERATION_TIME_MS);
+      selection.waitMs / selection.slowdown / selection.unitMs;
+    const isLong = tokens >= MIN_MEASURED_TOKENS;
+    if (isLong) {
+      const elapsedMs = this.#clock.now() - sentAt - BASE_LATENCY_MS;
+      unit.add(Math.max(1, elapsedMs) / selection.slowdown / tokens);
+    }
+    // Short prompts don't measure the unit, and are compared all the same.
+    const { certainty } = isLong ? unit : estimate.requestMs;
+    this.#recordWork(sent, { unit, certainty, latencyMs: BASE_LATENCY_MS });
+    if (isLong) this.#shareSlowdown(request);
   }
 
   /** Measures the time of a request whose response ends now, whole. */
   recordEnd(
     request: SelectionRequest,
-    { selection, sentAt }: { selection: ReplicaSelection; sentAt: number },
+    { selection, sentAt }: SentRequest,
   ): void {
     if (request.model === undefined) return;
     const elapsedMs = this.#clock.now() - sentAt;
-    this.#recordServiceTime(request, elapsedMs / selection.slowdown);
+    const { requestMs } = this.#estimateOf(request);
+    requestMs.add(elapsedMs / selection.slowdown);
   }
 
-  #recordServiceTime(request: SelectionRequest, measuredMs: number): void {
-    const before = this.#serviceTimeMsOf(request);
-    const measured = Math.min(measuredMs, before * 4);
-    this.#serviceTimeMs.set(
-      request.service,
-      before + SMOOTHING * (measured - before),
-    );
+  #estimateOf(
+    { service, model }: Pick<SelectionRequest, "service" | "model">,
+  ): ServiceEstimate {
+    const existing = this.#estimates.get(service);
+    if (existing) return existing;
+    const created = ServiceEstimate.create({ isPlain: model === undefined });
+    this.#estimates.set(service, created);
+    return created;
   }
 
+  /** Compares the time of a request with the service's present estimate. */
   #recordWork(
-    { server, predictedMs, slowdown }: ReplicaSelection,
-    { sentAt, latencyMs }: { sentAt: number; latencyMs: number },
+    { selection, sentAt }: SentRequest,
+    { unit, certainty, latencyMs }: {
+      unit: MovingMean;
+      certainty: number;
+      latencyMs: number;
+    },
   ): void {
+    const { server, predictedMs, slowdown, unitMs } = selection;
     const elapsedMs = this.#clock.now() - sentAt - latencyMs;
-    const workMs = predictedMs - latencyMs;
+    const averageMs = (predictedMs - latencyMs) / slowdown;
     this.speeds.recordMeasured(server, {
-      averageMs: workMs / slowdown,
+      averageMs: averageMs * unit.value / unitMs,
       elapsedMs: Math.max(1, elapsedMs),
+      certainty,
     });
   }
+
+  /** Moves what all replicas share from their speeds to the estimate. */
+  #shareSlowdown(request: SelectionRequest): void {
+    const shared = this.speeds.takeShared(request.service);
+    this.#estimateOf(request).scale(shared);
+  }
 }
 
 function sumTokens(parts: readonly PromptPart[]): number {
--- a/packages/routing/src/replica_speed.ts
+++ b/packages/routing/src/replica_speed.ts
@@ -1,4 +1,14 @@
 import type { BackendServer, Clock } from "@banyanspool/types";
+import {
+  averageLastingOf,
+  countRecent,
+  createServiceSpeed,
+  type LastingSpeed,
+  remainingOf,
+  removeLasting,
+  SERVICE_WEIGHT,
+  type ServiceSpeed,
+} from "./service_speed.ts";
 
 /** Time of a finished piece of work, beside what was predicted for it. */
 export interface MeasuredWork {
@@ -6,6 +16,8 @@
   readonly averageMs: number;
   /** Time that it took, in ms. */
   readonly elapsedMs: number;
+  /** How well `averageMs` is known, from 0 to 1; 1 by default. */
+  readonly certainty?: number;
 }
 
 /** A replica and its service. */
@@ -19,25 +31,8 @@
   readonly startedAgoMs: number;
 }
 
-/** What is known of a service's replicas on average. */
-interface ServiceSpeed {
-  /** Replicas of which anything is known. */
-  replicas: number;
-  /** Moving average of the replicas' `lasting`. */
-  lasting: number;
-  measuredAt: number;
-  /** Moving average of the replicas' `mean`. */
-  mean: number;
-  statedAt: number;
-}
-
-interface Speed {
+interface Speed extends LastingSpeed {
   readonly service: string;
-  /** Logarithm of the lasting slowdown. */
-  lasting: number;
-  measuredAt: number;
-  /** Number of measurements, of which short ones count less. */
-  measuredWeight: number;
   /** Mean of the stated slowdowns. */
   mean: number;
   /** Latest deviation from the mean. */
@@ -53,10 +48,8 @@
 const MEASURED_WEIGHT = 0.05;
 /** Largest weight of the first measurements at a replica. */
 const MAX_FIRST_WEIGHT = 0.2;
-/** Weight of the newest replica's value in the average of a service. */
-const SERVICE_WEIGHT = 0.05;
-/** Time without a measurement after which a lasting slowdown fades, in ms. */
-const LASTING_LIFETIME_MS = 30_000;
+/** A replica with this `measuredWeight` counts half as itself. */
+const HALF_KNOWN_WEIGHT = 3;
 /** Work of this length has half of the largest weight, in ms. */
 const HALF_WEIGHT_MS = 10;
 /** Time over which stated slowdowns are averaged, in ms. */
@@ -95,6 +88,7 @@
     if (!speed) return;
     this.#speeds.delete(replica);
     const average = this.#services.get(speed.service)!;
+    removeLasting(speed, average, this.#clock.now());
     average.replicas -= 1;
     if (average.replicas === 0) this.#services.delete(speed.service);
   }
@@ -122,16 +116,18 @@
   /** Records the time of work that has just ended. */
   recordMeasured(
     replica: ReplicaOfService,
-    { averageMs, elapsedMs }: MeasuredWork,
+    { averageMs, elapsedMs, certainty = 1 }: MeasuredWork,
   ): void {
     if (!(averageMs > 0) || !(elapsedMs > 0)) return;
     const speed = this.#speedOf(replica);
-    const share = averageMs / (averageMs + HALF_WEIGHT_MS);
     const now = this.#clock.now();
-    speed.lasting = this.#lastingOf(speed);
-    speed.measuredWeight *= remainingOf(now - speed.measuredAt);
+    const average = this.#services.get(speed.service)!;
+    const share = certainty * averageMs / (averageMs + HALF_WEIGHT_MS) *
+      countRecent(speed, average);
+    const before = this.#lastingOf(speed);
+    removeLasting(speed, average, now);
+    speed.measuredWeight *= remainingOf(now - (speed.measuredAt ?? now));
     speed.measuredWeight += share;
-    speed.measuredAt = now;
     const weight = share *
       Math.max(
         MEASURED_WEIGHT,
@@ -141,17 +137,29 @@
       workMs: elapsedMs,
       startedAgoMs: elapsedMs,
     });
-    const lasting = Math.exp(speed.lasting);
+    const lasting = Math.exp(before);
     // Twice or half of what is known, at most: one late response says little.
     const ratio = Math.min(
       lasting * 2,
       Math.max(lasting / 2, elapsedMs / averageMs / passing),
     );
-    speed.lasting += weight * (Math.log(clamp(ratio)) - speed.lasting);
-    const average = this.#services.get(speed.service)!;
-    average.lasting *= remainingOf(now - average.measuredAt);
-    average.lasting += SERVICE_WEIGHT * (speed.lasting - average.lasting);
-    average.measuredAt = now;
+    speed.lasting = average.taken + before +
+      weight * (Math.log(clamp(ratio)) - before);
+    speed.measuredAt = now;
+    average.lastingSum += speed.measuredWeight * speed.lasting;
+    average.weightSum += speed.measuredWeight;
+  }
+
+  /**
+   * Takes out the slowdown that a service's measured replicas have on average,
+   * for the caller to add to what it expects of the service.
+   */
+  takeShared(service: string): number {
+    const average = this.#services.get(service);
+    if (!average) return 1;
+    const shared = averageLastingOf(average);
+    average.taken += shared;
+    return Math.exp(shared);
   }
 
   /**
@@ -162,18 +170,28 @@
     const speed = this.#speeds.get(replica.id) ??
       this.#createSpeed(replica.service);
     const passing = this.#passing(speed, { workMs, startedAgoMs: 0 });
-    return clamp(Math.exp(this.#lastingOf(speed)) * passing);
+    return clamp(Math.exp(this.#knownLastingOf(speed)) * passing);
+  }
+
+  /** Lasting slowdown's logarithm, near the average after few measurements. */
+  #knownLastingOf(speed: Speed): number {
+    const { service, measuredAt, measuredWeight } = speed;
+    const average = this.#services.get(service);
+    if (!average || measuredAt === undefined) return this.#lastingOf(speed);
+    const shared = averageLastingOf(average);
+    const weight = measuredWeight * remainingOf(this.#clock.now() - measuredAt);
+    const known = weight / (weight + HALF_KNOWN_WEIGHT);
+    return shared + (this.#lastingOf(speed) - shared) * known;
   }
 
   /** Lasting slowdown's logarithm, which fades to the service's average. */
   #lastingOf({ service, lasting, measuredAt }: Speed): number {
-    const now = this.#clock.now();
     const average = this.#services.get(service);
-    const averageLasting = average
-      ? average.lasting * remainingOf(now - average.measuredAt)
-      : 0;
-    return averageLasting +
-      (lasting - averageLasting) * remainingOf(now - measuredAt);
+    if (!average) return 0;
+    const shared = averageLastingOf(average);
+    if (measuredAt === undefined) return shared;
+    const own = lasting - average.taken - shared;
+    return shared + own * remainingOf(this.#clock.now() - measuredAt);
   }
 
   /** Mean stated slowdown from some time ago on, while work ran. */
@@ -197,9 +215,8 @@
     if (existing) return existing;
     const created = this.#createSpeed(service);
     this.#speeds.set(id, created);
-    const now = this.#clock.now();
     const average = this.#services.get(service) ??
-      { replicas: 0, lasting: 0, measuredAt: now, mean: 1, statedAt: now };
+      createServiceSpeed(this.#clock.now());
     average.replicas += 1;
     this.#services.set(service, average);
     return created;
@@ -211,11 +228,10 @@
     const average = this.#services.get(service);
     return {
       service,
-      lasting: average
-        ? average.lasting * remainingOf(now - average.measuredAt)
-        : 0,
-      measuredAt: now,
+      lasting: 0,
       measuredWeight: 0,
+      recentShare: 0,
+      measuredCount: 0,
       mean: average ? this.#meanOf(average) : 1,
       deviation: 0,
       statedAt: now - MEAN_WINDOW_MS,
@@ -223,11 +239,6 @@
   }
 }
 
-/** Share of a lasting slowdown that remains without a measurement. */
-function remainingOf(ageMs: number): number {
-  return Math.exp(-ageMs / LASTING_LIFETIME_MS);
-}
-
 function clamp(slowdown: number): number {
   return Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, slowdown));
 }
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -126,6 +126,8 @@
 const OVERDUE_COST_MS = 2000;
 /** Replicas whose cost differs from the best by less than this are equal. */
 const EQUAL_COST_MARGIN_MS = 3;
+/** The same as a share of the cost, as predictions are no more exact. */
+const EQUAL_COST_SHARE = 0.05;
 /**
  * Number of entries from which on each compares a sample of the replicas only.
  * Reports are then so old that all would send to the same idle replica. Source:
@@ -477,8 +479,9 @@
         preference,
       });
       const cost = this.#costOf(selection);
-      if (cost >= bestCost - EQUAL_COST_MARGIN_MS) {
-        if (cost >= bestCost + EQUAL_COST_MARGIN_MS) continue;
+      const marginMs = Math.max(EQUAL_COST_MARGIN_MS, cost * EQUAL_COST_SHARE);
+      if (cost >= bestCost - marginMs) {
+        if (cost >= bestCost + marginMs) continue;
         if (this.#options.random() < 0.5) continue;
       }
       best = selection;
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -35,6 +35,11 @@
   readonly uncachedTokens: number;
   /** How long work takes there; 1 is the average of the service's replicas. */
   readonly slowdown: number;
+  /**
+   * Time at an average replica by which it was predicted, in ms: of a prompt
+   * token, or of a request without a model.
+   */
+  readonly unitMs: number;
   /** Requests in flight at the replica, from all entries. */
   readonly inFlight: number;
   /** Permit that the request needs; undefined if the replica has no limit. */
