--- a/packages/routing/src/replica_speed_test.ts
+++ b/packages/routing/src/replica_speed_test.ts
@@ -76,3 +76,33 @@
   const slowdown = speeds.forecast(replica("r"), 50);
   t.true(slowdown > 1.8 && slowdown < 2.3, `${slowdown}`);
 });
+
+test("what replicas share can be taken out at any time, and no prediction changes", (t) => {
+  const { speeds, advance } = createSpeeds();
+  const ids = ["slow", "fast", "rare", "unknown"];
+  const predict = (averageMs: number) =>
+    ids.map((id) => averageMs * speeds.forecast(replica(id), 50));
+  let averageMs = 50;
+  for (let i = 0; i < 200; i += 1) {
+    const id = i % 40 === 0 ? "rare" : i % 3 === 0 ? "slow" : "fast";
+    const elapsedMs = { slow: 150, fast: 80, rare: 100 }[id];
+    advance(100);
+    speeds.recordMeasured(replica(id), { averageMs, elapsedMs });
+    const before = predict(averageMs);
+    averageMs *= speeds.takeShared("pool");
+    for (const [n, after] of predict(averageMs).entries()) {
+      t.true(Math.abs(after / before[n]! - 1) < 1e-6, `${ids[n]} at ${i}`);
+    }
+  }
+  t.true(averageMs > 80 && averageMs < 150, `${averageMs}`);
+});
+
+test("while one replica alone is measured, little is learnt of relative speeds", (t) => {
+  const { speeds } = createSpeeds();
+  const measure = (id: string, elapsedMs: number) =>
+    speeds.recordMeasured(replica(id), { averageMs: 50, elapsedMs });
+  for (let i = 0; i < 40; i += 1) measure(i % 2 ? "r" : "s", 50);
+  for (let i = 0; i < 200; i += 1) measure("r", 10);
+  const [r, s] = ["r", "s"].map((id) => speeds.forecast(replica(id), 50));
+  t.true(r! / s! > 0.65, `${r} and ${s}`);
+});
