Routing: short prompts, late first answers and favourites that turn slow

Cause: found in a review of what equal replicas share. - A short prompt's fixed cost counted as slowdown and was moved into the prefill time of long ones. - One first answer near the timeout had all later requests of a service refused at idle replicas, and nothing was measured again. - A replica that got nearly all requests and turned slow was left late. - Answers of a process that is gone counted for the replica's new one. - 5% of a long time hid 100 ms between two replicas.

Change: short prompts are compared with what short prompts of their model take. The assumed value counts as one measurement, with one bound up and down, and without a measurement for a second the usual time of an idle replica is no more than the assumed one. Second attempts go by the estimate as before (`averageTimeMs`). Work much slower than known keeps a fifth of its weight if another replica is known. Speeds aren't measured at replicas that are gone or have restarted. The margin of equal costs is 20 ms at most.

--- a/packages/gateway/src/run_attempts.ts
+++ b/packages/gateway/src/run_attempts.ts
@@ -14,7 +14,7 @@
 } from "./final_responses.ts";
 import { PendingAttempt, waitForOutcome } from "./pending_attempt.ts";
 import { jitterRetryAfter } from "./refusals.ts";
-import { type ReplicaSelection, usualTimeMs } from "@banyanspool/routing";
+import { averageTimeMs, type ReplicaSelection } from "@banyanspool/routing";
 import type { RequestExecution } from "./request_execution.ts";
 import { fingerprintOf } from "./request_fingerprint.ts";
 import type { RequestOutcome } from "./request_scope.ts";
@@ -126,7 +126,7 @@
 ): number | undefined {
   if (!mayRepeat(execution, pending.length)) return undefined;
   return Math.max(
-    usualTimeMs(pending.at(-1)!.selection) * OVERDUE_FACTOR,
+    averageTimeMs(pending.at(-1)!.selection) * OVERDUE_FACTOR,
     execution.scope.route.targetLatencyMs * OVERDUE_TARGET_SHARE,
   );
 }
--- a/packages/routing/src/first_byte_prediction.ts
+++ b/packages/routing/src/first_byte_prediction.ts
@@ -40,6 +40,8 @@
 const KV_PRESSURE_SHARE = 0.85;
 /** Added to the expected wait at a replica above that share, in ms. */
 const KV_PRESSURE_WAIT_MS = 1000;
+/** Time without a measurement after which an idle replica is tried, in ms. */
+const RETRY_AFTER_MS = 1000;
 const MAX_PREFIXES = 20_000;
 /**
  * Share of the known prompt parts assumed cached at the replicas that all
@@ -55,6 +57,8 @@
   readonly selection: ReplicaSelection;
   /** When it was sent, in ms. */
   readonly sentAt: number;
+  /** Whether the replica is gone or has restarted since. */
+  readonly isGone?: boolean;
 }
 
 /** Predicts the time to the first byte from the times measured so far. */
@@ -108,10 +112,14 @@
         uncachedTokens: 0,
         slowdown,
         unitMs: serviceTimeMs,
+        assumedMs: this.#isToRetry(estimate.requestMs, inFlight)
+          ? estimate.requestMs.initial
+          : undefined,
         inFlight,
       };
     }
-    const prefillMs = estimate.prefillMsOf(request.model).value;
+    const unit = estimate.prefillMsOf(request.model);
+    const prefillMs = unit.value;
     const uncachedTokens = Math.max(
       0,
       request.promptTokens - this.#cachedTokens(server, request, preference),
@@ -130,10 +138,18 @@
       uncachedTokens,
       slowdown,
       unitMs: prefillMs,
+      assumedMs: this.#isToRetry(unit, inFlight)
+        ? BASE_LATENCY_MS + uncachedTokens * unit.initial
+        : undefined,
       inFlight,
     };
   }
 
+  /** Whether an idle replica is to be tried as if nothing were known. */
+  #isToRetry({ measuredAt }: MovingMean, inFlight: number): boolean {
+    return inFlight < 1 && this.#clock.now() - measuredAt >= RETRY_AFTER_MS;
+  }
+
   /** Leading prompt tokens that are probably cached at a replica. */
   #cachedTokens(
     server: BackendServer,
@@ -163,7 +179,7 @@
     if (model === undefined) {
       // What was predicted has the wait and the slowdown in it as well.
       const error = (this.#clock.now() - sentAt) / selection.predictedMs;
-      estimate.requestMs.add(selection.unitMs * error);
+      estimate.requestMs.add(selection.unitMs * error, this.#clock.now());
       const unit = estimate.requestMs;
       const { certainty } = unit;
       this.#recordWork(sent, { unit, certainty, latencyMs: 0 });
@@ -173,15 +189,43 @@
     const unit = estimate.prefillMsOf(model);
     const tokens = selection.uncachedTokens +
       selection.waitMs / selection.slowdown / selection.unitMs;
-    const isLong = tokens >= MIN_MEASURED_TOKENS;
-    if (isLong) {
-      const elapsedMs = this.#clock.now() - sentAt - BASE_LATENCY_MS;
-      unit.add(Math.max(1, elapsedMs) / selection.slowdown / tokens);
+    if (tokens < MIN_MEASURED_TOKENS) {
+      this.#recordShort(model, request, sent);
+      return;
     }
-    // Short prompts don't measure the unit, and are compared all the same.
-    const { certainty } = isLong ? unit : estimate.requestMs;
+    const elapsedMs = this.#clock.now() - sentAt - BASE_LATENCY_MS;
+    const prefillMs = Math.max(1, elapsedMs) / selection.slowdown / tokens;
+    unit.add(prefillMs, this.#clock.now());
+    const { certainty } = unit;
     this.#recordWork(sent, { unit, certainty, latencyMs: BASE_LATENCY_MS });
-    if (isLong) this.#shareSlowdown(request);
+    this.#shareSlowdown(request);
+  }
+
+  /**
+   * Compares the time of a short prompt, which doesn't measure the prefill speed,
+   * with what short prompts of its model take on average.
+   */
+  #recordShort(
+    model: string,
+    request: SelectionRequest,
+    sent: SentRequest,
+  ): void {
+    const { predictedMs, slowdown } = sent.selection;
+    const averageMs = (predictedMs - BASE_LATENCY_MS) / slowdown;
+    if (averageMs <= 0) return;
+    const elapsedMs = this.#clock.now() - sent.sentAt - BASE_LATENCY_MS;
+    const estimate = this.#estimateOf(request);
+    const ratio = estimate.shortRatioOf(model);
+    ratio.add(
+      Math.max(1, elapsedMs) / slowdown / averageMs,
+      this.#clock.now(),
+    );
+    this.#recordWork(sent, {
+      unit: estimate.prefillMsOf(model),
+      ratio: ratio.value,
+      certainty: ratio.certainty,
+      latencyMs: BASE_LATENCY_MS,
+    });
   }
 
   /** Measures the time of a request whose response ends now, whole. */
@@ -192,7 +236,7 @@
     if (request.model === undefined) return;
     const elapsedMs = this.#clock.now() - sentAt;
     const { requestMs } = this.#estimateOf(request);
-    requestMs.add(elapsedMs / selection.slowdown);
+    requestMs.add(elapsedMs / selection.slowdown, this.#clock.now());
   }
 
   #estimateOf(
@@ -207,18 +251,20 @@
 
   /** Compares the time of a request with the service's present estimate. */
   #recordWork(
-    { selection, sentAt }: SentRequest,
-    { unit, certainty, latencyMs }: {
+    { selection, sentAt, isGone }: SentRequest,
+    { unit, ratio = 1, certainty, latencyMs }: {
       unit: MovingMean;
+      ratio?: number;
       certainty: number;
       latencyMs: number;
     },
   ): void {
+    if (isGone) return;
     const { server, predictedMs, slowdown, unitMs } = selection;
     const elapsedMs = this.#clock.now() - sentAt - latencyMs;
     const averageMs = (predictedMs - latencyMs) / slowdown;
     this.speeds.recordMeasured(server, {
-      averageMs: averageMs * unit.value / unitMs,
+      averageMs: averageMs * ratio * unit.value / unitMs,
       elapsedMs: Math.max(1, elapsedMs),
       certainty,
     });
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -18,7 +18,7 @@
   Observation,
   OutlierDetectorOptions,
 } from "./outlier_detector.ts";
-export { formatModelName, usualTimeMs } from "./selection.ts";
+export { averageTimeMs, formatModelName, usualTimeMs } from "./selection.ts";
 export type { ReplicaSelection, SelectionRequest } from "./selection.ts";
 export { listModelNames, ReplicaTracker } from "./replica_tracker.ts";
 export type {
--- a/packages/routing/src/replica_speed.ts
+++ b/packages/routing/src/replica_speed.ts
@@ -52,6 +52,8 @@
 const HALF_KNOWN_WEIGHT = 3;
 /** Work of this length has half of the largest weight, in ms. */
 const HALF_WEIGHT_MS = 10;
+/** Work is much slower than known from this multiple of the slowdown on. */
+const MUCH_SLOWER = 1.5;
 /** Time over which stated slowdowns are averaged, in ms. */
 const MEAN_WINDOW_MS = 2000;
 /** A stated slowdown counts for this part of the window at most. */
@@ -122,9 +124,16 @@
     const speed = this.#speedOf(replica);
     const now = this.#clock.now();
     const average = this.#services.get(speed.service)!;
-    const share = certainty * averageMs / (averageMs + HALF_WEIGHT_MS) *
-      countRecent(speed, average);
     const before = this.#lastingOf(speed);
+    const lasting = Math.exp(before);
+    const passing = this.#passing(speed, {
+      workMs: elapsedMs,
+      startedAgoMs: elapsedMs,
+    });
+    const measured = elapsedMs / averageMs / passing;
+    const isMuchSlower = measured > lasting * MUCH_SLOWER;
+    const share = certainty * averageMs / (averageMs + HALF_WEIGHT_MS) *
+      countRecent(speed, average, isMuchSlower);
     removeLasting(speed, average, now);
     speed.measuredWeight *= remainingOf(now - (speed.measuredAt ?? now));
     speed.measuredWeight += share;
@@ -133,15 +142,10 @@
         MEASURED_WEIGHT,
         Math.min(MAX_FIRST_WEIGHT, 1 / (1 + speed.measuredWeight)),
       );
-    const passing = this.#passing(speed, {
-      workMs: elapsedMs,
-      startedAgoMs: elapsedMs,
-    });
-    const lasting = Math.exp(before);
     // Twice or half of what is known, at most: one late response says little.
     const ratio = Math.min(
       lasting * 2,
-      Math.max(lasting / 2, elapsedMs / averageMs / passing),
+      Math.max(lasting / 2, measured),
     );
     speed.lasting = average.taken + before +
       weight * (Math.log(clamp(ratio)) - before);
--- a/packages/routing/src/replica_tracker.ts
+++ b/packages/routing/src/replica_tracker.ts
@@ -128,6 +128,8 @@
 const EQUAL_COST_MARGIN_MS = 3;
 /** The same as a share of the cost, as predictions are no more exact. */
 const EQUAL_COST_SHARE = 0.05;
+/** That share is this at most, in ms. */
+const MAX_EQUAL_COST_MARGIN_MS = 20;
 /**
  * Number of entries from which on each compares a sample of the replicas only.
  * Reports are then so old that all would send to the same idle replica. Source:
@@ -479,7 +481,10 @@
         preference,
       });
       const cost = this.#costOf(selection);
-      const marginMs = Math.max(EQUAL_COST_MARGIN_MS, cost * EQUAL_COST_SHARE);
+      const marginMs = Math.min(
+        MAX_EQUAL_COST_MARGIN_MS,
+        Math.max(EQUAL_COST_MARGIN_MS, cost * EQUAL_COST_SHARE),
+      );
       if (cost >= bestCost - marginMs) {
         if (cost >= bestCost + marginMs) continue;
         if (this.#options.random() < 0.5) continue;
@@ -548,9 +553,11 @@
         this.#removeUnstarted(inFlight);
         if (start === "error") return;
         isMeasured = true;
+        const listed = this.#servers.get(server.id);
         this.#firstBytes.recordStart(request, {
           selection,
           sentAt: inFlight.sentAt,
+          isGone: listed?.startedAt !== server.startedAt,
         });
       },
       finished: (end = "complete") => {
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -40,6 +40,11 @@
    * token, or of a request without a model.
    */
   readonly unitMs: number;
+  /**
+   * Predicted time as assumed before measurements, in ms, if the replica is idle
+   * and nothing was measured lately.
+   */
+  readonly assumedMs?: number;
   /** Requests in flight at the replica, from all entries. */
   readonly inFlight: number;
   /** Permit that the request needs; undefined if the replica has no limit. */
@@ -47,12 +52,22 @@
 }
 
 /** Predicted time to the first byte at a replica that isn't slow, in ms. */
-export function usualTimeMs(
+export function averageTimeMs(
   { predictedMs, slowdown }: Pick<ReplicaSelection, "predictedMs" | "slowdown">,
 ): number {
   return predictedMs / Math.max(1, slowdown);
 }
 
+/**
+ * The same in ms, and no more than was assumed before measurements if there are
+ * no recent ones of an idle replica's service.
+ */
+export function usualTimeMs(
+  selection: Pick<ReplicaSelection, "predictedMs" | "slowdown" | "assumedMs">,
+): number {
+  return Math.min(averageTimeMs(selection), selection.assumedMs ?? Infinity);
+}
+
 /** Formats a model or adapter as `model` or `model/adapter`. */
 export function formatModelName(
   { model, adapter }: { model?: string; adapter?: string },
--- a/packages/routing/src/service_estimate.ts
+++ b/packages/routing/src/service_estimate.ts
@@ -10,20 +10,25 @@
 const MAX_REQUEST_RATIO = 4;
 /** A later prefill time counts as this multiple of the mean at most. */
 const MAX_PREFILL_RATIO = 2;
-
-/** Largest ratio of a first measurement to what was assumed, either way. */
+/** A later ratio of a short prompt counts as this multiple at most. */
+const MAX_SHORT_RATIO = 2;
+/** Largest ratio of one of the first measurements to the mean, either way. */
 const MAX_FIRST_RATIO = 16;
 
 /**
  * Geometric mean of the first measurements, in which a connection's set-up
- * counts little, then their moving average.
+ * counts little and the assumed value as one, then their moving average.
  */
 export class MovingMean {
+  /** Value assumed before the first measurement. */
+  readonly initial: number;
   readonly #maxRatio: number;
   #value: number;
   #measurements = 0;
+  #measuredAt = -Infinity;
 
   private constructor(initial: number, maxRatio: number) {
+    this.initial = initial;
     this.#value = initial;
     this.#maxRatio = maxRatio;
   }
@@ -45,15 +50,23 @@
     return Math.min(1, this.#measurements * SMOOTHING) ** 2;
   }
 
+  /** When it was measured last, in ms; -Infinity before. */
+  get measuredAt(): number {
+    return this.#measuredAt;
+  }
+
   /** Adds a measurement above 0. */
-  add(measured: number): void {
+  add(measured: number, now: number): void {
     this.#measurements += 1;
-    const weight = 1 / this.#measurements;
-    const maxRatio = weight === 1 ? MAX_FIRST_RATIO : this.#maxRatio;
-    const ratio = Math.min(maxRatio, measured / this.#value);
-    this.#value *= weight > SMOOTHING
-      ? Math.max(1 / MAX_FIRST_RATIO, ratio) ** weight
-      : 1 + SMOOTHING * (ratio - 1);
+    this.#measuredAt = now;
+    const weight = 1 / (this.#measurements + 1);
+    const ratio = measured / this.#value;
+    if (weight > SMOOTHING) {
+      const bounded = Math.min(MAX_FIRST_RATIO, ratio);
+      this.#value *= Math.max(1 / MAX_FIRST_RATIO, bounded) ** weight;
+      return;
+    }
+    this.#value *= 1 + SMOOTHING * (Math.min(this.#maxRatio, ratio) - 1);
   }
 
   /** Multiplies what was measured. */
@@ -67,6 +80,7 @@
   /** Time of a request, in ms. */
   readonly requestMs: MovingMean;
   readonly #prefillMs: Map<string, MovingMean> = new Map();
+  readonly #shortRatios: Map<string, MovingMean> = new Map();
 
   private constructor(requestMs: MovingMean) {
     this.requestMs = requestMs;
@@ -93,6 +107,18 @@
     return created;
   }
 
+  /** Time of a model's short prompts, as a multiple of the predicted one. */
+  shortRatioOf(model: string): MovingMean {
+    const existing = this.#shortRatios.get(model);
+    if (existing) return existing;
+    const created = MovingMean.create({
+      initial: 1,
+      maxRatio: MAX_SHORT_RATIO,
+    });
+    this.#shortRatios.set(model, created);
+    return created;
+  }
+
   /** Multiplies all times that were measured. */
   scale(factor: number): void {
     this.requestMs.scale(factor);
--- a/packages/routing/src/service_speed.ts
+++ b/packages/routing/src/service_speed.ts
@@ -2,6 +2,8 @@
 export const SERVICE_WEIGHT = 0.05;
 /** Time without a measurement after which a lasting slowdown fades, in ms. */
 const LASTING_LIFETIME_MS = 30_000;
+/** Least weight of a measurement that is much slower than is known. */
+const MIN_SLOWER_WEIGHT = 0.2;
 /** Below this sum of weights a service counts as not measured. */
 const MIN_WEIGHT_SUM = 1e-6;
 
@@ -71,11 +73,13 @@
 
 /**
  * Counts a measurement, and returns how much it says of the replica in
- * comparison: nothing if no sibling was measured lately.
+ * comparison: nothing if no sibling was measured lately, unless it is much
+ * slower than is known.
  */
 export function countRecent(
   speed: LastingSpeed,
   average: ServiceSpeed,
+  isMuchSlower: boolean,
 ): number {
   average.measurements += 1;
   const passed = average.measurements - speed.measuredCount;
@@ -84,7 +88,9 @@
   speed.recentShare += SERVICE_WEIGHT;
   const ownShare = speed.recentShare /
     (1 - (1 - SERVICE_WEIGHT) ** average.measurements);
-  return Math.min(1, 2 * Math.max(0, 1 - ownShare));
+  const isFloored = isMuchSlower && average.replicas > 1;
+  const least = isFloored ? MIN_SLOWER_WEIGHT : 0;
+  return Math.min(1, Math.max(least, 2 * (1 - ownShare)));
 }
 
 /** Average of the lasting slowdowns that hasn't been taken out. */
