--- a/packages/routing/src/learnt_speed_test.ts
+++ b/packages/routing/src/learnt_speed_test.ts
@@ -1,8 +1,8 @@
 import test from "ava";
 import type { BackendServer } from "@banyanspool/types";
 import { FirstBytePredictor } from "./first_byte_prediction.ts";
-import { ReplicaTracker } from "./replica_tracker.ts";
 import type { SelectionRequest } from "./selection.ts";
+import { createServer, createTracker } from "./testing/tracker.ts";
 
 const WORK_MS = 200;
 const PLAIN: SelectionRequest = {
@@ -15,39 +15,12 @@
 const IDLE = { requests: 0, prefillTokens: 0, kvTokens: 0 };
 
 function server(id: string): BackendServer {
-  return {
-    id,
-    service: "pool",
-    address: "127.0.0.1:1",
-    dataCentre: "north",
-    slots: 4,
-    draining: false,
-    softwareVersion: "v1",
-    startedAt: 1,
-    sequence: 1,
-    models: [],
-  };
+  return createServer(id, { slots: 4, models: [] });
 }
 
 function createPool(size: number) {
-  let now = 0;
-  let state = 20_261_206;
-  const random = () => {
-    state = (state * 1_664_525 + 1_013_904_223) % 2 ** 32;
-    return state / 2 ** 32;
-  };
-  const tracker = ReplicaTracker.create({
-    clock: { now: () => now, wall: () => now },
-    random,
-    dataCentre: "north",
-    liveEntryCount: () => 1,
-    kvCapacityOf: () => undefined,
-    permitStateOf: () => "unlimited",
-    admits: () => true,
-  });
   const servers = Array.from({ length: size }, (_, i) => server(`r${i}`));
-  tracker.updateServers(servers);
-  const advance = (ms: number) => now += ms;
+  const { tracker, random, advance } = createTracker(servers);
   /** Sends requests one after the other; returns the first replica's share. */
   const shareOfFirst = (requests: number, slowdown: number) => {
     let sent = 0;
--- a/packages/routing/src/mixed_requests_test.ts
+++ b/packages/routing/src/mixed_requests_test.ts
@@ -1,8 +1,12 @@
 import test from "ava";
 import type { BackendServer } from "@banyanspool/types";
 import { FirstBytePredictor } from "./first_byte_prediction.ts";
-import { ReplicaTracker } from "./replica_tracker.ts";
 import { type SelectionRequest, usualTimeMs } from "./selection.ts";
+import {
+  createRandom,
+  createServer as server,
+  createTracker,
+} from "./testing/tracker.ts";
 
 const PLAIN: SelectionRequest = {
   service: "pool",
@@ -13,39 +17,8 @@
 };
 const IDLE = { requests: 0, prefillTokens: 0, kvTokens: 0 };
 
-function server(id: string, startedAt = 1): BackendServer {
-  return {
-    id,
-    service: "pool",
-    address: "127.0.0.1:1",
-    dataCentre: "north",
-    slots: 8,
-    draining: false,
-    softwareVersion: "v1",
-    startedAt,
-    sequence: 1,
-    models: [{ name: "m", adapters: [] }],
-  };
-}
-
-function createTracker(servers: readonly BackendServer[]) {
-  let now = 0;
-  let state = 20_261_206;
-  const random = () => {
-    state = (state * 1_664_525 + 1_013_904_223) % 2 ** 32;
-    return state / 2 ** 32;
-  };
-  const tracker = ReplicaTracker.create({
-    clock: { now: () => now, wall: () => now },
-    random,
-    dataCentre: "north",
-    liveEntryCount: () => 1,
-    kvCapacityOf: () => undefined,
-    permitStateOf: () => "unlimited",
-    admits: () => true,
-  });
-  tracker.updateServers(servers);
-  const advance = (ms: number) => now += ms;
+function createPool(servers: readonly BackendServer[]) {
+  const { tracker, advance } = createTracker(servers);
   const serve = (elapsedMsOf: (id: string) => number) => {
     const selection = tracker.select(PLAIN)!;
     const tracked = tracker.dispatch(PLAIN, selection);
@@ -93,7 +66,7 @@
 
 for (const slowAnswers of [1, 3]) {
   test(`${slowAnswers} first answers near the timeout, then a pause: the usual time at an idle replica is short again`, (t) => {
-    const { tracker, advance, serve } = createTracker([
+    const { tracker, advance, serve } = createPool([
       server("r0"),
       server("r1"),
     ]);
@@ -108,7 +81,7 @@
 }
 
 test("a slow service with a busy replica, after a pause: its usual time isn't the assumed one", (t) => {
-  const { tracker, advance, serve } = createTracker([server("r0")]);
+  const { tracker, advance, serve } = createPool([server("r0")]);
   for (let i = 0; i < 100; i += 1) serve(() => 290);
   tracker.dispatch(PLAIN, tracker.select(PLAIN)!);
   advance(2000);
@@ -117,7 +90,7 @@
 });
 
 test("one replica gets nearly all requests and turns slow: it is left soon", (t) => {
-  const { advance, serve } = createTracker([server("r0"), server("r1")]);
+  const { advance, serve } = createPool([server("r0"), server("r1")]);
   // The other one was slow until now.
   const usualMs = (id: string) => id === "r0" ? 50 : 150;
   for (let i = 0; i < 400; i += 1) {
@@ -134,17 +107,13 @@
 
 for (const ids of [["r0"], ["r0", "r1"]]) {
   test(`exponential times, one of ${ids.length} replicas gets nearly all requests: its mean is predicted`, (t) => {
-    const { tracker, advance, serve } = createTracker(
+    const { tracker, advance, serve } = createPool(
       ids.map((id) => server(id)),
     );
-    let state = 1;
-    const random = () => {
-      state = (state * 1_664_525 + 1_013_904_223) % 2 ** 32;
-      return (state + 1) / (2 ** 32 + 1);
-    };
+    const random = createRandom(1);
     const predicted: number[] = [];
     for (let i = 0; i < 4000; i += 1) {
-      serve((id) => -Math.log(random()) * (id === "r0" ? 50 : 300));
+      serve((id) => -Math.log(1 - random()) * (id === "r0" ? 50 : 300));
       advance(50);
       if (i < 500) continue;
       const r0 = tracker.select(PLAIN, { only: server("r0") })!;
@@ -157,7 +126,7 @@
 }
 
 test("answers of a replica that has restarted since tell nothing of its new process", (t) => {
-  const { tracker, advance, serve } = createTracker([
+  const { tracker, advance, serve } = createPool([
     server("r0"),
     server("r1"),
   ]);
@@ -167,13 +136,13 @@
     { length: 10 },
     () => tracker.dispatch(PLAIN, tracker.select(PLAIN, { only })!),
   );
-  tracker.updateServers([server("r0", 2), server("r1")]);
+  tracker.updateServers([server("r0", { startedAt: 2 }), server("r1")]);
   advance(400);
   for (const { started, finished } of tracked) {
     started();
     finished();
   }
-  const [r0, r1] = [server("r0", 2), server("r1")].map((only) =>
+  const [r0, r1] = [server("r0", { startedAt: 2 }), server("r1")].map((only) =>
     tracker.select(PLAIN, { only })!
   );
   const ratio = r0!.slowdown / r1!.slowdown;
@@ -181,7 +150,7 @@
 });
 
 test("long work, 50 ms more at one replica: it goes to the other", (t) => {
-  const { tracker } = createTracker([server("r0"), server("r1")]);
+  const { tracker } = createPool([server("r0"), server("r1")]);
   const model = { ...PLAIN, model: "m" };
   const other = { ...model, promptTokens: 1500 };
   tracker.dispatch(other, tracker.select(other, { only: server("r1") })!);
--- a/packages/routing/src/service_estimate_test.ts
+++ b/packages/routing/src/service_estimate_test.ts
@@ -1,57 +1,26 @@
-import type { BackendServer } from "@banyanspool/types";
 import test from "ava";
-import { ReplicaTracker } from "./replica_tracker.ts";
 import type { SelectionRequest } from "./selection.ts";
+import { createServer, createTracker } from "./testing/tracker.ts";
 
 const REPLICAS = ["r0", "r1", "r2"];
 /** Requests within which each replica of a service is to be used. */
 const SOON = 40;
 
-function createTracker() {
-  let now = 0;
-  let state = 20_261_206;
-  const random = () => {
-    state = (state * 1_664_525 + 1_013_904_223) % 2 ** 32;
-    return state / 2 ** 32;
-  };
-  const tracker = ReplicaTracker.create({
-    clock: { now: () => now, wall: () => now },
-    random,
-    dataCentre: "north",
-    liveEntryCount: () => 1,
-    kvCapacityOf: () => undefined,
-    permitStateOf: () => "unlimited",
-    admits: () => true,
-  });
-  const servers = REPLICAS.map((id): BackendServer => ({
-    id,
-    service: "pool",
-    address: "127.0.0.1:1",
-    dataCentre: "north",
-    slots: 8,
-    draining: false,
-    softwareVersion: "v1",
-    startedAt: 1,
-    sequence: 1,
-    models: [{ name: "m", adapters: [] }, { name: "n", adapters: [] }],
-  }));
+function createPool() {
+  const models = [{ name: "m", adapters: [] }, { name: "n", adapters: [] }];
+  const servers = REPLICAS.map((id) => createServer(id, { models }));
+  const { tracker, random, advance } = createTracker([]);
   /** Sends a request and returns the replica that it went to. */
   const serve = (request: SelectionRequest, elapsedMs: number) => {
     const selection = tracker.select(request)!;
     const tracked = tracker.dispatch(request, selection);
-    now += elapsedMs * (0.9 + 0.2 * random());
+    advance(elapsedMs * (0.9 + 0.2 * random()));
     tracked.started();
     tracked.finished();
-    now += 25;
+    advance(25);
     return selection.server.id;
   };
-  return {
-    tracker,
-    servers,
-    random,
-    serve,
-    advance: (ms: number) => now += ms,
-  };
+  return { tracker, servers, serve };
 }
 
 function request(model: string | undefined, promptTokens: number) {
@@ -85,7 +54,7 @@
 for (const { name, model, tokens, elapsedMs } of CASES) {
   test(`equal replicas, ${name}, the first estimate is far off: all are used soon`, (t) => {
     for (const firstMs of [elapsedMs, elapsedMs * 8]) {
-      const { tracker, servers, serve } = createTracker();
+      const { tracker, servers, serve } = createPool();
       tracker.updateServers(servers.slice(0, 2));
       // The first replica alone is known to the gateway for a moment.
       for (let i = 0; i < 10; i += 1) {
@@ -108,7 +77,7 @@
 }
 
 test("equal replicas become faster while one is passed over for some seconds: it is used soon again", (t) => {
-  const { tracker, servers, serve } = createTracker();
+  const { tracker, servers, serve } = createPool();
   tracker.updateServers(servers.slice(0, 2));
   const plain = request(undefined, 0);
   for (let i = 0; i < 60; i += 1) serve(plain, 160);
