--- a/packages/gateway/src/run_attempts_test.ts
+++ b/packages/gateway/src/run_attempts_test.ts
@@ -205,6 +205,7 @@
         arrivedAt: clock.now(),
         deadlineAt: clock.now() + 15_000,
         signal: new AbortController().signal,
+        holdUnread: () => ({ count: () => true, close: ignore }),
       },
       request: {
         service: "desk",
