Gateway: an urgent request that arrives during a pass goes next

A pass went by the order that it began with, and waits for a turn after each place. An urgent request that arrived meanwhile went after all that waited. An arrival makes its name due, and the pass goes through it again.

With it, the file's nine tests pass.

--- a/packages/gateway/src/waiting_load_test.ts
+++ b/packages/gateway/src/waiting_load_test.ts
@@ -81,6 +81,24 @@
   t.is(sentOf(results).length, results.length, "the long ones follow");
 });
 
+test("an urgent request that arrives while places are handed out goes before the rest", async (t) => {
+  const first = Array.from({ length: 201 }, () => ({ at: 0, workMs: 100 }));
+  const long = Array.from({ length: 200 }, () => ({
+    at: 10,
+    priority: 3,
+    workMs: 1000,
+    patienceMs: 10_000,
+  }));
+  const { results } = await playLoad({
+    places: { m: 201 },
+    requests: [...first, ...long, { at: 105, workMs: 20 }],
+  });
+  const sent = results.slice(first.length);
+  const index = sent.findIndex(({ at }) => at === 105);
+  t.true(index >= 1 && index <= 20, `number ${index} of ${sent.length}`);
+  t.is(sentOf(sent).length, 201, "the long ones follow");
+});
+
 test("impatient callers that repeat at once take no place from those that wait", async (t) => {
   const patient = steady({
     perS: 50,
--- a/packages/gateway/src/waiting_room.ts
+++ b/packages/gateway/src/waiting_room.ts
@@ -71,6 +71,8 @@
   readonly #woken: Set<string> = new Set();
   /** Names that the pass under way still has to go through. */
   readonly #due: Set<string> = new Set();
+  /** Name that the pass goes through now. */
+  #nameInPass: string | undefined;
   #isWatching = false;
   #isPassing = false;
 
@@ -150,6 +152,8 @@
       const value = { options, end, fail, decidedAt, heldUntil };
       const { item, shed } = this.#queue.add({ ...fields, value });
       signal.addEventListener("abort", leave);
+      // The pass goes by the order that it began with.
+      if (item.name === this.#nameInPass) this.#due.add(item.name);
       for (const each of shed) this.#endShed(each);
       if (!this.#isWatching) void this.#watch();
     });
@@ -223,9 +227,11 @@
       // Names that become due meanwhile follow.
       for (const name of this.#due) {
         this.#due.delete(name);
+        this.#nameInPass = name;
         await this.#offerPlaces(name);
       }
     } finally {
+      this.#nameInPass = undefined;
       this.#isPassing = false;
     }
   }
@@ -262,6 +268,8 @@
           end(decision);
           // The next one is decided about once this one is sent.
           await nextTurn();
+          // The name is gone through again, in the order of now.
+          if (this.#due.has(name)) return;
           break;
         default:
           this.#queue.remove(item);
