Gateway: a request is held back only while its caller would still be served

The time until which a request leaves a replica to others went by its route's target alone. A caller with a shorter deadline or time for the first byte was held until no answer could come in time, and then refused.

The new test fails before the change: held until 300 ms instead of not at all (npx ava packages/gateway/src/hold_back_test.ts). With it, the file's three tests pass.

--- a/packages/gateway/src/caller_wait.ts
+++ b/packages/gateway/src/caller_wait.ts
@@ -17,6 +17,8 @@
  * have left.
  */
 export const MAX_RETRY_AFTER_SHARE = 1 / 3;
+/** Share of the caller's remaining wait that the predicted time may take. */
+export const MAX_PREDICTED_SHARE = 0.8;
 
 /** Estimated time that a caller waits for the first byte, in ms. */
 export function callerFirstByteTimeoutMs(route: Route): number {
--- a/packages/gateway/src/hold_back.ts
+++ b/packages/gateway/src/hold_back.ts
@@ -1,5 +1,10 @@
 import type { ReplicaSelection } from "@banyanspool/routing";
-import type { PendingRequest } from "./caller_wait.ts";
+import {
+  callerLeavesAt,
+  MAX_PREDICTED_SHARE,
+  type PendingRequest,
+  RESPONSE_RESERVE_MS,
+} from "./caller_wait.ts";
 import type { GatewayContext } from "./context.ts";
 import { MIN_QUEUE_SHARE } from "./queue_share.ts";
 import { priorityOf, type RequestScope } from "./request_scope.ts";
@@ -28,8 +33,11 @@
   const excessMs = waitMs - urgentTargetMs * MIN_QUEUE_SHARE;
   if (excessMs <= 0) return undefined;
   const now = clock.now();
-  const latest = arrivedAt + route.targetLatencyMs * MAX_HELD_SHARE -
-    predictedMs;
+  const latest = Math.min(
+    arrivedAt + route.targetLatencyMs * MAX_HELD_SHARE - predictedMs,
+    callerLeavesAt(scope, { waitingSince }) - RESPONSE_RESERVE_MS -
+      predictedMs / MAX_PREDICTED_SHARE,
+  );
   // The replica still has work when the excess has been worked off.
   return latest > now ? Math.min(latest, now + excessMs) : undefined;
 }
--- a/packages/gateway/src/hold_back_test.ts
+++ b/packages/gateway/src/hold_back_test.ts
@@ -9,17 +9,27 @@
 /** A patient request that arrives at 0 and is decided about at a time, in ms. */
 function decideAt(
   now: number,
-  { waitMs, routes = [URGENT, PATIENT], organisation, model = "m" }: {
+  {
+    waitMs,
+    routes = [URGENT, PATIENT],
+    organisation,
+    model = "m",
+    deadlineAt = 15_000,
+    timeoutMs = 15_000,
+  }: {
     readonly waitMs: number;
+    readonly deadlineAt?: number;
+    readonly timeoutMs?: number;
     readonly routes?: readonly (typeof URGENT)[];
     readonly organisation?: { readonly priority: number };
     readonly model?: string | null;
   },
 ): number | undefined {
   const scope = {
-    route: PATIENT,
+    route: { ...PATIENT, streaming: false, timeoutMs },
     organisation,
     arrivedAt: 0,
+    deadlineAt,
     activeConfiguration: { configuration: { routes } },
   } as unknown as RequestScope;
   return holdUntil({ clock: { now: () => now, wall: () => now } }, scope, {
@@ -43,6 +53,14 @@
   t.is(decideAt(1500, { waitMs: 300 }), undefined, "its own time is short");
 });
 
+test("a request whose caller leaves before its target is held back only while it can still be served", (t) => {
+  const waitMs = 400;
+  t.is(decideAt(0, { waitMs, deadlineAt: 800 }), undefined, "no time is left");
+  t.is(decideAt(0, { waitMs, deadlineAt: 1000 }), 100);
+  t.is(decideAt(0, { waitMs, timeoutMs: 1000 }), 100);
+  t.is(decideAt(0, { waitMs, deadlineAt: 2000 }), 300);
+});
+
 test("a request is held back for none that is as urgent, of another service or without a model", (t) => {
   const waitMs = 1000;
   t.is(decideAt(0, { waitMs, organisation: { priority: 0 } }), undefined);
--- a/packages/gateway/src/replica_decision.ts
+++ b/packages/gateway/src/replica_decision.ts
@@ -5,6 +5,7 @@
 import {
   callerFirstByteTimeoutMs,
   callerLeavesAt,
+  MAX_PREDICTED_SHARE,
   MAX_RETRY_AFTER_SHARE,
   type PendingRequest,
   RESPONSE_RESERVE_MS,
@@ -22,8 +23,6 @@
 const NO_REPLICA_RETRY_AFTER_MS = 700;
 /** Retry-after of requests that may go to no replica, before jitter. */
 const BARRED_RETRY_AFTER_MS = 2000;
-/** Share of the caller's remaining wait that the predicted time may take. */
-const MAX_PREDICTED_SHARE = 0.8;
 /**
  * Share of the route's target time that the predicted time may take where
  * requests queue at a replica. With a longer queue, none of the requests in it
