Gateway: a shed request is told to come back in a third of its time at most

Its retry-after was half to all of the time until its caller leaves, which callers don't wait for. It is now a sixth to a third of the time that is left to the deadline, jitter included.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -73,6 +73,7 @@
       service,
       needs: needsOf(request),
       decide: () => decide(ctx, scope, pending),
+      deadlineAt: scope.deadlineAt,
       signal: scope.signal,
     });
     switch (decision.kind) {
--- a/packages/gateway/src/testing/waiting_load.ts
+++ b/packages/gateway/src/testing/waiting_load.ts
@@ -40,6 +40,8 @@
   readonly places: Readonly<Record<string, number>>;
   /** The requests, by time of arrival. */
   readonly requests: readonly LoadRequest[];
+  /** Random number that all jitter is made of, 0 by default. */
+  readonly random?: number;
   /** Returns the request that a caller sends when one has ended. */
   readonly next?: (result: LoadResult, now: number) => LoadRequest | undefined;
 }
@@ -56,7 +58,7 @@
 
 /** Plays a load at one gateway, with places at replicas and a clock of its own. */
 export async function playLoad(options: LoadOptions): Promise<LoadEnd> {
-  const { places, requests, next } = options;
+  const { places, requests, random = 0, next } = options;
   let now = 0;
   let selections = 0;
   const timers: { at: number; run: () => void }[] = [];
@@ -77,7 +79,7 @@
     });
   const ctx = {
     clock,
-    random: () => 0,
+    random: () => random,
     fleet: { changed },
     metrics: GatewayMetrics.create(),
     waitingRequests: WaitingRequestCounts.create({ clock }),
--- a/packages/gateway/src/waiting_load_test.ts
+++ b/packages/gateway/src/waiting_load_test.ts
@@ -140,6 +140,21 @@
   t.true(sentOf(results).length >= 300, "the room is full");
 });
 
+test("a request that is shed is told to come back while its caller still waits", async (t) => {
+  const { results } = await playLoad({
+    places: { m: 1 },
+    random: 0.999,
+    requests: Array.from(
+      { length: 1100 },
+      () => ({ at: 0, workMs: 1000, patienceMs: 3000 }),
+    ),
+  });
+  const shed = results.filter(({ code }) => code === "overloaded");
+  t.true(shed.length >= 90);
+  const longest = Math.max(...shed.map((each) => each.retryAfterMs!));
+  t.true(longest <= 1000, `${longest} ms, a third of the time`);
+});
+
 test("one model alone in demand delays and displaces no request for another", async (t) => {
   const { results } = await playLoad({
     places: { m: 10, rare: 1 },
--- a/packages/gateway/src/waiting_room.ts
+++ b/packages/gateway/src/waiting_room.ts
@@ -7,6 +7,7 @@
 } from "@banyanspool/queue";
 import type { ReplicaSelection } from "@banyanspool/routing";
 import { incarnationOf, type Refusal, refuse } from "@banyanspool/types";
+import { MAX_RETRY_AFTER_SHARE } from "./caller_wait.ts";
 import type { GatewayContext } from "./context.ts";
 
 /** What is to be done with a request that needs a replica. */
@@ -33,6 +34,8 @@
   readonly needs: string;
   /** Decides about the request now. */
   readonly decide: () => Decision;
+  /** Time by which the caller must have the final response, in ms. */
+  readonly deadlineAt: number;
   /** Aborted when the caller leaves. */
   readonly signal: AbortSignal;
 }
@@ -54,9 +57,6 @@
 const MIN_CHECK_INTERVAL_MS = 5;
 /** Interval at which all others are, in ms. */
 const RECHECK_ALL_INTERVAL_MS = 250;
-/** Retry-after of requests that were shed, as a share of their wait. */
-const SHED_RETURN_SHARE = 0.5;
-const MIN_SHED_RETURN_MS = 200;
 
 const rooms: WeakMap<GatewayContext, WaitingRoom> = new WeakMap();
 
@@ -161,17 +161,14 @@
 
   #endShed({ item, cause }: ShedItem<Waiter>): void {
     const { metrics, clock, random } = this.#ctx;
-    const { priority, leavesAt, value } = item;
-    const { service } = value.options;
+    const { priority, value } = item;
+    const { service, deadlineAt } = value.options;
     metrics.shedRequests.inc({ service, priority: String(priority), cause });
-    const returnInMs = Math.max(
-      MIN_SHED_RETURN_MS,
-      (leavesAt - clock.now()) * SHED_RETURN_SHARE,
-    );
+    const maxReturnMs = (deadlineAt - clock.now()) * MAX_RETRY_AFTER_SHARE;
     const refusal = refuse(
       "overloaded",
       `Too many requests wait for replicas of "${service}"`,
-      { retryAfterMs: Math.ceil(returnInMs * (1 + random())) },
+      { retryAfterMs: Math.ceil(maxReturnMs / 2 * (1 + random())) },
     );
     value.end({ kind: "refuse", refusal });
   }
