Queue: bytes are made room for by shedding the largest request

When the bytes of waiting requests exceeded their bound, requests were shed in the order in which callers leave until a large one fitted, hundreds of small ones among them. Of the organisation that holds most, the largest is shed now.

The new test fails before the change (npx ava packages/queue/src/waiting_queue_test.ts). With it, the file's seven tests pass.

--- a/packages/queue/src/waiting_queue.ts
+++ b/packages/queue/src/waiting_queue.ts
@@ -219,26 +219,33 @@
       if (cause === "entries" && this.#sheddableEntries <= maxEntries) {
         return shed;
       }
-      const item = this.#findCheapest(
-        cause === "bytes" ? (items) => items.bytes : (items) => items.length,
-      );
+      const item = this.#findCheapest(cause);
       if (!item) return shed;
       this.remove(item);
       shed.push({ item, cause });
     }
   }
 
-  /** Of the least urgent, of the organisation that holds most, the last to leave. */
-  #findCheapest(
-    heldBy: (items: Items<T>) => number,
-  ): WaitingItem<T> | undefined {
+  /** Of the least urgent, of the organisation that holds most. */
+  #findCheapest(cause: ShedCause): WaitingItem<T> | undefined {
+    const heldBy = (items: Items<T>) =>
+      cause === "bytes" ? items.bytes : items.length;
     const priority = Math.max(...this.#sheddable.keys());
     let most: Items<T> | undefined;
     for (const items of this.#sheddable.get(priority)?.values() ?? []) {
       if (!most || heldBy(items) > heldBy(most)) most = items;
     }
-    return most?.last;
+    return cause === "bytes" ? most && findLargest(most) : most?.last;
+  }
+}
+
+/** Of the items with most bytes, the last to leave. */
+function findLargest<T>(items: Items<T>): WaitingItem<T> | undefined {
+  let largest: WaitingItem<T> | undefined;
+  for (const item of items.toArray()) {
+    if (!largest || item.bytes >= largest.bytes) largest = item;
   }
+  return largest;
 }
 
 function addTo<T>(items: ItemsByPriority<T>, item: WaitingItem<T>): void {
--- a/packages/queue/src/waiting_queue_test.ts
+++ b/packages/queue/src/waiting_queue_test.ts
@@ -106,6 +106,20 @@
   t.is(queue.length, 3);
 });
 
+test("many small requests aren't shed for the bytes of a large one", (t) => {
+  const queue = WaitingQueue.create<number>({ maxEntries: 400, maxBytes: 400 });
+  const small = Array.from({ length: 300 }, () => ({ bytes: 1 }));
+  const shed = addAll(queue, [
+    { bytes: 90, leavesAt: 10 },
+    ...small,
+    { bytes: 90, leavesAt: 20 },
+    { bytes: 10, leavesAt: 3000 },
+  ]);
+  t.deepEqual(shed.map(({ item, cause }) => [item.value, cause]), [
+    [301, "bytes"],
+  ], "of the two largest, the one whose caller stays longer");
+});
+
 const step = fc.record({
   kind: fc.constantFrom("add", "add", "take", "leave"),
   index: fc.nat(50),
