Gateway: a request is held back only if the best of all replicas is busy

One of many gateways compares a sample of the replicas, so a request was held back though another replica was idle. All are compared before it is held.

The new test fails before the change: sent to 'r4' instead of the idle 'r0' (npx ava packages/gateway/src/acquire_replica_test.ts). With it, the file's 18 tests pass.

--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -234,6 +234,37 @@
   t.is(acquired.ok && acquired.value.server.id, "r0");
 });
 
+test("one of many entries holds no request back while a replica is idle", async (t) => {
+  const servers = Array.from(
+    { length: 8 },
+    (_, i) => backendServer(`r${i}`, ["m"]),
+  );
+  const { ctx, scope, elapsedMs } = createGateway(servers, 68);
+  const busy = { requests: 12, prefillTokens: 0, kvTokens: 0, adapters: [] };
+  ctx.replicaTracker.updatePeerLoad(
+    "other",
+    new Map(
+      servers.slice(1).map(({ id }) => [
+        id,
+        { ...busy, models: new Map([["m", 12]]) },
+      ]),
+    ),
+  );
+  const shares = [{ service: "pool", weight: 1 }];
+  const patient = route({ priority: 2, targetLatencyMs: 8000, shares });
+  const routes = [route({ targetLatencyMs: 400, shares }), patient];
+  const activeConfiguration = {
+    configuration: { services: new Map(), routes },
+  } as unknown as RequestScope["activeConfiguration"];
+  const acquired = await acquireReplica(
+    ctx,
+    { ...scope, route: patient, activeConfiguration },
+    PENDING,
+  );
+  t.is(acquired.ok && acquired.value.server.id, "r0");
+  t.is(elapsedMs(), 0);
+});
+
 test("an idle replica isn't refused as it was slow or lost requests", async (t) => {
   const server = backendServer("r1", ["m"]);
   const { ctx, scope } = createGateway([server]);
--- a/packages/gateway/src/replica_decision.ts
+++ b/packages/gateway/src/replica_decision.ts
@@ -57,11 +57,7 @@
   const checked = selectReplica(ctx, scope, pending);
   if (checked && !checked.ok) return { kind: "refuse", refusal: checked.error };
   if (checked) {
-    const selection = checked.value;
-    const until = holdUntil(ctx, scope, { ...pending, selection });
-    return until === undefined
-      ? { kind: "send", selection }
-      : { kind: "hold", until };
+    return holdOrSend(ctx, scope, { ...pending, selection: checked.value });
   }
   // A refusal would cut a stream that has begun, which waits instead.
   const isResumed = waitingSince > scope.arrivedAt;
@@ -72,6 +68,30 @@
   return refusal ? { kind: "refuse", refusal } : { kind: "wait" };
 }
 
+/** Holds a request back if it would be at the best of all replicas too. */
+function holdOrSend(
+  ctx: GatewayContext,
+  scope: RequestScope,
+  { selection, ...pending }: PendingRequest & {
+    readonly selection: ReplicaSelection;
+  },
+): Decision {
+  const until = holdUntil(ctx, scope, { ...pending, selection });
+  if (until === undefined) return { kind: "send", selection };
+  const best = ctx.replicaTracker.select(pending.request, {
+    compareAll: true,
+  })!;
+  const checked = checkPredictedTime(ctx, scope, {
+    ...pending,
+    selection: best,
+  });
+  if (!checked.ok) return { kind: "hold", until };
+  const bestUntil = holdUntil(ctx, scope, { ...pending, selection: best });
+  return bestUntil === undefined
+    ? { kind: "send", selection: best }
+    : { kind: "hold", until: bestUntil };
+}
+
 /** Refuses a request that no replica can take now if it would wait in vain. */
 function refuseUnavailable(
   ctx: GatewayContext,
