Gateway: a resumed stream that waits doesn't keep others from claiming permits

A stream that has begun waits for a permit, where other requests claim one. Both had the same needs, so that the others weren't decided about for 250 ms.

The new test fails before the change: 'after 240 ms' (npx ava packages/gateway/src/acquire_replica_test.ts). With it, the file's 19 tests pass.

--- a/packages/gateway/src/acquire_replica.ts
+++ b/packages/gateway/src/acquire_replica.ts
@@ -71,7 +71,7 @@
   while (true) {
     const decision = await room.wait(waitingFields(scope, pending), {
       service,
-      needs: needsOf(request),
+      needs: needsOf(scope, pending),
       decide: () => decide(ctx, scope, pending),
       deadlineAt: scope.deadlineAt,
       signal: scope.signal,
@@ -137,12 +137,17 @@
 
 /** Requests with the same needs can be sent to the same replicas. */
 function needsOf(
-  { softwareVersion, allowedRegions = [], excluded }: SelectionRequest,
+  { arrivedAt }: RequestScope,
+  { request, waitingSince }: PendingRequest,
 ): string {
+  const { softwareVersion, allowedRegions = [], excluded } = request;
+  // Streams that are resumed wait for a permit, others claim one.
+  const isResumed = waitingSince > arrivedAt;
   return JSON.stringify([
     softwareVersion,
     allowedRegions,
     [...excluded].sort(),
+    isResumed,
   ]);
 }
 
--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -346,6 +346,34 @@
   t.true(elapsedMs() >= 500, `${elapsedMs()} ms`);
 });
 
+test("a stream that waits for a permit doesn't keep others that wait from claiming one", async (t) => {
+  const server = backendServer("r1", ["m"]);
+  const { ctx, scope, elapsedMs } = createGateway([]);
+  const caller = new AbortController();
+  const stream = acquireReplica(
+    ctx,
+    { ...scope, signal: caller.signal },
+    { request: REQUEST, waitingSince: 1 },
+  );
+  const later = { ...scope, route: { ...scope.route, priority: 1 } };
+  const acquiring = acquireReplica(ctx, later, PENDING);
+  await ctx.fleet.changed.wait(10);
+  limit(ctx, server);
+  ctx.replicaTracker.updateServers([server]);
+  const from = elapsedMs();
+  const { exhausted } = ctx.replicaTracker;
+  let claimedAt = Infinity;
+  ctx.replicaTracker.exhausted = (request) => {
+    claimedAt = Math.min(claimedAt, elapsedMs());
+    return exhausted.call(ctx.replicaTracker, request);
+  };
+  const acquired = await acquiring;
+  t.is(!acquired.ok && acquired.error.code, "replica_limit_reached");
+  t.true(claimedAt - from <= 120, `after ${claimedAt - from} ms`);
+  caller.abort();
+  await stream;
+});
+
 test("a request that waits is refused when a part of its prompt is quarantined", async (t) => {
   const { ctx, scope, elapsedMs } = createGateway([]);
   const promptParts = ["bad", "own"].map((id) => ({ id, tokens: 10 }));
