Queue: a flood for one model sheds no request for another one

Of the organisation that holds most, the request whose caller stays longest was shed, whichever model it waited for. It is now one for the model that most of the organisation's requests wait for.

--- a/packages/gateway/src/waiting_load_test.ts
+++ b/packages/gateway/src/waiting_load_test.ts
@@ -176,6 +176,28 @@
   t.true(shed.length > 0, "more wait than may");
 });
 
+test("one model alone in demand displaces no request of its organisation for another", async (t) => {
+  const { results } = await playLoad({
+    places: { m: 10, rare: 1 },
+    requests: [
+      ...steady({ perS: 400, forMs: 5000, workMs: 100, patienceMs: 10_000 }),
+      ...steady({
+        perS: 9,
+        forMs: 5000,
+        model: "rare",
+        workMs: 125,
+        patienceMs: 20_000,
+      }),
+    ],
+  });
+  const rare = results.filter(({ model }) => model === "rare");
+  t.is(sentOf(rare).length, 45);
+  const slowest = Math.max(...waitsOf(rare));
+  t.true(slowest <= 900, `${slowest} ms, 45 times 125 ms in 5 s`);
+  const shed = results.filter(({ code }) => code === "overloaded");
+  t.true(shed.length > 0, "more wait than may");
+});
+
 test("a less urgent request waits for a bounded time beside a steady urgent load that leaves room", async (t) => {
   const urgent = steady({ perS: 85, forMs: 5000, workMs: 100 });
   const lessUrgent = steady({
--- a/packages/queue/src/waiting_queue.ts
+++ b/packages/queue/src/waiting_queue.ts
@@ -235,7 +235,8 @@
     for (const items of this.#sheddable.get(priority)?.values() ?? []) {
       if (!most || heldBy(items) > heldBy(most)) most = items;
     }
-    return cause === "bytes" ? most && findLargest(most) : most?.last;
+    if (!most) return undefined;
+    return cause === "bytes" ? findLargest(most) : findLastOfMostAwaited(most);
   }
 }
 
@@ -248,6 +249,22 @@
   return largest;
 }
 
+/** Of the name with most items, the last to leave. */
+function findLastOfMostAwaited<T>(
+  items: Items<T>,
+): WaitingItem<T> | undefined {
+  const byName = new Map<string, { count: number; last: WaitingItem<T> }>();
+  let most: { count: number; last: WaitingItem<T> } | undefined;
+  for (const item of items.toArray()) {
+    const entry = byName.get(item.name) ?? { count: 0, last: item };
+    byName.set(item.name, entry);
+    entry.count += 1;
+    entry.last = item;
+    if (!most || entry.count >= most.count) most = entry;
+  }
+  return most?.last;
+}
+
 function addTo<T>(items: ItemsByPriority<T>, item: WaitingItem<T>): void {
   const { priority, organisation } = item;
   const organisations = items.get(priority) ?? new Map<string, Items<T>>();
--- a/packages/queue/src/waiting_queue_test.ts
+++ b/packages/queue/src/waiting_queue_test.ts
@@ -106,6 +106,18 @@
   t.is(queue.length, 3);
 });
 
+test("a full queue sheds the name that holds most, of the organisation that does", (t) => {
+  const queue = createQueue();
+  const shed = addAll(queue, [
+    { name: "rare", leavesAt: 5000 },
+    { leavesAt: 1000 },
+    { leavesAt: 2000 },
+    { organisation: "b", name: "rare" },
+    { leavesAt: 1500 },
+  ]);
+  t.deepEqual(shed.map(({ item }) => item.value), [2]);
+});
+
 test("many small requests aren't shed for the bytes of a large one", (t) => {
   const queue = WaitingQueue.create<number>({ maxEntries: 400, maxBytes: 400 });
   const small = Array.from({ length: 300 }, () => ({ bytes: 1 }));
