--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -346,6 +346,24 @@
   t.true(elapsedMs() >= 500, `${elapsedMs()} ms`);
 });
 
+test("requests go on waiting when a pass through them fails", async (t) => {
+  const { ctx, scope } = createGateway([]);
+  const { changed } = ctx.fleet;
+  const { wait } = changed;
+  const events: string[] = [];
+  const log = { write: (event: string) => void events.push(event) };
+  let waits = 0;
+  changed.wait = (maxMs) => {
+    waits += 1;
+    if (waits === 1) return Promise.reject(new Error("Planted failure"));
+    ctx.replicaTracker.updateServers([backendServer("r1", ["m"])]);
+    return wait(maxMs);
+  };
+  const failing = { ...ctx, log } as unknown as GatewayContext;
+  t.true((await acquireReplica(failing, scope, PENDING)).ok);
+  t.deepEqual(events, ["waiting pass failed"]);
+});
+
 test("a stream that waits for a permit doesn't keep others that wait from claiming one", async (t) => {
   const server = backendServer("r1", ["m"]);
   const { ctx, scope, elapsedMs } = createGateway([]);
--- a/packages/gateway/src/waiting_load_test.ts
+++ b/packages/gateway/src/waiting_load_test.ts
@@ -216,7 +216,7 @@
   t.true(slowest <= 300, `${slowest} ms`);
 });
 
-test("a freed place costs the same work however many requests wait", async (t) => {
+test("a freed place costs the same number of selections however many requests wait", async (t) => {
   const waiting = Array.from(
     { length: 400 },
     () => ({ at: 0, workMs: 100, patienceMs: 400 }),
--- a/packages/gateway/src/waiting_room.ts
+++ b/packages/gateway/src/waiting_room.ts
@@ -127,7 +127,8 @@
     if (this.#queue.length === 0) return;
     const isFirst = this.#woken.size === 0;
     this.#woken.add(service);
-    if (isFirst) void this.#passWoken();
+    if (!isFirst) return;
+    void this.#passWoken().catch((error) => this.#logFailure(error));
   }
 
   #enqueue(
@@ -178,14 +179,23 @@
     this.#isWatching = true;
     try {
       while (this.#queue.length > 0) {
-        await this.#ctx.fleet.changed.wait(this.#nextCheckInMs());
-        await this.#pass(this.#queue.names);
+        try {
+          await this.#ctx.fleet.changed.wait(this.#nextCheckInMs());
+          await this.#pass(this.#queue.names);
+        } catch (error) {
+          this.#logFailure(error);
+          await this.#ctx.fleet.changed.wait(RECHECK_INTERVAL_MS);
+        }
       }
     } finally {
       this.#isWatching = false;
     }
   }
 
+  #logFailure(error: unknown): void {
+    this.#ctx.log.write("waiting pass failed", { error: String(error) });
+  }
+
   #nextCheckInMs(): number {
     const { clock, replicaPauses, replicaTracker } = this.#ctx;
     const now = clock.now();
