--- a/packages/gateway/src/acquire_replica_test.ts
+++ b/packages/gateway/src/acquire_replica_test.ts
@@ -234,6 +234,37 @@
   t.is(acquired.ok && acquired.value.server.id, "r0");
 });
 
+test("one of many entries holds no request back while a replica is idle", async (t) => {
+  const servers = Array.from(
+    { length: 8 },
+    (_, i) => backendServer(`r${i}`, ["m"]),
+  );
+  const { ctx, scope, elapsedMs } = createGateway(servers, 68);
+  const busy = { requests: 12, prefillTokens: 0, kvTokens: 0, adapters: [] };
+  ctx.replicaTracker.updatePeerLoad(
+    "other",
+    new Map(
+      servers.slice(1).map(({ id }) => [
+        id,
+        { ...busy, models: new Map([["m", 12]]) },
+      ]),
+    ),
+  );
+  const shares = [{ service: "pool", weight: 1 }];
+  const patient = route({ priority: 2, targetLatencyMs: 8000, shares });
+  const routes = [route({ targetLatencyMs: 400, shares }), patient];
+  const activeConfiguration = {
+    configuration: { services: new Map(), routes },
+  } as unknown as RequestScope["activeConfiguration"];
+  const acquired = await acquireReplica(
+    ctx,
+    { ...scope, route: patient, activeConfiguration },
+    PENDING,
+  );
+  t.is(acquired.ok && acquired.value.server.id, "r0");
+  t.is(elapsedMs(), 0);
+});
+
 test("an idle replica isn't refused as it was slow or lost requests", async (t) => {
   const server = backendServer("r1", ["m"]);
   const { ctx, scope } = createGateway([server]);
@@ -315,6 +346,52 @@
   t.true(elapsedMs() >= 500, `${elapsedMs()} ms`);
 });
 
+test("requests go on waiting when a pass through them fails", async (t) => {
+  const { ctx, scope } = createGateway([]);
+  const { changed } = ctx.fleet;
+  const { wait } = changed;
+  const events: string[] = [];
+  const log = { write: (event: string) => void events.push(event) };
+  let waits = 0;
+  changed.wait = (maxMs) => {
+    waits += 1;
+    if (waits === 1) return Promise.reject(new Error("Planted failure"));
+    ctx.replicaTracker.updateServers([backendServer("r1", ["m"])]);
+    return wait(maxMs);
+  };
+  const failing = { ...ctx, log } as unknown as GatewayContext;
+  t.true((await acquireReplica(failing, scope, PENDING)).ok);
+  t.deepEqual(events, ["waiting pass failed"]);
+});
+
+test("a stream that waits for a permit doesn't keep others that wait from claiming one", async (t) => {
+  const server = backendServer("r1", ["m"]);
+  const { ctx, scope, elapsedMs } = createGateway([]);
+  const caller = new AbortController();
+  const stream = acquireReplica(
+    ctx,
+    { ...scope, signal: caller.signal },
+    { request: REQUEST, waitingSince: 1 },
+  );
+  const later = { ...scope, route: { ...scope.route, priority: 1 } };
+  const acquiring = acquireReplica(ctx, later, PENDING);
+  await ctx.fleet.changed.wait(10);
+  limit(ctx, server);
+  ctx.replicaTracker.updateServers([server]);
+  const from = elapsedMs();
+  const { exhausted } = ctx.replicaTracker;
+  let claimedAt = Infinity;
+  ctx.replicaTracker.exhausted = (request) => {
+    claimedAt = Math.min(claimedAt, elapsedMs());
+    return exhausted.call(ctx.replicaTracker, request);
+  };
+  const acquired = await acquiring;
+  t.is(!acquired.ok && acquired.error.code, "replica_limit_reached");
+  t.true(claimedAt - from <= 120, `after ${claimedAt - from} ms`);
+  caller.abort();
+  await stream;
+});
+
 test("a request that waits is refused when a part of its prompt is quarantined", async (t) => {
   const { ctx, scope, elapsedMs } = createGateway([]);
   const promptParts = ["bad", "own"].map((id) => ({ id, tokens: 10 }));
--- a/packages/gateway/src/waiting_load_test.ts
+++ b/packages/gateway/src/waiting_load_test.ts
@@ -81,6 +81,24 @@
   t.is(sentOf(results).length, results.length, "the long ones follow");
 });
 
+test("an urgent request that arrives while places are handed out goes before the rest", async (t) => {
+  const first = Array.from({ length: 201 }, () => ({ at: 0, workMs: 100 }));
+  const long = Array.from({ length: 200 }, () => ({
+    at: 10,
+    priority: 3,
+    workMs: 1000,
+    patienceMs: 10_000,
+  }));
+  const { results } = await playLoad({
+    places: { m: 201 },
+    requests: [...first, ...long, { at: 105, workMs: 20 }],
+  });
+  const sent = results.slice(first.length);
+  const index = sent.findIndex(({ at }) => at === 105);
+  t.true(index >= 1 && index <= 20, `number ${index} of ${sent.length}`);
+  t.is(sentOf(sent).length, 201, "the long ones follow");
+});
+
 test("impatient callers that repeat at once take no place from those that wait", async (t) => {
   const patient = steady({
     perS: 50,
@@ -122,6 +140,21 @@
   t.true(sentOf(results).length >= 300, "the room is full");
 });
 
+test("a request that is shed is told to come back while its caller still waits", async (t) => {
+  const { results } = await playLoad({
+    places: { m: 1 },
+    random: 0.999,
+    requests: Array.from(
+      { length: 1100 },
+      () => ({ at: 0, workMs: 1000, patienceMs: 3000 }),
+    ),
+  });
+  const shed = results.filter(({ code }) => code === "overloaded");
+  t.true(shed.length >= 90);
+  const longest = Math.max(...shed.map((each) => each.retryAfterMs!));
+  t.true(longest <= 1000, `${longest} ms, a third of the time`);
+});
+
 test("one model alone in demand delays and displaces no request for another", async (t) => {
   const { results } = await playLoad({
     places: { m: 10, rare: 1 },
@@ -143,6 +176,28 @@
   t.true(shed.length > 0, "more wait than may");
 });
 
+test("one model alone in demand displaces no request of its organisation for another", async (t) => {
+  const { results } = await playLoad({
+    places: { m: 10, rare: 1 },
+    requests: [
+      ...steady({ perS: 400, forMs: 5000, workMs: 100, patienceMs: 10_000 }),
+      ...steady({
+        perS: 9,
+        forMs: 5000,
+        model: "rare",
+        workMs: 125,
+        patienceMs: 20_000,
+      }),
+    ],
+  });
+  const rare = results.filter(({ model }) => model === "rare");
+  t.is(sentOf(rare).length, 45);
+  const slowest = Math.max(...waitsOf(rare));
+  t.true(slowest <= 900, `${slowest} ms, 45 times 125 ms in 5 s`);
+  const shed = results.filter(({ code }) => code === "overloaded");
+  t.true(shed.length > 0, "more wait than may");
+});
+
 test("a less urgent request waits for a bounded time beside a steady urgent load that leaves room", async (t) => {
   const urgent = steady({ perS: 85, forMs: 5000, workMs: 100 });
   const lessUrgent = steady({
@@ -161,7 +216,7 @@
   t.true(slowest <= 300, `${slowest} ms`);
 });
 
-test("a freed place costs the same work however many requests wait", async (t) => {
+test("a freed place costs the same number of selections however many requests wait", async (t) => {
   const waiting = Array.from(
     { length: 400 },
     () => ({ at: 0, workMs: 100, patienceMs: 400 }),
--- a/packages/gateway/src/waiting_room.ts
+++ b/packages/gateway/src/waiting_room.ts
@@ -7,6 +7,7 @@
 } from "@banyanspool/queue";
 import type { ReplicaSelection } from "@banyanspool/routing";
 import { incarnationOf, type Refusal, refuse } from "@banyanspool/types";
+import { MAX_RETRY_AFTER_SHARE } from "./caller_wait.ts";
 import type { GatewayContext } from "./context.ts";
 
 /** What is to be done with a request that needs a replica. */
@@ -33,6 +34,8 @@
   readonly needs: string;
   /** Decides about the request now. */
   readonly decide: () => Decision;
+  /** Time by which the caller must have the final response, in ms. */
+  readonly deadlineAt: number;
   /** Aborted when the caller leaves. */
   readonly signal: AbortSignal;
 }
@@ -54,9 +57,6 @@
 const MIN_CHECK_INTERVAL_MS = 5;
 /** Interval at which all others are, in ms. */
 const RECHECK_ALL_INTERVAL_MS = 250;
-/** Retry-after of requests that were shed, as a share of their wait. */
-const SHED_RETURN_SHARE = 0.5;
-const MIN_SHED_RETURN_MS = 200;
 
 const rooms: WeakMap<GatewayContext, WaitingRoom> = new WeakMap();
 
@@ -71,6 +71,8 @@
   readonly #woken: Set<string> = new Set();
   /** Names that the pass under way still has to go through. */
   readonly #due: Set<string> = new Set();
+  /** Name that the pass goes through now. */
+  #nameInPass: string | undefined;
   #isWatching = false;
   #isPassing = false;
 
@@ -125,7 +127,8 @@
     if (this.#queue.length === 0) return;
     const isFirst = this.#woken.size === 0;
     this.#woken.add(service);
-    if (isFirst) void this.#passWoken();
+    if (!isFirst) return;
+    void this.#passWoken().catch((error) => this.#logFailure(error));
   }
 
   #enqueue(
@@ -150,6 +153,8 @@
       const value = { options, end, fail, decidedAt, heldUntil };
       const { item, shed } = this.#queue.add({ ...fields, value });
       signal.addEventListener("abort", leave);
+      // The pass goes by the order that it began with.
+      if (item.name === this.#nameInPass) this.#due.add(item.name);
       for (const each of shed) this.#endShed(each);
       if (!this.#isWatching) void this.#watch();
     });
@@ -157,17 +162,14 @@
 
   #endShed({ item, cause }: ShedItem<Waiter>): void {
     const { metrics, clock, random } = this.#ctx;
-    const { priority, leavesAt, value } = item;
-    const { service } = value.options;
+    const { priority, value } = item;
+    const { service, deadlineAt } = value.options;
     metrics.shedRequests.inc({ service, priority: String(priority), cause });
-    const returnInMs = Math.max(
-      MIN_SHED_RETURN_MS,
-      (leavesAt - clock.now()) * SHED_RETURN_SHARE,
-    );
+    const maxReturnMs = (deadlineAt - clock.now()) * MAX_RETRY_AFTER_SHARE;
     const refusal = refuse(
       "overloaded",
       `Too many requests wait for replicas of "${service}"`,
-      { retryAfterMs: Math.ceil(returnInMs * (1 + random())) },
+      { retryAfterMs: Math.ceil(maxReturnMs / 2 * (1 + random())) },
     );
     value.end({ kind: "refuse", refusal });
   }
@@ -177,14 +179,23 @@
     this.#isWatching = true;
     try {
       while (this.#queue.length > 0) {
-        await this.#ctx.fleet.changed.wait(this.#nextCheckInMs());
-        await this.#pass(this.#queue.names);
+        try {
+          await this.#ctx.fleet.changed.wait(this.#nextCheckInMs());
+          await this.#pass(this.#queue.names);
+        } catch (error) {
+          this.#logFailure(error);
+          await this.#ctx.fleet.changed.wait(RECHECK_INTERVAL_MS);
+        }
       }
     } finally {
       this.#isWatching = false;
     }
   }
 
+  #logFailure(error: unknown): void {
+    this.#ctx.log.write("waiting pass failed", { error: String(error) });
+  }
+
   #nextCheckInMs(): number {
     const { clock, replicaPauses, replicaTracker } = this.#ctx;
     const now = clock.now();
@@ -223,9 +234,11 @@
       // Names that become due meanwhile follow.
       for (const name of this.#due) {
         this.#due.delete(name);
+        this.#nameInPass = name;
         await this.#offerPlaces(name);
       }
     } finally {
+      this.#nameInPass = undefined;
       this.#isPassing = false;
     }
   }
@@ -262,6 +275,8 @@
           end(decision);
           // The next one is decided about once this one is sent.
           await nextTurn();
+          // The name is gone through again, in the order of now.
+          if (this.#due.has(name)) return;
           break;
         default:
           this.#queue.remove(item);
--- a/packages/queue/src/waiting_queue.ts
+++ b/packages/queue/src/waiting_queue.ts
@@ -219,26 +219,50 @@
       if (cause === "entries" && this.#sheddableEntries <= maxEntries) {
         return shed;
       }
-      const item = this.#findCheapest(
-        cause === "bytes" ? (items) => items.bytes : (items) => items.length,
-      );
+      const item = this.#findCheapest(cause);
       if (!item) return shed;
       this.remove(item);
       shed.push({ item, cause });
     }
   }
 
-  /** Of the least urgent, of the organisation that holds most, the last to leave. */
-  #findCheapest(
-    heldBy: (items: Items<T>) => number,
-  ): WaitingItem<T> | undefined {
+  /** Of the least urgent, of the organisation that holds most. */
+  #findCheapest(cause: ShedCause): WaitingItem<T> | undefined {
+    const heldBy = (items: Items<T>) =>
+      cause === "bytes" ? items.bytes : items.length;
     const priority = Math.max(...this.#sheddable.keys());
     let most: Items<T> | undefined;
     for (const items of this.#sheddable.get(priority)?.values() ?? []) {
       if (!most || heldBy(items) > heldBy(most)) most = items;
     }
-    return most?.last;
+    if (!most) return undefined;
+    return cause === "bytes" ? findLargest(most) : findLastOfMostAwaited(most);
+  }
+}
+
+/** Of the items with most bytes, the last to leave. */
+function findLargest<T>(items: Items<T>): WaitingItem<T> | undefined {
+  let largest: WaitingItem<T> | undefined;
+  for (const item of items.toArray()) {
+    if (!largest || item.bytes >= largest.bytes) largest = item;
+  }
+  return largest;
+}
+
+/** Of the name with most items, the last to leave. */
+function findLastOfMostAwaited<T>(
+  items: Items<T>,
+): WaitingItem<T> | undefined {
+  const byName = new Map<string, { count: number; last: WaitingItem<T> }>();
+  let most: { count: number; last: WaitingItem<T> } | undefined;
+  for (const item of items.toArray()) {
+    const entry = byName.get(item.name) ?? { count: 0, last: item };
+    byName.set(item.name, entry);
+    entry.count += 1;
+    entry.last = item;
+    if (!most || entry.count >= most.count) most = entry;
   }
+  return most?.last;
 }
 
 function addTo<T>(items: ItemsByPriority<T>, item: WaitingItem<T>): void {
