Placement: loads are weighed by what they earn and displace

Copies, and models that nobody waits for, are now loaded only if what they save within 30 s clearly exceeds what they displace and cost, in replica seconds. Bursts count by half. A model without a replica that requests wait for gets one whatever its rank; before, it got none while busier models held the protected places.

Each process kept a token bucket for loads of its own, which filled while another one held the placement lease: two holders in turn could start six loads above the weight store's rate within a window in which three are permitted. Each term now begins without tokens.

--- a/packages/gateway/src/model_load_limiter_test.ts
+++ b/packages/gateway/src/model_load_limiter_test.ts
@@ -40,3 +40,42 @@
   now += 600;
   t.true(limiter.tryAcquire(2));
 });
+
+/** Starts loads at two gateways that hold the lease in turn, as fast as allowed. */
+function countWorstWindow(
+  terms: readonly (readonly number[])[],
+  { loadsPerS, tellsTerm }: { loadsPerS: number; tellsTerm: boolean },
+): number {
+  let now = 0;
+  const clock = { now: () => now, wall: () => now };
+  const limiters = [1, 2].map(() => ModelLoadLimiter.create({ clock }));
+  const starts: number[] = [];
+  for (const [index, pauses] of terms.entries()) {
+    const limiter = limiters[index % 2]!;
+    if (tellsTerm) limiter.followTerm(index + 1);
+    for (const pause of pauses) {
+      now += pause;
+      while (limiter.tryAcquire(loadsPerS)) starts.push(now);
+    }
+  }
+  const countFrom = (start: number) =>
+    starts.filter((at) => at >= start && at < start + 5000).length;
+  return Math.max(0, ...starts.map(countFrom));
+}
+
+test("two gateways that hold the lease in turn stay below the weight store's limit together", (t) => {
+  const terms = fc.array(
+    fc.array(fc.integer({ min: 0, max: 1500 }), { maxLength: 20 }),
+    { minLength: 2, maxLength: 12 },
+  );
+  const isBounded = (tellsTerm: boolean) =>
+    fc.check(
+      fc.property(terms, fc.constantFrom(1.1, 2.1, 8), (held, loadsPerS) =>
+        countWorstWindow(held, { loadsPerS, tellsTerm }) <=
+          loadsPerS * 5 * 1.1 + 3),
+      { seed: 20261206, numRuns: 300 },
+    );
+  t.false(isBounded(true).failed);
+  // Planted defect: a new holder begins with the tokens of its idle time.
+  t.true(isBounded(false).failed);
+});
--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -90,7 +90,10 @@
 
   private constructor(options: ModelSchedulerOptions) {
     this.#options = options;
-    this.#modelLoadLimiter = ModelLoadLimiter.create({ clock: options.clock });
+    this.#modelLoadLimiter = ModelLoadLimiter.create({
+      clock: options.clock,
+      term: options.engineController.leaseTerm,
+    });
     this.#longTermDemand = LongTermDemand.create({ clock: options.clock });
   }
 
@@ -121,8 +124,9 @@
 
   /** Plans and starts the next moves of one service with the given replicas. */
   plan(engine: EngineSpec, servers: readonly BackendServer[]): void {
-    if (this.#isReportMissing(servers)) return;
     const { engineController } = this.#options;
+    this.#modelLoadLimiter.followTerm(engineController.leaseTerm);
+    if (this.#isReportMissing(servers)) return;
     const reports = servers.flatMap((server) => {
       const state = engineController.get(server.id);
       return state?.isSynced ? [buildReplicaReport(state, engine)] : [];
@@ -272,7 +276,7 @@
     const readyAt = clock.now() + loadMs + ANNOUNCEMENT_MS;
     this.#moves.set(move.replica, { move, state, readyAt });
     engineController.notifyAvailableModelsChange();
-    log.write("model move", { ...move });
+    log.write("model move", describeMove(move));
     engineController.enqueue(state, async () => {
       try {
         await this.#executeMove(state, move, engine);
@@ -373,3 +377,14 @@
     if (isLoaded) state.loadedAt.set(model, clock.now());
   }
 }
+
+/** Fields of a move's log line; what it is worth in replica seconds. */
+function describeMove({ worth, ...move }: PlacementMove) {
+  const round = (value: number) => Math.round(value * 100) / 100;
+  return {
+    ...move,
+    earns: worth && round(worth.earns),
+    displaces: worth && round(worth.displaces),
+    price: worth && round(worth.price),
+  };
+}
--- a/packages/gateway/src/model_scheduler_test.ts
+++ b/packages/gateway/src/model_scheduler_test.ts
@@ -116,3 +116,53 @@
   const [, unleased] = await swapModels({ requestsEndAt, leaseEndsAt: 10 });
   t.true(unleased!.at <= MAX_IDLE_MS);
 });
+
+/** Counts the loads from the weight store that a holder starts at once. */
+function countLoadsOfTerm(terms: { idleMs: number; term: number }[]): number {
+  let now = 0;
+  let leaseTerm = 0;
+  let loads = 0;
+  const scheduler = ModelScheduler.create({
+    engineController: {
+      get leaseTerm() {
+        return leaseTerm;
+      },
+      get: (id: string) => {
+        const server = { ...SERVER, id };
+        return Object.assign(createEngineState(server, 0), { isSynced: true });
+      },
+      notifyAvailableModelsChange: () => {},
+      enqueue: () => {
+        loads += 1;
+      },
+    } as unknown as EngineController,
+    clock: { now: () => now, wall: () => now },
+    sleep: () => Promise.resolve(),
+    replicaTracker: {
+      loadAt: () => ({ models: new Map(), adapters: new Set() }),
+    } as unknown as ReplicaTracker,
+    demand: () =>
+      new Map(HELD.map((model) => [
+        model,
+        { model, fastReplicas: 0.1, slowReplicas: 0.1, waiting: 1 },
+      ])),
+    streamNeeds: () => [],
+    isLimited: () => false,
+    log: { write: () => {}, dropped: () => 0, flush: () => {} },
+  });
+  for (const { idleMs, term } of terms) {
+    now += idleMs;
+    leaseTerm = term;
+    loads = 0;
+    const servers = ["r1", "r2", "r3"].map((id) => ({ ...SERVER, id }));
+    scheduler.plan({ ...ENGINE, modelLoadsPerS: 1 }, servers);
+  }
+  return loads;
+}
+
+// The former holder may have used the weight store's burst a moment ago.
+test("models asked for at once after a change of the lease holder don't load beyond the weight store's limit", (t) => {
+  t.is(countLoadsOfTerm([{ idleMs: 20_000, term: 1 }]), 0);
+  const held = [{ idleMs: 20_000, term: 1 }, { idleMs: 2000, term: 1 }];
+  t.is(countLoadsOfTerm(held), 1);
+});
--- a/packages/gateway/src/placement_models.ts
+++ b/packages/gateway/src/placement_models.ts
@@ -57,6 +57,18 @@
     reports.flatMap(({ readyModels }) => readyModels),
   );
   const remaining = reports.filter(({ leaving }) => !leaving);
+  const countFor = (name: string, modelDemand: number) =>
+    countNeededReplicas({
+      demand: modelDemand,
+      adapters: adapterCounts.get(name) ?? 0,
+      adapterSlots: engine.adapterSlots,
+      replicas: remaining.length,
+      limitedCopies: countLimitedCopies(name, {
+        reports: remaining,
+        limitedReplicas,
+        hasWaiting: (waiting.get(name) ?? 0) > 0,
+      }),
+    });
   const minReplicas = chooseProtectedModels(
     [...engine.models.keys()].map((name) => ({
       name,
@@ -64,21 +76,11 @@
       waitingRequests: waiting.get(name) ?? 0,
       isResident: residentModels.has(name),
       longTermDemand: longTermDemand(name),
-      neededReplicas: countNeededReplicas({
-        demand: maxDemand(demand.get(name)),
-        adapters: adapterCounts.get(name) ?? 0,
-        adapterSlots: engine.adapterSlots,
-        replicas: remaining.length,
-        limitedCopies: countLimitedCopies(name, {
-          reports: remaining,
-          limitedReplicas,
-          hasWaiting: (waiting.get(name) ?? 0) > 0,
-        }),
-      }),
+      neededReplicas: countFor(name, maxDemand(demand.get(name))),
     })),
     remaining.length * countModelSlots(engine),
   );
-  return [...engine.models.values()].map(({ name, weightsMb }) => {
+  return [...engine.models.values()].map(({ name, weightsMb, modelLoadMs }) => {
     const modelDemand = demand.get(name);
     const fast = (modelDemand?.fastReplicas ?? 0) +
       (waiting.get(name) ?? 0) * REPLICAS_PER_WAITING_REQUEST;
@@ -92,6 +94,8 @@
       fastReplicas: fast,
       slowReplicas: slow,
       longTermReplicas: longTermDemand(name),
+      requiredReplicas: countFor(name, 0),
+      loadS: modelLoadMs / 1000,
     };
   });
 }
--- a/packages/placement/src/model_load_target.ts
+++ b/packages/placement/src/model_load_target.ts
@@ -1,4 +1,11 @@
 import type { ReplicaReport } from "@banyanspool/types";
+import {
+  type LoadWorth,
+  priceOfLoad,
+  reliefByCopy,
+  worthOfReach,
+  worthOfRelief,
+} from "./load_worth.ts";
 import type { PlacementModel } from "./plan.ts";
 
 /** Input of {@link findModelLoadTarget}. */
@@ -27,6 +34,8 @@
   readonly unload: readonly string[];
   /** Demand that the copies to unload serve now, in replicas kept busy. */
   readonly displacedDemand: number;
+  /** What the load costs and displaces, in replica seconds. */
+  readonly cost: Omit<LoadWorth, "earns">;
 }
 
 /** Cost of each in-flight request that an unload must wait for, in replicas. */
@@ -38,19 +47,17 @@
 /** Cost of a load from the weight store instead of a local copy, in replicas. */
 const STORE_LOAD_LOSS = 0.5;
 
-/** Time ahead for which requests for an unloaded model count, in s. */
-const RETURN_HORIZON_S = 30;
 /** Hysteresis of swaps between models without requests. */
 const IDLE_SWAP_FACTOR = 2;
-/** Assumed time for which one request keeps a replica busy, in s. */
-const REQUEST_BUSY_S = 0.1;
+/** Assumed time of a load from the weight store, in s. */
+const DEFAULT_LOAD_S = 3;
 
 /**
  * Finds the replica that can load a model at the least loss. The loss is the
  * demand that unloads displace, a cost for each unload and for a load from the
- * weight store, the loads that unloaded models are expected to need again, and
- * the growth of the sum of squared busy shares. A model with
- * no more ready replicas than its minimum is never unloaded.
+ * weight store, what the absence of models costs whose last copy is unloaded,
+ * and the growth of the sum of squared busy shares. A model with no more ready
+ * replicas than its minimum is never unloaded.
  */
 export function findModelLoadTarget(
   model: string,
@@ -79,17 +86,22 @@
     });
     if (!unloads) continue;
     const { weightsMib } = report;
-    const { unload, displacedDemand, reloadLoss } = unloads;
+    const { unload, displacedDemand, absenceLoss, displaces } = unloads;
     const busyShare = sumDemand(report, { modelsByName, counts, unload });
-    const loss = displacedDemand + unload.length * UNLOAD_LOSS + reloadLoss +
-      (input.localCopies?.has(`${report.replica} ${model}`)
-        ? 0
-        : STORE_LOAD_LOSS) +
+    const isLocal = input.localCopies?.has(`${report.replica} ${model}`) ??
+      false;
+    const cost = { displaces, price: priceOfLoad({ isLocal }) };
+    const loss = displacedDemand + unload.length * UNLOAD_LOSS + absenceLoss +
+      (isLocal ? 0 : STORE_LOAD_LOSS) +
       (busyShare + share) ** 2 - busyShare ** 2;
     if (best && loss > best.loss) continue;
     // Ties go to the replica with the least weights, so that models spread.
     if (best && loss === best.loss && weightsMib >= best.weightsMib) continue;
-    best = { target: { report, unload, displacedDemand }, loss, weightsMib };
+    best = {
+      target: { report, unload, displacedDemand, cost },
+      loss,
+      weightsMib,
+    };
   }
   return best?.target;
 }
@@ -126,12 +138,18 @@
     inUse: ReadonlyMap<string, number> | undefined;
   },
 ):
-  | { unload: string[]; displacedDemand: number; reloadLoss: number }
+  | {
+    unload: string[];
+    displacedDemand: number;
+    absenceLoss: number;
+    displaces: number;
+  }
   | undefined {
   let freeMib = report.memoryMib - report.weightsMib;
   const unload: string[] = [];
   let displacedDemand = 0;
-  let totalReloadLoss = 0;
+  let absenceLoss = 0;
+  let displaces = 0;
   const candidates = report.readyModels
     .map((name) => modelsByName.get(name))
     .filter((entry) => entry !== undefined)
@@ -144,22 +162,20 @@
       const requests = inUse?.get(`${report.replica} ${entry.name}`) ?? 0;
       const demand = demandPerReplica(entry, counts) +
         (requests > 0 ? IN_USE_LOSS : 0) + requests * IN_FLIGHT_REQUEST_LOSS;
-      return {
-        entry,
-        demand,
-        reloadLoss: computeExpectedReloadLoss(entry, counts),
-      };
+      const isLast = (counts.get(entry.name) ?? 0) <= 1;
+      return { entry, demand, absence: isLast ? lossOfAbsence(entry) : 0 };
     })
-    .sort((a, b) => a.demand + a.reloadLoss - b.demand - b.reloadLoss);
-  for (const { entry, demand, reloadLoss } of candidates) {
+    .sort((a, b) => a.demand + a.absence - b.demand - b.absence);
+  for (const { entry, demand, absence } of candidates) {
     if (freeMib >= requiredMib) break;
     freeMib += entry.weightsMib;
     unload.push(entry.name);
     displacedDemand += demand;
-    totalReloadLoss += reloadLoss;
+    absenceLoss += absence;
+    displaces += absence + worthOfSpareCopy(entry, counts);
   }
   if (freeMib < requiredMib) return undefined;
-  return { unload, displacedDemand, reloadLoss: totalReloadLoss };
+  return { unload, displacedDemand, absenceLoss, displaces };
 }
 
 /**
@@ -177,18 +193,29 @@
     wantedReplicas > longTermReplicas * IDLE_SWAP_FACTOR;
 }
 
-/**
- * Cost of a load, in replicas, times the probability that a model whose last
- * copy is unloaded is soon requested again.
- */
-function computeExpectedReloadLoss(
+/** What the absence of a model costs, in replica seconds. */
+export function lossOfAbsence(entry: PlacementModel): number {
+  return worthOfReach({
+    replicas: Math.max(entry.longTermReplicas ?? 0, entry.slowReplicas),
+    waitingRequests: entry.waitingRequests ?? 0,
+    loadS: loadTimeOf(entry),
+  });
+}
+
+/** Time of a load of a model from the weight store, in s. */
+export function loadTimeOf({ loadS }: PlacementModel): number {
+  return loadS ?? DEFAULT_LOAD_S;
+}
+
+/** What the last of several copies saves, in replica seconds; 0 for a single one. */
+function worthOfSpareCopy(
   entry: PlacementModel,
   counts: ReadonlyMap<string, number>,
 ): number {
-  if ((counts.get(entry.name) ?? 0) > 1) return 0;
-  const expectedRequests = (entry.longTermReplicas ?? 0) * RETURN_HORIZON_S /
-    REQUEST_BUSY_S;
-  return STORE_LOAD_LOSS * (1 - Math.exp(-expectedRequests));
+  const copies = counts.get(entry.name) ?? 0;
+  if (copies <= 1) return 0;
+  const relief = reliefByCopy(demandOf(entry), copies - 1);
+  return worthOfRelief(relief, 0);
 }
 
 /**
@@ -236,3 +263,12 @@
 export function demandOf(model: PlacementModel): number {
   return Math.max(model.fastReplicas, model.slowReplicas);
 }
+
+/**
+ * Demand for a model that is expected to last longer than a load, in replicas
+ * kept busy. A burst raises the fast average alone, and after its end the slow
+ * one alone remains.
+ */
+export function lastingDemandOf(model: PlacementModel): number {
+  return (model.fastReplicas + model.slowReplicas) / 2;
+}
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -1,10 +1,25 @@
 import type { ReplicaReport } from "@banyanspool/types";
+import { findBestCopy } from "./best_copy.ts";
+import {
+  isWorthItsPrice,
+  type LoadWorth,
+  reliefByCopy,
+  worthOfRelief,
+} from "./load_worth.ts";
 import {
-  countReadyReplicas,
   demandOf,
-  findModelLoadTarget,
+  lastingDemandOf,
+  loadTimeOf,
+  lossOfAbsence,
   type ModelLoadTarget,
 } from "./model_load_target.ts";
+import {
+  applyMove,
+  createWorkingState,
+  findTarget,
+  mayChange,
+  type WorkingState,
+} from "./working_state.ts";
 
 /** A model and the demand for it. */
 export interface PlacementModel {
@@ -24,6 +39,10 @@
   readonly waitingRequests?: number;
   /** Demand averaged over minutes, in replicas kept busy; 0 if absent. */
   readonly longTermReplicas?: number;
+  /** Replicas needed whatever their loads cost; 0 if absent. */
+  readonly requiredReplicas?: number;
+  /** Time of a load from the weight store, in s. */
+  readonly loadS?: number;
 }
 
 /** Input of a placement plan. */
@@ -80,18 +99,10 @@
    * that needs the model has it.
    */
   readonly reason: "reach" | "copies" | "demand" | "group";
-}
-
-interface CopyCandidate {
-  readonly model: string;
-  readonly target: ReplicaReport;
-}
-
-interface WorkingState {
-  readonly models: ReadonlyMap<string, PlacementModel>;
-  readonly replicas: Map<string, ReplicaReport>;
-  /** Number of ready replicas by model. */
-  counts: ReadonlyMap<string, number>;
+  /** Requests that wait for the model. */
+  readonly waiting?: number;
+  /** What it was expected to earn and displace, in replica seconds. */
+  readonly worth?: LoadWorth;
 }
 
 /** Demand that one waiting request stands for, in replicas kept busy. */
@@ -138,57 +149,21 @@
       working,
       options: { kvShare },
     });
-    if (found) addMove(moves, { working, target: found, load: model, reason });
+    if (!found) continue;
+    const worth = weighMissingReplica(model, { working, target: found });
+    if (!mustLoad(model, { working, target: found, reason })) {
+      if (!isWorthItsPrice(worth)) continue;
+    }
+    addMove(moves, { working, target: found, load: model, reason, worth });
   }
   while (remainingMoves() > 0) {
     const copy = findBestCopy(input, working, options);
     if (copy === undefined) break;
-    const found = findTarget(copy.model, [copy.target], {
-      input,
-      working,
-      options,
-    });
-    addMove(moves, {
-      working,
-      target: found!,
-      load: copy.model,
-      reason: "demand",
-    });
+    addMove(moves, { working, ...copy, reason: "demand" });
   }
   return moves;
 }
 
-function createWorkingState(input: PlacementInput): WorkingState {
-  const models = new Map(input.models.map((model) => [model.name, model]));
-  const replicas = new Map(
-    input.replicas.map((report) => [report.replica, report]),
-  );
-  const counts = countReadyReplicas([...replicas.values()]);
-  const working = { models, replicas, counts };
-  for (const move of input.pendingMoves) applyMove(working, move);
-  return working;
-}
-
-function applyMove(working: WorkingState, move: PlacementMove): void {
-  const report = working.replicas.get(move.replica);
-  if (!report || report.readyModels.includes(move.load)) return;
-  const gone = report.readyModels.filter((name) => move.unload.includes(name));
-  const freedMib = gone.reduce(
-    (sum, name) => sum + (working.models.get(name)?.weightsMib ?? 0),
-    0,
-  );
-  const loadedMib = working.models.get(move.load)?.weightsMib ?? 0;
-  working.replicas.set(move.replica, {
-    ...report,
-    readyModels: [
-      ...report.readyModels.filter((name) => !gone.includes(name)),
-      move.load,
-    ],
-    weightsMib: report.weightsMib - freedMib + loadedMib,
-  });
-  working.counts = countReadyReplicas([...working.replicas.values()]);
-}
-
 interface MissingReplica {
   readonly model: string;
   readonly reason: "reach" | "copies";
@@ -221,123 +196,61 @@
   );
 }
 
-function findTarget(
-  model: string,
-  candidates: readonly ReplicaReport[],
-  { input, working, options }: {
-    input: PlacementInput;
-    working: WorkingState;
-    options: { readonly kvShare: number };
-  },
-): ModelLoadTarget | undefined {
-  return findModelLoadTarget(model, {
-    models: working.models,
-    replicas: candidates,
-    readyReplicaCounts: working.counts,
-    kvShare: options.kvShare,
-    keepResident: input.keepResident,
-    inUse: input.inUse,
-    localCopies: input.localCopies,
-  });
-}
-
 function addMove(
   moves: PlacementMove[],
-  { working, target, load, reason }: {
+  { working, target, load, reason, worth }: {
     working: WorkingState;
     target: ModelLoadTarget;
     load: string;
     reason: PlacementMove["reason"];
+    worth?: LoadWorth;
   },
 ): void {
   const { report, unload } = target;
-  const move = { replica: report.replica, load, unload, reason };
+  const waiting = working.models.get(load)?.waitingRequests;
+  const move = {
+    replica: report.replica,
+    load,
+    unload,
+    reason,
+    waiting,
+    worth,
+  };
   moves.push(move);
   applyMove(working, move);
 }
 
-/**
- * Finds the copy that reduces the sum of squared busy shares the most. The
- * square grows like the waiting time: relieving a busy replica counts for more
- * than relieving an idle one by as much.
- */
-function findBestCopy(
-  input: PlacementInput,
-  working: WorkingState,
-  options: PlacementOptions,
-): CopyCandidate | undefined {
-  const replicas = [...working.replicas.values()]
-    .filter(({ leaving }) => !leaving);
-  const counts = countReadyReplicas(replicas);
-  const shares = new Map(
-    replicas.map((report) => [report, busyShare(report, working, counts)]),
-  );
-  const busy = replicas.filter((report) =>
-    shares.get(report)! >= options.busyShare
-  );
-  const models = new Set(busy.flatMap(({ readyModels }) => readyModels));
-  const targets = replicas.filter((report) => mayChange(report, input));
-  let best: CopyCandidate | undefined;
-  let bestGain = options.minGain;
-  for (const model of models) {
-    const holders = replicas.filter((report) =>
-      report.readyModels.includes(model)
-    );
-    const part = modelShare(model, working, counts);
-    const partAfterCopy = part * holders.length / (holders.length + 1);
-    const relief = sumOf(holders, (report) => {
-      const share = shares.get(report)!;
-      return share ** 2 - (share - part + partAfterCopy) ** 2;
-    });
-    for (const target of targets) {
-      if (holders.includes(target)) continue;
-      const share = shares.get(target)!;
-      const gain = relief - ((share + partAfterCopy) ** 2 - share ** 2);
-      if (gain <= bestGain) continue;
-      const loadTarget = findTarget(model, [target], {
-        input,
-        working,
-        options,
-      });
-      // Unloads at the target displace demand, which reduces the gain.
-      if (!loadTarget || gain - loadTarget.displacedDemand <= bestGain) {
-        continue;
-      }
-      bestGain = gain - loadTarget.displacedDemand;
-      best = { model, target };
-    }
-  }
-  return best;
-}
-
-function sumOf<T>(items: readonly T[], value: (item: T) => number): number {
-  return items.reduce((sum, item) => sum + value(item), 0);
-}
-
-function busyShare(
-  report: ReplicaReport,
-  working: WorkingState,
-  counts: ReadonlyMap<string, number>,
-): number {
-  let share = 0;
-  for (const name of report.readyModels) {
-    share += modelShare(name, working, counts);
-  }
-  return share;
-}
-
-/** Fraction of a replica's capacity that one model's demand takes. */
-function modelShare(
+/** What a first or further replica of a model is expected to change. */
+function weighMissingReplica(
   name: string,
-  working: WorkingState,
-  counts: ReadonlyMap<string, number>,
-): number {
-  const model = working.models.get(name);
-  if (!model) return 0;
-  return demandOf(model) / Math.max(1, counts.get(name) ?? 1);
+  { working, target }: { working: WorkingState; target: ModelLoadTarget },
+): LoadWorth {
+  const model = working.models.get(name)!;
+  const copies = working.counts.get(name) ?? 0;
+  if (copies === 0) return { earns: lossOfAbsence(model), ...target.cost };
+  const demand = lastingDemandOf(model) +
+    (model.waitingRequests ?? 0) * WAITING_REQUEST_DEMAND;
+  const relief = reliefByCopy(demand, copies);
+  return { earns: worthOfRelief(relief, loadTimeOf(model)), ...target.cost };
 }
 
-function mayChange(report: ReplicaReport, input: PlacementInput): boolean {
-  return input.dataCentre === undefined ||
-    report.dataCentre === input.dataCentre;
+/**
+ * Whether a load isn't weighed: for a model without a replica that requests wait
+ * for or that takes no last copy, and for replicas that are required.
+ */
+function mustLoad(
+  name: string,
+  { working, target, reason }: {
+    working: WorkingState;
+    target: ModelLoadTarget;
+    reason: MissingReplica["reason"];
+  },
+): boolean {
+  const { counts, models } = working;
+  const model = models.get(name)!;
+  if (reason === "copies") {
+    return (counts.get(name) ?? 0) < (model.requiredReplicas ?? 0);
+  }
+  return (model.waitingRequests ?? 0) > 0 ||
+    target.unload.every((unloaded) => (counts.get(unloaded) ?? 0) > 1);
 }
--- a/packages/placement/src/protected_models.ts
+++ b/packages/placement/src/protected_models.ts
@@ -30,7 +30,8 @@
  * recent requests are unloaded first. Among these, resident ones and those with
  * more demand in the last minutes are kept. A model that needs several replicas
  * competes for further ones by the method of highest averages: its n-th replica
- * ranks by an n-th of the model's value.
+ * ranks by an n-th of the model's value. A model without a replica that requests
+ * wait for gets one whatever its rank.
  */
 export function chooseProtectedModels(
   candidates: readonly ProtectionCandidate[],
@@ -59,6 +60,11 @@
   for (const { candidate: { name } } of rankedReplicas.slice(0, count)) {
     chosen.set(name, (chosen.get(name) ?? 0) + 1);
   }
+  // The other places have models that nobody waits for.
+  for (const { name, waitingRequests, isResident } of candidates) {
+    if (waitingRequests === 0 || isResident || chosen.has(name)) continue;
+    chosen.set(name, 1);
+  }
   return chosen;
 }
 
