Placement: the expected demand of a rare model is known from the first seconds

The average over minutes begins at zero with each process, so that in the first seconds a last copy displaced nothing and was loaded again for its next request. What a short record doesn't tell is now taken for the mean of all models.

--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -145,10 +145,11 @@
         limitedReplicas.size === servers.length);
     const demand = this.#options.demand();
     this.#longTermDemand.record(demand);
+    const expected = this.#longTermDemand.expectedOf(engine.models.keys());
     const plan = assemblePlacementPlan({
       models: buildPlacementModels(engine, {
         demand,
-        longTermDemand: (model) => this.#longTermDemand.averageOf(model),
+        longTermDemand: (model) => expected.get(model) ?? 0,
         reports,
         adaptersInUse: this.#listAdaptersInUse(reports),
         limitedReplicas,
--- a/packages/gateway/src/placement_models.ts
+++ b/packages/gateway/src/placement_models.ts
@@ -30,7 +30,7 @@
   readonly adaptersInUse: ReadonlySet<string>;
   /** Ids of the replicas that limit their requests. */
   readonly limitedReplicas: ReadonlySet<string>;
-  /** Demand for a model averaged over minutes; 0 for all if absent. */
+  /** Demand expected from the last minutes for a model; 0 for all if absent. */
   readonly longTermDemand?: (model: string) => number;
 }
 
--- a/packages/placement/src/long_term_demand.ts
+++ b/packages/placement/src/long_term_demand.ts
@@ -4,6 +4,8 @@
 const WINDOW_MS = 300_000;
 /** Shortest time between two records, and the time that one stands for, in ms. */
 const RECORD_INTERVAL_MS = 1000;
+/** Time for which a model's demand is taken for the mean of all, in ms. */
+const UNKNOWN_MS = 30_000;
 /** An average below this is forgotten, in replicas. */
 const NEGLIGIBLE_DEMAND_REPLICAS = 0.000_001;
 
@@ -22,6 +24,8 @@
   readonly #clock: Clock;
   readonly #averages: Map<string, number> = new Map();
   #recordedAt: number;
+  /** Share of the window that the records make up. */
+  #recordedShare = 0;
 
   private constructor(clock: Clock) {
     this.#clock = clock;
@@ -46,7 +50,8 @@
     for (const [model, average] of this.#averages) {
       this.#averages.set(model, average * remainingShare);
     }
-    const weight = 1 - Math.exp(-RECORD_INTERVAL_MS / WINDOW_MS);
+    const weight = shareOfWindow(RECORD_INTERVAL_MS);
+    this.#recordedShare = this.#recordedShare * remainingShare + weight;
     for (const [model, { slowReplicas }] of demand) {
       const average = this.#averages.get(model) ?? 0;
       this.#averages.set(model, average + slowReplicas * weight);
@@ -60,4 +65,27 @@
   averageOf(model: string): number {
     return this.#averages.get(model) ?? 0;
   }
+
+  /**
+   * Expected demand for each of the models of a service, in replicas kept busy.
+   * What isn't known after a short record is taken for the mean of them all, so
+   * that a model without a request yet doesn't count as one that nobody wants.
+   */
+  expectedOf(models: Iterable<string>): Map<string, number> {
+    const averages = [...models].map((model) =>
+      [model, this.averageOf(model)] as const
+    );
+    const sum = averages.reduce((total, [, average]) => total + average, 0);
+    if (sum === 0) return new Map(averages);
+    const unknownShare = shareOfWindow(UNKNOWN_MS);
+    const mean = sum / averages.length / this.#recordedShare;
+    return new Map(averages.map(([model, average]) => [
+      model,
+      (average + mean * unknownShare) / (this.#recordedShare + unknownShare),
+    ]));
+  }
+}
+
+function shareOfWindow(ms: number): number {
+  return 1 - Math.exp(-ms / WINDOW_MS);
 }
--- a/packages/placement/src/long_term_demand_test.ts
+++ b/packages/placement/src/long_term_demand_test.ts
@@ -38,3 +38,17 @@
   recordFor(1000, 0.3);
   t.true(longTerm.averageOf("m") < 0.003);
 });
+
+// In the first seconds of a lease each model without a request yet was unloaded
+// as one that nobody wants, and loaded again for its next request.
+test("a model without a request in the first seconds is expected to be requested as often as others", (t) => {
+  const { longTerm, recordFor } = createLongTermDemand();
+  const expected = () => longTerm.expectedOf(["m", "other"]);
+  t.deepEqual([...expected().values()], [0, 0]);
+  recordFor(3000, 0.02);
+  t.true(expected().get("other")! > 0.008);
+  t.true(expected().get("m")! > expected().get("other")!);
+  recordFor(10 * MINUTE_MS, 0.02);
+  t.true(expected().get("other")! < 0.002);
+  t.true(Math.abs(expected().get("m")! - 0.02) < 0.002);
+});
