--- a/packages/gateway/src/adapter_scheduler.ts
+++ b/packages/gateway/src/adapter_scheduler.ts
@@ -100,6 +100,7 @@
       if (!state?.isSynced || server.draining) return [];
       if (!state.models.has(model) || state.unloading.has(model)) return [];
       if (state.isBusy || hasMoveInProgress(server.id)) return [];
+      if (state.refusedUntil > clock.now()) return [];
       return [{ state, host: this.#describeHost(state, { engine, demand }) }];
     });
     const unlimited = possibleHosts.filter(({ state }) =>
--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -15,6 +15,7 @@
   type EngineState,
   listAvailableNames,
 } from "./engine_state.ts";
+import { EngineReach } from "./engine_reach.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { ReplicaNotices } from "./replica_notices.ts";
 
@@ -70,9 +71,9 @@
  * the repeats and has to be read from a report.
  */
 const MAX_REPEATS = 3;
-/** Intervals at which an order is tried while another one is carried out. */
-const MIN_ORDER_INTERVAL_MS = 40;
-const MAX_ORDER_INTERVAL_MS = 500;
+/** Time after a refused order without further ones, in ms; doubled for each. */
+const REFUSAL_PAUSE_MS = 500;
+const MAX_REFUSAL_PAUSE_MS = 4000;
 /** Time within which a report must show the effect of an order, in ms. */
 const ORDER_EFFECT_TIMEOUT_MS = 12_000;
 
@@ -84,10 +85,12 @@
 export class EngineController {
   readonly #options: EngineControllerOptions;
   readonly #engines: Map<string, EngineState> = new Map();
+  readonly #reach: EngineReach;
   #version = 0;
 
   private constructor(options: EngineControllerOptions) {
     this.#options = options;
+    this.#reach = EngineReach.create({ clock: options.clock });
   }
 
   /** Creates a controller without engines; see {@link EngineController.follow}. */
@@ -105,6 +108,11 @@
     return this.#options.lease.term;
   }
 
+  /** Whether most engines leave the calls of this process unanswered. */
+  get isCutOff(): boolean {
+    return this.#reach.isCutOff;
+  }
+
   /** Increases with each possible change of the available names. */
   get version(): number {
     return this.#version;
@@ -137,6 +145,7 @@
   /** Discards all state, as another process may have sent orders meanwhile. */
   clear(): void {
     this.#engines.clear();
+    this.#reach.clear();
   }
 
   /** Adds or updates the given replicas and removes all others. */
@@ -191,35 +200,45 @@
   ): Promise<OrderOutcome | "lease lost"> {
     for (let repeats = 0;; repeats += 1) {
       const outcome = await this.#sendOrderOnce(state, order);
-      if (outcome !== "unknown" || repeats === MAX_REPEATS) return outcome;
+      if (outcome === "unknown" && repeats < MAX_REPEATS) continue;
+      if (outcome !== "lease lost") this.#learnFromOrder(state, outcome);
+      return outcome;
     }
   }
 
   /**
    * Sends an order once the engine has carried out the one before, which it
-   * rejects others during. Reports show the end of an order some hundred ms
-   * late, so the order is tried at short intervals instead.
+   * rejects others during. A refused order isn't repeated before a report shows
+   * that the engine is idle, and not at all if it has accepted other orders.
    */
   async orderWhenIdle(
     state: EngineState,
     order: PlacementOrder,
   ): Promise<OrderOutcome | "lease lost"> {
-    const { clock, sleep } = this.#options;
-    const deadlineAt = clock.now() + ORDER_EFFECT_TIMEOUT_MS;
-    let intervalMs = MIN_ORDER_INTERVAL_MS;
-    while (true) {
+    const deadlineAt = this.#options.clock.now() + ORDER_EFFECT_TIMEOUT_MS;
+    for (let afterMs = 0;; afterMs = REPORT_LAG_MS) {
       const outcome = await this.order(state, order);
-      if (outcome !== "conflict" || clock.now() >= deadlineAt) return outcome;
-      await sleep(intervalMs);
-      intervalMs = Math.min(MAX_ORDER_INTERVAL_MS, intervalMs * 2);
-      if (intervalMs < MAX_ORDER_INTERVAL_MS) continue;
-      // The conflict may be that the engine has accepted other orders.
+      if (outcome !== "conflict") return outcome;
+      // The first report that shows an idle engine may be from before.
+      await this.#options.sleep(afterMs);
+      if (!await this.#awaitIdle(state, deadlineAt)) return outcome;
+    }
+  }
+
+  /** Whether a report shows in time that the engine is idle and takes orders. */
+  async #awaitIdle(state: EngineState, deadlineAt: number): Promise<boolean> {
+    const { clock, sleep } = this.#options;
+    while (
+      this.holdsLease && clock.now() < deadlineAt && this.#isCurrent(state)
+    ) {
+      await sleep(REPORT_POLL_INTERVAL_MS);
       const read = await this.#readReport(state);
-      const hasOther = read.ok && !read.value.busy &&
-        read.value.acceptedOrderCount !== state.acceptedOrderCount &&
-        read.value.acceptedOrderCount > 0;
-      if (hasOther) return outcome;
+      if (!read.ok || read.value.busy) continue;
+      const { acceptedOrderCount } = read.value;
+      if (acceptedOrderCount === state.acceptedOrderCount) return true;
+      if (acceptedOrderCount > state.acceptedOrderCount) return false;
     }
+    return false;
   }
 
   async #sendOrderOnce(
@@ -237,9 +256,8 @@
       holder,
       fencingToken,
     }, this.#callOptions(state.server));
-    if (outcome === "accepted" || outcome === "done") {
-      state.acceptedOrderCount += 1;
-    }
+    if (isAccepted(outcome)) state.acceptedOrderCount += 1;
+    this.#reach.record(state.server.id, outcome !== "unknown");
     metrics.orders.inc({ operation: order.operation, outcome });
     log.write("engine order", {
       replica: state.server.id,
@@ -251,6 +269,27 @@
     return outcome;
   }
 
+  /** Puts off plans for an engine that refuses orders or doesn't answer them. */
+  #learnFromOrder(state: EngineState, outcome: OrderOutcome): void {
+    const { clock, log } = this.#options;
+    if (isAccepted(outcome)) {
+      state.refusals = 0;
+      return;
+    }
+    const pauseMs = Math.min(
+      MAX_REFUSAL_PAUSE_MS,
+      REFUSAL_PAUSE_MS * 2 ** state.refusals,
+    );
+    state.refusals += 1;
+    state.refusedUntil = clock.now() + pauseMs;
+    log.write("engine put off", {
+      replica: state.server.id,
+      outcome,
+      refusals: state.refusals,
+      pause_ms: pauseMs,
+    });
+  }
+
   /** Reads the report after a delay, so that it includes earlier orders. */
   async resync(state: EngineState): Promise<void> {
     await this.#options.sleep(REPORT_LAG_MS);
@@ -309,6 +348,7 @@
     const { metrics, awaitPermit } = this.#options;
     await awaitPermit(server);
     const read = await readEngineReport(server, this.#callOptions(server));
+    this.#reach.record(server.id, read.ok);
     metrics.reportReads.inc({ outcome: read.ok ? "ok" : "failed" });
     return read;
   }
@@ -369,3 +409,7 @@
   return report.startedAt === state.server.startedAt &&
     report.acceptedOrderCount < state.acceptedOrderCount;
 }
+
+function isAccepted(outcome: OrderOutcome): boolean {
+  return outcome === "accepted" || outcome === "done";
+}
--- a/packages/gateway/src/engine_controller_test.ts
+++ b/packages/gateway/src/engine_controller_test.ts
@@ -8,11 +8,15 @@
 
 const LOG = { write: () => {}, dropped: () => 0, flush: () => {} };
 
-async function startController(t: ExecutionContext) {
+async function startController(
+  t: ExecutionContext,
+  { loadMs }: { loadMs?: number } = {},
+) {
   const replica = await ReplicaStandin.create({
     id: "i-1",
     service: "pool",
     holds: ["m1"],
+    loadMs,
   });
   const pools = ConnectionPools.create({ maxConnectionsFor: () => 4 });
   t.teardown(() => {
@@ -138,3 +142,40 @@
   grant();
   t.is(await late, "lease lost", "the lease is checked after the wait");
 });
+
+function countOrders(calls: readonly string[]): number {
+  return calls.filter((call) => call !== "report").length;
+}
+
+// The order was tried again at short intervals, and refused each time.
+test("an order for an engine that still carries out another one is refused once", async (t) => {
+  const { replica, controller } = await startController(t, { loadMs: 700 });
+  const state = controller.get("i-1")!;
+  await controller.order(state, { operation: "load", model: "m2" });
+  replica.engineCalls.length = 0;
+  const outcome = await controller.orderWhenIdle(state, {
+    operation: "load",
+    model: "m3",
+  });
+  t.is(outcome, "accepted");
+  t.is(countOrders(replica.engineCalls), 2);
+});
+
+test("an engine that has accepted other orders is tried once more at most, and nothing is planned for it for a while", async (t) => {
+  const { replica, controller } = await startController(t);
+  const state = controller.get("i-1")!;
+  await controller.order(state, { operation: "load", model: "m2" });
+  state.acceptedOrderCount = 0;
+  replica.engineCalls.length = 0;
+  const order = { operation: "load", model: "m3" } as const;
+  t.is(await controller.orderWhenIdle(state, order), "conflict");
+  // The first report may be from before the other order.
+  t.true(countOrders(replica.engineCalls) <= 2);
+  const { refusedUntil } = state;
+  t.true(refusedUntil > -Infinity);
+  t.is(await controller.orderWhenIdle(state, order), "conflict");
+  t.true(state.refusedUntil > refusedUntil);
+  state.acceptedOrderCount = 1;
+  t.is(await controller.orderWhenIdle(state, order), "accepted");
+  t.is(state.refusals, 0);
+});
--- a/packages/gateway/src/engine_state.ts
+++ b/packages/gateway/src/engine_state.ts
@@ -32,6 +32,10 @@
   reportRequestedAt: number;
   /** Whether the engine is loading or unloading a model. */
   isBusy: boolean;
+  /** Nothing is planned for the engine before, as it refused orders. */
+  refusedUntil: number;
+  /** Number of orders refused or left unanswered in a row. */
+  refusals: number;
   /** Settles when the last task queued for this replica has ended. */
   lastTask: Promise<void>;
   /** Number of queued tasks, including the running one. */
@@ -57,6 +61,8 @@
     isLost: false,
     reportRequestedAt: listedAt,
     isBusy: false,
+    refusedUntil: -Infinity,
+    refusals: 0,
     lastTask: Promise.resolve(),
     queuedTasks: 0,
   };
--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -141,6 +141,8 @@
     const mayLoad = ({ replica }: ReplicaReport) =>
       !this.hasMoveInProgress(replica) &&
       !engineController.get(replica)!.isBusy &&
+      engineController.get(replica)!.refusedUntil <=
+        this.#options.clock.now() &&
       (!limitedReplicas.has(replica) ||
         limitedReplicas.size === servers.length);
     const demand = this.#options.demand();
