--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -271,7 +271,7 @@
 
   /** Puts off plans for an engine that refuses orders or doesn't answer them. */
   #learnFromOrder(state: EngineState, outcome: OrderOutcome): void {
-    const { clock, log } = this.#options;
+    const { clock, log, metrics } = this.#options;
     if (isAccepted(outcome)) {
       state.refusals = 0;
       return;
@@ -282,6 +282,7 @@
     );
     state.refusals += 1;
     state.refusedUntil = clock.now() + pauseMs;
+    metrics.enginePauses.inc({ outcome });
     log.write("engine put off", {
       replica: state.server.id,
       outcome,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -429,6 +429,7 @@
         isReleased ||= await this.#lease.release();
       } else if (this.#isUselessHolder) {
         restsUntil = now + LEASE_REST_MS;
+        this.#ctx.metrics.leaseReleases.inc();
         this.#ctx.log.write("placement lease given up", {
           rests_ms: LEASE_REST_MS,
         });
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -36,6 +36,10 @@
   readonly storeCalls: Counter;
   /** Load and unload orders to engines by operation and outcome. */
   readonly orders: Counter;
+  /** Pauses of the placement for an engine, by the outcome of the order before. */
+  readonly enginePauses: Counter;
+  /** Releases of the placement lease by a holder that engines don't answer. */
+  readonly leaseReleases: Counter;
   /** Reads of engines' reports by outcome. */
   readonly reportReads: Counter;
   /** Datagrams exchanged with other gateways, by direction. */
@@ -106,6 +110,16 @@
       "call",
       "outcome",
     ]);
+    this.enginePauses = counter(
+      "engine_pauses_total",
+      "Pauses of the placement for an engine after an order that failed",
+      ["outcome"],
+    );
+    this.leaseReleases = counter(
+      "placement_lease_releases_total",
+      "Releases of the placement lease as most engines did not answer",
+      [],
+    );
     this.orders = counter("engine_orders_total", "Orders to engines", [
       "operation",
       "outcome",
