--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -15,7 +15,6 @@
   type EngineState,
   listAvailableNames,
 } from "./engine_state.ts";
-import { EngineReach } from "./engine_reach.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { ReplicaNotices } from "./replica_notices.ts";
 
@@ -85,12 +84,10 @@
 export class EngineController {
   readonly #options: EngineControllerOptions;
   readonly #engines: Map<string, EngineState> = new Map();
-  readonly #reach: EngineReach;
   #version = 0;
 
   private constructor(options: EngineControllerOptions) {
     this.#options = options;
-    this.#reach = EngineReach.create({ clock: options.clock });
   }
 
   /** Creates a controller without engines; see {@link EngineController.follow}. */
@@ -108,11 +105,6 @@
     return this.#options.lease.term;
   }
 
-  /** Whether most engines leave the calls of this process unanswered. */
-  get isCutOff(): boolean {
-    return this.#reach.isCutOff;
-  }
-
   /** Increases with each possible change of the available names. */
   get version(): number {
     return this.#version;
@@ -145,7 +137,6 @@
   /** Discards all state, as another process may have sent orders meanwhile. */
   clear(): void {
     this.#engines.clear();
-    this.#reach.clear();
   }
 
   /** Adds or updates the given replicas and removes all others. */
@@ -257,7 +248,6 @@
       fencingToken,
     }, this.#callOptions(state.server));
     if (isAccepted(outcome)) state.acceptedOrderCount += 1;
-    this.#reach.record(state.server.id, outcome !== "unknown");
     metrics.orders.inc({ operation: order.operation, outcome });
     log.write("engine order", {
       replica: state.server.id,
@@ -349,7 +339,6 @@
     const { metrics, awaitPermit } = this.#options;
     await awaitPermit(server);
     const read = await readEngineReport(server, this.#callOptions(server));
-    this.#reach.record(server.id, read.ok);
     metrics.reportReads.inc({ outcome: read.ok ? "ok" : "failed" });
     return read;
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -51,11 +51,6 @@
 const PLACEMENT_LEASE = "placement";
 /** Renewals in one lease time. */
 const RENEWALS_PER_LEASE = 4;
-/**
- * Time for which a gateway that most engines don't answer leaves the placement
- * lease to others, in ms; a take-over and the first reports take a few seconds.
- */
-const LEASE_REST_MS = 15_000;
 /** Share of the lease time for which a renewal is valid to the holder. */
 const VALIDITY_SHARE = 0.6;
 /** Share of the lease time after which a lease not renewed is taken over. */
@@ -82,7 +77,6 @@
   readonly #store: StoreClient;
   readonly #storeConnections: StoreConnections;
   readonly #lease: Lease;
-  readonly #engineController: EngineController;
   readonly #placementController: PlacementController;
   readonly #exchange: FleetExchange;
   readonly #registry: ReplicaRegistry;
@@ -168,7 +162,7 @@
       sleep,
       log,
     });
-    this.#engineController = EngineController.create({
+    const engineController = EngineController.create({
       lease: this.#lease,
       holder: cfg.instance,
       clock,
@@ -188,7 +182,7 @@
       metrics,
     });
     this.#placementController = PlacementController.create({
-      engineController: this.#engineController,
+      engineController,
       clock,
       sleep,
       fleet,
@@ -217,7 +211,7 @@
     this.#exchange = FleetExchange.create({
       cfg,
       ctx: this.#ctx,
-      engineController: this.#engineController,
+      engineController,
       lease: this.#lease,
       registry: this.#registry,
       readSchedule: this.#readSchedule,
@@ -421,22 +415,10 @@
   async #maintainLease(signal: AbortSignal): Promise<void> {
     const { fleet } = this.#ctx;
     let isReleased = false;
-    let restsUntil = -Infinity;
     while (!signal.aborted) {
-      const now = this.#ctx.clock.now();
       if (fleet.isStopping) {
         // The store may be away when the stop begins.
         isReleased ||= await this.#lease.release();
-      } else if (this.#isUselessHolder) {
-        restsUntil = now + LEASE_REST_MS;
-        this.#ctx.metrics.leaseReleases.inc();
-        this.#ctx.log.write("placement lease given up", {
-          rests_ms: LEASE_REST_MS,
-        });
-        await this.#lease.release();
-        fleet.changed.notify();
-      } else if (now < restsUntil) {
-        // Others hold the lease that may reach the engines.
       } else if (this.#exchange.mayHoldLease()) {
         const wasHeld = this.#lease.held;
         await this.#lease.renew();
@@ -447,12 +429,6 @@
     }
   }
 
-  /** Whether the engines don't answer this holder and another could take over. */
-  get #isUselessHolder(): boolean {
-    return this.#lease.held && this.#engineController.isCutOff &&
-      this.#exchange.liveCount > 1;
-  }
-
   #applyReplicaList(): void {
     const { replicaTracker, versionHistory, pools, fleet } = this.#ctx;
     const { replicas } = this.#registry;
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -38,8 +38,6 @@
   readonly orders: Counter;
   /** Pauses of the placement for an engine, by the outcome of the order before. */
   readonly enginePauses: Counter;
-  /** Releases of the placement lease by a holder that engines don't answer. */
-  readonly leaseReleases: Counter;
   /** Reads of engines' reports by outcome. */
   readonly reportReads: Counter;
   /** Datagrams exchanged with other gateways, by direction. */
@@ -115,11 +113,6 @@
       "Pauses of the placement for an engine after an order that failed",
       ["outcome"],
     );
-    this.leaseReleases = counter(
-      "placement_lease_releases_total",
-      "Releases of the placement lease as most engines did not answer",
-      [],
-    );
     this.orders = counter("engine_orders_total", "Orders to engines", [
       "operation",
       "outcome",
