Placement: configured minimum copies are loaded whatever the demand

packages/entry sets minReplicas and no requiredReplicas, which the plan took for none required: a model with a configured minimum of 2 got its second copy only if its demand paid for it. Without requiredReplicas all replicas below minReplicas are loaded again, the first included. The gateway sets both and is weighed as before; load_patterns_test.ts sets requiredReplicas as the gateway does, else its plans would not be weighed any more.

Red on the code before: 'a configured minimum of copies is loaded whatever the demand' (npx ava packages/placement/src/plan_test.ts: r1 reach alone).

--- a/packages/placement/src/load_patterns_test.ts
+++ b/packages/placement/src/load_patterns_test.ts
@@ -81,6 +81,7 @@
         weightsMib: 1,
         contextKvMib: 0,
         minReplicas: minReplicas.get(model.name) ?? 0,
+        requiredReplicas: 1,
         loadS: LOAD_MS / 1000,
       })),
       replicas: held.map((name, index) =>
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -39,7 +39,10 @@
   readonly waitingRequests?: number;
   /** Demand averaged over minutes, in replicas kept busy; 0 if absent. */
   readonly longTermReplicas?: number;
-  /** Replicas needed whatever their loads cost; 0 if absent. */
+  /**
+   * Replicas beyond the first that are needed whatever their loads cost. If
+   * absent, `minReplicas` are needed, the first included.
+   */
   readonly requiredReplicas?: number;
   /** Time of a load from the weight store, in s. */
   readonly loadS?: number;
@@ -236,7 +239,8 @@
 
 /**
  * Whether a load isn't weighed: for a model without a replica that requests wait
- * for or that takes no last copy, and for replicas that are required.
+ * for or that takes no last copy, for replicas that are required, and for all
+ * missing ones of a model whose minimum is configured.
  */
 function mustLoad(
   name: string,
@@ -248,8 +252,9 @@
 ): boolean {
   const { counts, models } = working;
   const model = models.get(name)!;
+  if (model.requiredReplicas === undefined) return true;
   if (reason === "copies") {
-    return (counts.get(name) ?? 0) < (model.requiredReplicas ?? 0);
+    return (counts.get(name) ?? 0) < model.requiredReplicas;
   }
   return (model.waitingRequests ?? 0) > 0 ||
     target.unload.every((unloaded) => (counts.get(unloaded) ?? 0) > 1);
--- a/packages/placement/src/plan_test.ts
+++ b/packages/placement/src/plan_test.ts
@@ -259,3 +259,14 @@
   ]);
   t.is(elsewhere?.replica, "r2");
 });
+
+test("a configured minimum of copies is loaded whatever the demand", (t) => {
+  const empty = [createReport("r1", []), createReport("r2", [])];
+  for (const fastReplicas of [0, 0.05]) {
+    const models = [createModel("a", { minReplicas: 2, fastReplicas })];
+    t.deepEqual(
+      plan(models, empty).map((move) => `${move.replica} ${move.reason}`),
+      ["r1 reach", "r2 copies"],
+    );
+  }
+});
