Placement: one measure chooses the target of a load and weighs it

The target was chosen by the demand of the copies to unload plus the absence of last ones, in different units, and weighed by another measure. With a busy model (demand 1.6) on two replicas, a rare one (0.02) on one, and a request that waits for a third, the busy model's spare copy went, and was loaded again in place of the rare one. The order of unloads, the loss and what a load displaces now take the absence of the model for its last copy and the relief of the others for a spare one, with the price, the waits for requests and the growth of the busy shares in the same unit.

Red on the code before: 'a rare model gives way before a spare copy of a busy one' (npx ava packages/placement/src/plan_test.ts: want for hot, hot for rare).

--- a/packages/placement/src/model_load_target.ts
+++ b/packages/placement/src/model_load_target.ts
@@ -32,20 +32,18 @@
   readonly report: ReplicaReport;
   /** Models to unload first; each keeps its minimum of ready replicas. */
   readonly unload: readonly string[];
-  /** Demand that the copies to unload serve now, in replicas kept busy. */
+  /** Demand of the copies to unload and of waits for them, in replicas kept busy. */
   readonly displacedDemand: number;
   /** What the load costs and displaces, in replica seconds. */
   readonly cost: Omit<LoadWorth, "earns">;
 }
 
-/** Cost of each in-flight request that an unload must wait for, in replicas. */
+/** Cost of each in-flight request that an unload waits for, in replica seconds. */
 const IN_FLIGHT_REQUEST_LOSS = 0.1;
-/** Cost of an unload that must wait for any request, in replicas. */
+/** Cost of an unload that waits for any request, in replica seconds. */
 const IN_USE_LOSS = 1;
-/** Cost of an unload, in replicas: it delays the load. */
+/** Cost of an unload, in replica seconds: it delays the load. */
 const UNLOAD_LOSS = 0.3;
-/** Cost of a load from the weight store instead of a local copy, in replicas. */
-const STORE_LOAD_LOSS = 0.5;
 
 /** Hysteresis of swaps between models without requests. */
 const IDLE_SWAP_FACTOR = 2;
@@ -53,11 +51,12 @@
 const DEFAULT_LOAD_S = 3;
 
 /**
- * Finds the replica that can load a model at the least loss. The loss is the
- * demand that unloads displace, a cost for each unload and for a load from the
- * weight store, what the absence of models costs whose last copy is unloaded,
- * and the growth of the sum of squared busy shares. A model with no more ready
- * replicas than its minimum is never unloaded.
+ * Finds the replica that can load a model at the least loss, in replica seconds:
+ * what the absence of models costs whose last copy is unloaded, what other
+ * copies save, a cost for each unload and for its wait for requests, the price
+ * of the load, and the growth of the sum of squared busy shares over the
+ * horizon. A model with no more ready replicas than its minimum is never
+ * unloaded.
  */
 export function findModelLoadTarget(
   model: string,
@@ -86,14 +85,14 @@
     });
     if (!unloads) continue;
     const { weightsMib } = report;
-    const { unload, displacedDemand, absenceLoss, displaces } = unloads;
+    const { unload, displacedDemand, waitLoss, displaces } = unloads;
     const busyShare = sumDemand(report, { modelsByName, counts, unload });
     const isLocal = input.localCopies?.has(`${report.replica} ${model}`) ??
       false;
     const cost = { displaces, price: priceOfLoad({ isLocal }) };
-    const loss = displacedDemand + unload.length * UNLOAD_LOSS + absenceLoss +
-      (isLocal ? 0 : STORE_LOAD_LOSS) +
-      (busyShare + share) ** 2 - busyShare ** 2;
+    const growth = (busyShare + share) ** 2 - busyShare ** 2;
+    const loss = displaces + waitLoss + unload.length * UNLOAD_LOSS +
+      cost.price + worthOfRelief(growth, 0);
     if (best && loss > best.loss) continue;
     // Ties go to the replica with the least weights, so that models spread.
     if (best && loss === best.loss && weightsMib >= best.weightsMib) continue;
@@ -141,14 +140,14 @@
   | {
     unload: string[];
     displacedDemand: number;
-    absenceLoss: number;
+    waitLoss: number;
     displaces: number;
   }
   | undefined {
   let freeMib = report.memoryMib - report.weightsMib;
   const unload: string[] = [];
   let displacedDemand = 0;
-  let absenceLoss = 0;
+  let waitLoss = 0;
   let displaces = 0;
   const candidates = report.readyModels
     .map((name) => modelsByName.get(name))
@@ -160,22 +159,21 @@
     )
     .map((entry) => {
       const requests = inUse?.get(`${report.replica} ${entry.name}`) ?? 0;
-      const demand = demandPerReplica(entry, counts) +
-        (requests > 0 ? IN_USE_LOSS : 0) + requests * IN_FLIGHT_REQUEST_LOSS;
-      const isLast = (counts.get(entry.name) ?? 0) <= 1;
-      return { entry, demand, absence: isLast ? lossOfAbsence(entry) : 0 };
+      const wait = (requests > 0 ? IN_USE_LOSS : 0) +
+        requests * IN_FLIGHT_REQUEST_LOSS;
+      return { entry, wait, worth: worthOfCopy(entry, counts) };
     })
-    .sort((a, b) => a.demand + a.absence - b.demand - b.absence);
-  for (const { entry, demand, absence } of candidates) {
+    .sort((a, b) => a.worth + a.wait - b.worth - b.wait);
+  for (const { entry, wait, worth } of candidates) {
     if (freeMib >= requiredMib) break;
     freeMib += entry.weightsMib;
     unload.push(entry.name);
-    displacedDemand += demand;
-    absenceLoss += absence;
-    displaces += absence + worthOfSpareCopy(entry, counts);
+    displacedDemand += demandPerReplica(entry, counts) + wait;
+    waitLoss += wait;
+    displaces += worth;
   }
   if (freeMib < requiredMib) return undefined;
-  return { unload, displacedDemand, absenceLoss, displaces };
+  return { unload, displacedDemand, waitLoss, displaces };
 }
 
 /**
@@ -207,13 +205,16 @@
   return loadS ?? DEFAULT_LOAD_S;
 }
 
-/** What the last of several copies saves, in replica seconds; 0 for a single one. */
-function worthOfSpareCopy(
+/**
+ * What one copy of a model saves, in replica seconds: the absence of the model
+ * if it is the last one, else the relief of the others.
+ */
+function worthOfCopy(
   entry: PlacementModel,
   counts: ReadonlyMap<string, number>,
 ): number {
   const copies = counts.get(entry.name) ?? 0;
-  if (copies <= 1) return 0;
+  if (copies <= 1) return lossOfAbsence(entry);
   const relief = reliefByCopy(demandOf(entry), copies - 1);
   return worthOfRelief(relief, 0);
 }
--- a/packages/placement/src/plan_test.ts
+++ b/packages/placement/src/plan_test.ts
@@ -270,3 +270,24 @@
     );
   }
 });
+
+// The spare copy of the busy model was displaced and loaded again at once.
+test("a rare model gives way before a spare copy of a busy one", (t) => {
+  const demand = (replicas: number) => ({
+    fastReplicas: replicas,
+    slowReplicas: replicas,
+  });
+  const models = [
+    createModel("hot", demand(1.6)),
+    createModel("rare", { minReplicas: 0, ...demand(0.02) }),
+    createModel("want", { waitingRequests: 1 }),
+  ];
+  const replicas = [["hot"], ["hot"], ["rare"]].map((names, index) => ({
+    ...createReport(`r${index}`, names),
+    memoryMib: 45,
+  }));
+  t.deepEqual(
+    plan(models, replicas).map(({ load, unload }) => `${load} for ${unload}`),
+    ["want for rare"],
+  );
+});
