Placement: a saturated model gets its copies however slowly it loads

What a copy relieves counted from the end of its load to 30 s from now, so a model that loads for 30 s or longer got none, however busy it was (demand 1, 30 s; demand 3, 60 s). The 30 s now begin with the end of the load.

--- a/packages/placement/src/best_copy.ts
+++ b/packages/placement/src/best_copy.ts
@@ -8,7 +8,6 @@
   countReadyReplicas,
   demandOf,
   lastingDemandOf,
-  loadTimeOf,
   type ModelLoadTarget,
 } from "./model_load_target.ts";
 import type { PlacementInput, PlacementOptions } from "./plan.ts";
@@ -71,7 +70,7 @@
       const wanted = working.models.get(model)!;
       const lastingShare = lastingDemandOf(wanted) / demandOf(wanted);
       const relieved = gain * lastingShare ** 2;
-      const earns = worthOfRelief(relieved, loadTimeOf(wanted));
+      const earns = worthOfRelief(relieved);
       const worth = { earns, ...loadTarget.cost };
       if (!isWorthItsPrice(worth)) continue;
       bestGain = gain - loadTarget.displacedDemand;
--- a/packages/placement/src/load_worth.ts
+++ b/packages/placement/src/load_worth.ts
@@ -18,7 +18,7 @@
   readonly loadS: number;
 }
 
-/** Time ahead over which a load is weighed, in s. */
+/** Time over which what a load changes is weighed, in s. */
 const HORIZON_S = 30;
 /** Assumed time for which one request keeps a replica busy, in s. */
 const REQUEST_BUSY_S = 0.1;
@@ -64,10 +64,11 @@
 /**
  * What a further copy saves within the horizon, in replica seconds, by a drop
  * of the sum of squared busy shares, which grows like the time that requests
- * wait. It begins when the load has ended.
+ * wait. The horizon begins when the load has ended: a model that loads slowly
+ * needs its copies no less.
  */
-export function worthOfRelief(relief: number, loadS: number): number {
-  return relief * Math.max(0, HORIZON_S - loadS);
+export function worthOfRelief(relief: number): number {
+  return relief * HORIZON_S;
 }
 
 /** Drop of the sum of squared busy shares by one copy more than `copies`. */
--- a/packages/placement/src/model_load_target.ts
+++ b/packages/placement/src/model_load_target.ts
@@ -92,7 +92,7 @@
     const cost = { displaces, price: priceOfLoad({ isLocal }) };
     const growth = (busyShare + share) ** 2 - busyShare ** 2;
     const loss = displaces + waitLoss + unload.length * UNLOAD_LOSS +
-      cost.price + worthOfRelief(growth, 0);
+      cost.price + worthOfRelief(growth);
     if (best && loss > best.loss) continue;
     // Ties go to the replica with the least weights, so that models spread.
     if (best && loss === best.loss && weightsMib >= best.weightsMib) continue;
@@ -201,8 +201,8 @@
 }
 
 /** Time of a load of a model from the weight store, in s. */
-export function loadTimeOf({ loadS }: PlacementModel): number {
-  return loadS ?? DEFAULT_LOAD_S;
+function loadTimeOf({ loadS }: PlacementModel): number {
+  return Math.max(0, loadS ?? DEFAULT_LOAD_S);
 }
 
 /**
@@ -216,7 +216,7 @@
   const copies = counts.get(entry.name) ?? 0;
   if (copies <= 1) return lossOfAbsence(entry);
   const relief = reliefByCopy(demandOf(entry), copies - 1);
-  return worthOfRelief(relief, 0);
+  return worthOfRelief(relief);
 }
 
 /**
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -9,7 +9,6 @@
 import {
   demandOf,
   lastingDemandOf,
-  loadTimeOf,
   lossOfAbsence,
   type ModelLoadTarget,
 } from "./model_load_target.ts";
@@ -234,7 +233,7 @@
   const demand = lastingDemandOf(model) +
     (model.waitingRequests ?? 0) * WAITING_REQUEST_DEMAND;
   const relief = reliefByCopy(demand, copies);
-  return { earns: worthOfRelief(relief, loadTimeOf(model)), ...target.cost };
+  return { earns: worthOfRelief(relief), ...target.cost };
 }
 
 /**
--- a/packages/placement/src/plan_test.ts
+++ b/packages/placement/src/plan_test.ts
@@ -291,3 +291,26 @@
     ["want for rare"],
   );
 });
+
+test("a saturated model gets copies however slowly it loads", (t) => {
+  const replicas = [["a"], [], []].map((names, index) =>
+    createReport(`r${index}`, names)
+  );
+  const copiesFor = (demand: number, loadS: number) => {
+    const fields = { fastReplicas: demand, slowReplicas: demand, loadS };
+    return plan([createModel("a", fields)], replicas).length;
+  };
+  t.is(copiesFor(1, 30), copiesFor(1, 3));
+  t.true(copiesFor(1, 30) > 0);
+  t.is(copiesFor(3, 60), 2);
+});
+
+test("a model whose stated load takes less than no time is weighed as one that loads at once", (t) => {
+  const planWith = (loadS: number) =>
+    plan([
+      createModel("a", { loadS, longTermReplicas: 0.05, requiredReplicas: 1 }),
+      createModel("b", { minReplicas: 0, longTermReplicas: 0.001 }),
+    ], [{ ...createReport("r1", ["b"]), memoryMib: 45 }]);
+  t.is(planWith(0).length, 1);
+  t.deepEqual(planWith(-2), planWith(0));
+});
