Engines: a wrong count of accepted orders doesn't hold an order back

A refused order waits for a report that shows an idle engine with the count of accepted orders known here. A lower count was taken for an old report, so the wait took its whole 12 s if the count here was too high, as after an order that already held and that the replica doesn't count. It now ends after three such reports that include all earlier orders, and at the first report of another run of the replica. The tests count reports, not time.

--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -216,18 +216,30 @@
     }
   }
 
-  /** Whether a report shows in time that the engine is idle and takes orders. */
+  /**
+   * Whether a report shows in time that the engine is idle and takes orders. It
+   * doesn't if it has started again, or if the count here is wrong: lower than
+   * in a report, or higher than in several that include all earlier orders.
+   */
   async #awaitIdle(state: EngineState, deadlineAt: number): Promise<boolean> {
     const { clock, sleep } = this.#options;
+    const currentFrom = clock.now() + REPORT_LAG_MS;
+    let outdated = 0;
     while (
       this.holdsLease && clock.now() < deadlineAt && this.#isCurrent(state)
     ) {
       await sleep(REPORT_POLL_INTERVAL_MS);
+      const requestedAt = clock.now();
       const read = await this.#readReport(state);
-      if (!read.ok || read.value.busy) continue;
-      const { acceptedOrderCount } = read.value;
+      if (!read.ok) continue;
+      const { busy, startedAt, acceptedOrderCount } = read.value;
+      if (startedAt !== state.server.startedAt) return false;
+      if (busy) continue;
       if (acceptedOrderCount === state.acceptedOrderCount) return true;
       if (acceptedOrderCount > state.acceptedOrderCount) return false;
+      if (requestedAt < currentFrom) continue;
+      outdated += 1;
+      if (outdated >= MAX_OUTDATED_REPORTS) return false;
     }
     return false;
   }
--- a/packages/gateway/src/engine_controller_test.ts
+++ b/packages/gateway/src/engine_controller_test.ts
@@ -10,13 +10,13 @@
 
 async function startController(
   t: ExecutionContext,
-  { loadMs }: { loadMs?: number } = {},
+  options: { loadMs?: number; countsOrdersThatHold?: boolean } = {},
 ) {
   const replica = await ReplicaStandin.create({
     id: "i-1",
     service: "pool",
     holds: ["m1"],
-    loadMs,
+    ...options,
   });
   const pools = ConnectionPools.create({ maxConnectionsFor: () => 4 });
   t.teardown(() => {
@@ -194,3 +194,31 @@
   t.is(await controller.orderWhenIdle(state, order), "accepted");
   t.is(state.refusals, 0);
 });
+
+// A report whose count was lower was taken for an old one until the time-out.
+test("an order isn't held back for long if the count of accepted orders here is too high", async (t) => {
+  const { replica, controller } = await startController(t, {
+    countsOrdersThatHold: false,
+  });
+  const state = controller.get("i-1")!;
+  const held = { operation: "load", model: "m1" } as const;
+  t.is(await controller.order(state, held), "done");
+  t.is(state.acceptedOrderCount, 1);
+  replica.engineCalls.length = 0;
+  const order = { operation: "load", model: "m2" } as const;
+  t.is(await controller.orderWhenIdle(state, order), "conflict");
+  t.is(countOrders(replica.engineCalls), 1);
+  // The reports of 350 ms may be old, and three more are read.
+  t.true(replica.engineCalls.length <= 1 + 4 + 3);
+});
+
+test("an order for an engine that has started again isn't held back", async (t) => {
+  const { replica, controller } = await startController(t);
+  const state = controller.get("i-1")!;
+  state.acceptedOrderCount = 1;
+  state.server = { ...state.server, startedAt: replica.startedAt - 1 };
+  replica.engineCalls.length = 0;
+  const order = { operation: "load", model: "m2" } as const;
+  t.is(await controller.orderWhenIdle(state, order), "conflict");
+  t.deepEqual(replica.engineCalls.slice(1), ["report"]);
+});
