Engines: one wait counts as one refusal, an accepted order ends the pause

An order that was refused twice in one wait for an idle engine counted as two refusals, and an engine that then accepted one stayed put off until the pause had ended. What an order teaches is now taken from its last outcome.

Red on the code before (npx ava packages/gateway/src/engine_controller_test.ts): 'a wait for an idle engine counts as one refusal, and an accepted order ends the pause' (2 refusals in place of 1).

--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -189,12 +189,9 @@
     state: EngineState,
     order: PlacementOrder,
   ): Promise<OrderOutcome | "lease lost"> {
-    for (let repeats = 0;; repeats += 1) {
-      const outcome = await this.#sendOrderOnce(state, order);
-      if (outcome === "unknown" && repeats < MAX_REPEATS) continue;
-      if (outcome !== "lease lost") this.#learnFromOrder(state, outcome);
-      return outcome;
-    }
+    const outcome = await this.#sendOrder(state, order);
+    this.#learnFromOrder(state, outcome);
+    return outcome;
   }
 
   /**
@@ -205,10 +202,19 @@
   async orderWhenIdle(
     state: EngineState,
     order: PlacementOrder,
+  ): Promise<OrderOutcome | "lease lost"> {
+    const outcome = await this.#sendOrderWhenIdle(state, order);
+    this.#learnFromOrder(state, outcome);
+    return outcome;
+  }
+
+  async #sendOrderWhenIdle(
+    state: EngineState,
+    order: PlacementOrder,
   ): Promise<OrderOutcome | "lease lost"> {
     const deadlineAt = this.#options.clock.now() + ORDER_EFFECT_TIMEOUT_MS;
     for (let afterMs = 0;; afterMs = REPORT_LAG_MS) {
-      const outcome = await this.order(state, order);
+      const outcome = await this.#sendOrder(state, order);
       if (outcome !== "conflict") return outcome;
       // The first report that shows an idle engine may be from before.
       await this.#options.sleep(afterMs);
@@ -244,6 +250,16 @@
     return false;
   }
 
+  async #sendOrder(
+    state: EngineState,
+    order: PlacementOrder,
+  ): Promise<OrderOutcome | "lease lost"> {
+    for (let repeats = 0;; repeats += 1) {
+      const outcome = await this.#sendOrderOnce(state, order);
+      if (outcome !== "unknown" || repeats === MAX_REPEATS) return outcome;
+    }
+  }
+
   async #sendOrderOnce(
     state: EngineState,
     order: PlacementOrder,
@@ -272,10 +288,15 @@
   }
 
   /** Puts off plans for an engine that refuses orders or doesn't answer them. */
-  #learnFromOrder(state: EngineState, outcome: OrderOutcome): void {
+  #learnFromOrder(
+    state: EngineState,
+    outcome: OrderOutcome | "lease lost",
+  ): void {
     const { clock, log, metrics } = this.#options;
+    if (outcome === "lease lost") return;
     if (isAccepted(outcome)) {
       state.refusals = 0;
+      state.refusedUntil = -Infinity;
       return;
     }
     const pauseMs = Math.min(
--- a/packages/gateway/src/engine_controller_test.ts
+++ b/packages/gateway/src/engine_controller_test.ts
@@ -222,3 +222,22 @@
   t.is(await controller.orderWhenIdle(state, order), "conflict");
   t.deepEqual(replica.engineCalls.slice(1), ["report"]);
 });
+
+test("a wait for an idle engine counts as one refusal, and an accepted order ends the pause", async (t) => {
+  const { replica, controller } = await startController(t);
+  const state = controller.get("i-1")!;
+  await controller.order(state, { operation: "load", model: "m2" });
+  state.acceptedOrderCount = 0;
+  replica.engineCalls.length = 0;
+  const order = { operation: "load", model: "m3" } as const;
+  t.is(await controller.orderWhenIdle(state, order), "conflict");
+  t.is(state.refusals, 1);
+  t.true(state.refusedUntil > -Infinity);
+  for (let i = 0; i < 100 && state.isBusy; i += 1) {
+    await controller.resync(state);
+  }
+  state.acceptedOrderCount = 1;
+  t.is(await controller.orderWhenIdle(state, order), "accepted");
+  t.is(state.refusals, 0);
+  t.is(state.refusedUntil, -Infinity);
+});
