Engines: no report from before an own order is trusted, across terms too

An order whose answer came after its time-out was repeated and refused, so its effect wasn't counted; with the lease back within 350 ms the report read next was from before the order, and a planner would have loaded the model again. The same held for an accepted order after a new term, as the state is rebuilt. The time of the last order to each replica that may have been accepted is now kept across terms, and no report requested within 350 ms of it is read.

Red on the code before: 'after an order and a new term of the lease, no report from before the order is trusted' (npx ava packages/gateway/src/engine_controller_test.ts).

--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -84,6 +84,11 @@
 export class EngineController {
   readonly #options: EngineControllerOptions;
   readonly #engines: Map<string, EngineState> = new Map();
+  /**
+   * When the last order that may have been accepted ended, by replica, in ms.
+   * Kept across terms: a new state doesn't know the count of accepted orders.
+   */
+  readonly #orderedAt: Map<string, number> = new Map();
   #version = 0;
 
   private constructor(options: EngineControllerOptions) {
@@ -134,7 +139,7 @@
     return this.#engines.get(replica);
   }
 
-  /** Discards all state, as another process may have sent orders meanwhile. */
+  /** Discards the engines' state, as another process may have sent orders meanwhile. */
   clear(): void {
     this.#engines.clear();
   }
@@ -145,6 +150,10 @@
     for (const id of this.#engines.keys()) {
       if (!servers.has(id)) this.#engines.delete(id);
     }
+    const now = this.#options.clock.now();
+    for (const [id, orderedAt] of this.#orderedAt) {
+      if (now - orderedAt >= REPORT_LAG_MS) this.#orderedAt.delete(id);
+    }
   }
 
   /**
@@ -264,7 +273,7 @@
     state: EngineState,
     order: PlacementOrder,
   ): Promise<OrderOutcome | "lease lost"> {
-    const { lease, holder, log, metrics, awaitPermit } = this.#options;
+    const { lease, holder, clock, log, metrics, awaitPermit } = this.#options;
     await awaitPermit(state.server);
     if (!lease.held || !this.#isCurrent(state)) return "lease lost";
     const { fencingToken } = lease;
@@ -276,6 +285,9 @@
       fencingToken,
     }, this.#callOptions(state.server));
     if (isAccepted(outcome)) state.acceptedOrderCount += 1;
+    if (isAccepted(outcome) || outcome === "unknown") {
+      this.#orderedAt.set(state.server.id, clock.now());
+    }
     metrics.orders.inc({ operation: order.operation, outcome });
     log.write("engine order", {
       replica: state.server.id,
@@ -381,6 +393,12 @@
     let missing = 0;
     let outdated = 0;
     while (this.holdsLease && this.#isCurrent(state)) {
+      const orderedAt = this.#orderedAt.get(state.server.id) ?? -Infinity;
+      const waitMs = orderedAt + REPORT_LAG_MS - clock.now();
+      if (waitMs > 0) {
+        await sleep(waitMs);
+        continue;
+      }
       state.reportRequestedAt = clock.now();
       const read = await this.#readReport(state);
       if (read.ok) {
--- a/packages/gateway/src/engine_controller_test.ts
+++ b/packages/gateway/src/engine_controller_test.ts
@@ -241,3 +241,17 @@
   t.is(state.refusals, 0);
   t.is(state.refusedUntil, -Infinity);
 });
+
+// The state was rebuilt from a report that didn't show the order yet.
+test("after an order and a new term of the lease, no report from before the order is trusted", async (t) => {
+  const { replica, controller, follow } = await startController(t);
+  const order = { operation: "load", model: "m2" } as const;
+  await controller.order(controller.get("i-1")!, order);
+  t.deepEqual(replica.orders, ["load m2"]);
+  controller.clear();
+  follow();
+  const state = controller.get("i-1")!;
+  await state.lastTask;
+  t.true(state.isSynced);
+  t.true(state.isBusy || state.models.has("m2"));
+});
