Placement: a service without a limit of loads leaves the others' limits

A service without loadsPerS gave 0 * Infinity = NaN tokens when no time had passed since the term began, and NaN let every load of all services through; later its loads filled the burst of the others. Its loads need no tokens now.

Red on the code before (npx ava packages/gateway/src/model_load_limiter_test.ts): 'a service without a limit leaves the limit of another one as it is' and 'loads of a service without a limit give no tokens to another one'.

--- a/packages/gateway/src/model_load_limiter.ts
+++ b/packages/gateway/src/model_load_limiter.ts
@@ -45,8 +45,12 @@
     this.#refilledAt = this.#clock.now();
   }
 
-  /** Takes a token for one model load; returns false if there is none now. */
+  /**
+   * Takes a token for one model load; returns false if there is none now. Loads
+   * of a service without a limit, whose rate is infinite, need none.
+   */
   tryAcquire(loadsPerS: number): boolean {
+    if (loadsPerS === Infinity) return true;
     const now = this.#clock.now();
     const elapsedS = (now - this.#refilledAt) / MS_PER_S;
     this.#refilledAt = now;
--- a/packages/gateway/src/model_load_limiter_test.ts
+++ b/packages/gateway/src/model_load_limiter_test.ts
@@ -79,3 +79,23 @@
   // Planted defect: a new holder begins with the tokens of its idle time.
   t.true(isBounded(false).failed);
 });
+
+test("a service without a limit leaves the limit of another one as it is", (t) => {
+  const clock = { now: () => 0, wall: () => 0 };
+  const limiter = ModelLoadLimiter.create({ clock });
+  limiter.followTerm(2);
+  t.true(limiter.tryAcquire(Infinity));
+  t.false(limiter.tryAcquire(2), "the term begins without tokens");
+  t.true(limiter.tryAcquire(Infinity));
+});
+
+test("loads of a service without a limit give no tokens to another one", (t) => {
+  let now = 0;
+  const limiter = ModelLoadLimiter.create({
+    clock: { now: () => now, wall: () => now },
+  });
+  limiter.followTerm(2);
+  now += 600;
+  t.true(limiter.tryAcquire(Infinity));
+  t.deepEqual([limiter.tryAcquire(2), limiter.tryAcquire(2)], [true, false]);
+});
