--- a/packages/gateway/src/engine_controller.ts
+++ b/packages/gateway/src/engine_controller.ts
@@ -70,9 +70,9 @@
  * the repeats and has to be read from a report.
  */
 const MAX_REPEATS = 3;
-/** Intervals at which an order is tried while another one is carried out. */
-const MIN_ORDER_INTERVAL_MS = 40;
-const MAX_ORDER_INTERVAL_MS = 500;
+/** Time after a refused order without further ones, in ms; doubled for each. */
+const REFUSAL_PAUSE_MS = 500;
+const MAX_REFUSAL_PAUSE_MS = 4000;
 /** Time within which a report must show the effect of an order, in ms. */
 const ORDER_EFFECT_TIMEOUT_MS = 12_000;
 
@@ -84,6 +84,11 @@
 export class EngineController {
   readonly #options: EngineControllerOptions;
   readonly #engines: Map<string, EngineState> = new Map();
+  /**
+   * When the last order that may have been accepted ended, by replica, in ms.
+   * Kept across terms: a new state doesn't know the count of accepted orders.
+   */
+  readonly #orderedAt: Map<string, number> = new Map();
   #version = 0;
   /** Term of the lease in which the replicas were last followed. */
   #followedTerm: number | undefined;
@@ -143,7 +148,7 @@
     return this.#engines.get(replica);
   }
 
-  /** Discards all state, as another process may have sent orders meanwhile. */
+  /** Discards the engines' state, as another process may have sent orders meanwhile. */
   clear(): void {
     this.#engines.clear();
     this.#followedTerm = undefined;
@@ -156,6 +161,10 @@
     for (const id of this.#engines.keys()) {
       if (!servers.has(id)) this.#engines.delete(id);
     }
+    const now = this.#options.clock.now();
+    for (const [id, orderedAt] of this.#orderedAt) {
+      if (now - orderedAt >= REPORT_LAG_MS) this.#orderedAt.delete(id);
+    }
   }
 
   /**
@@ -200,36 +209,74 @@
     state: EngineState,
     order: PlacementOrder,
   ): Promise<OrderOutcome | "lease lost"> {
-    for (let repeats = 0;; repeats += 1) {
-      const outcome = await this.#sendOrderOnce(state, order);
-      if (outcome !== "unknown" || repeats === MAX_REPEATS) return outcome;
-    }
+    const outcome = await this.#sendOrder(state, order);
+    this.#learnFromOrder(state, outcome);
+    return outcome;
   }
 
   /**
    * Sends an order once the engine has carried out the one before, which it
-   * rejects others during. Reports show the end of an order some hundred ms
-   * late, so the order is tried at short intervals instead.
+   * rejects others during. A refused order isn't repeated before a report shows
+   * that the engine is idle, and not at all if it has accepted other orders.
    */
   async orderWhenIdle(
     state: EngineState,
     order: PlacementOrder,
   ): Promise<OrderOutcome | "lease lost"> {
+    const outcome = await this.#sendOrderWhenIdle(state, order);
+    this.#learnFromOrder(state, outcome);
+    return outcome;
+  }
+
+  async #sendOrderWhenIdle(
+    state: EngineState,
+    order: PlacementOrder,
+  ): Promise<OrderOutcome | "lease lost"> {
+    const deadlineAt = this.#options.clock.now() + ORDER_EFFECT_TIMEOUT_MS;
+    for (let afterMs = 0;; afterMs = REPORT_LAG_MS) {
+      const outcome = await this.#sendOrder(state, order);
+      if (outcome !== "conflict") return outcome;
+      // The first report that shows an idle engine may be from before.
+      await this.#options.sleep(afterMs);
+      if (!await this.#awaitIdle(state, deadlineAt)) return outcome;
+    }
+  }
+
+  /**
+   * Whether a report shows in time that the engine is idle and takes orders. It
+   * doesn't if it has started again, or if the count here is wrong: lower than
+   * in a report, or higher than in several that include all earlier orders.
+   */
+  async #awaitIdle(state: EngineState, deadlineAt: number): Promise<boolean> {
     const { clock, sleep } = this.#options;
-    const deadlineAt = clock.now() + ORDER_EFFECT_TIMEOUT_MS;
-    let intervalMs = MIN_ORDER_INTERVAL_MS;
-    while (true) {
-      const outcome = await this.order(state, order);
-      if (outcome !== "conflict" || clock.now() >= deadlineAt) return outcome;
-      await sleep(intervalMs);
-      intervalMs = Math.min(MAX_ORDER_INTERVAL_MS, intervalMs * 2);
-      if (intervalMs < MAX_ORDER_INTERVAL_MS) continue;
-      // The conflict may be that the engine has accepted other orders.
+    const currentFrom = clock.now() + REPORT_LAG_MS;
+    let outdated = 0;
+    while (
+      this.holdsLease && clock.now() < deadlineAt && this.#isCurrent(state)
+    ) {
+      await sleep(REPORT_POLL_INTERVAL_MS);
+      const requestedAt = clock.now();
       const read = await this.#readReport(state);
-      const hasOther = read.ok && !read.value.busy &&
-        read.value.acceptedOrderCount !== state.acceptedOrderCount &&
-        read.value.acceptedOrderCount > 0;
-      if (hasOther) return outcome;
+      if (!read.ok) continue;
+      const { busy, startedAt, acceptedOrderCount } = read.value;
+      if (startedAt !== state.server.startedAt) return false;
+      if (busy) continue;
+      if (acceptedOrderCount === state.acceptedOrderCount) return true;
+      if (acceptedOrderCount > state.acceptedOrderCount) return false;
+      if (requestedAt < currentFrom) continue;
+      outdated += 1;
+      if (outdated >= MAX_OUTDATED_REPORTS) return false;
+    }
+    return false;
+  }
+
+  async #sendOrder(
+    state: EngineState,
+    order: PlacementOrder,
+  ): Promise<OrderOutcome | "lease lost"> {
+    for (let repeats = 0;; repeats += 1) {
+      const outcome = await this.#sendOrderOnce(state, order);
+      if (outcome !== "unknown" || repeats === MAX_REPEATS) return outcome;
     }
   }
 
@@ -237,7 +284,7 @@
     state: EngineState,
     order: PlacementOrder,
   ): Promise<OrderOutcome | "lease lost"> {
-    const { lease, holder, log, metrics, awaitPermit } = this.#options;
+    const { lease, holder, clock, log, metrics, awaitPermit } = this.#options;
     await awaitPermit(state.server);
     if (!lease.held || !this.#isCurrent(state)) return "lease lost";
     const { fencingToken } = lease;
@@ -248,8 +295,9 @@
       holder,
       fencingToken,
     }, this.#callOptions(state.server));
-    if (outcome === "accepted" || outcome === "done") {
-      state.acceptedOrderCount += 1;
+    if (isAccepted(outcome)) state.acceptedOrderCount += 1;
+    if (isAccepted(outcome) || outcome === "unknown") {
+      this.#orderedAt.set(state.server.id, clock.now());
     }
     metrics.orders.inc({ operation: order.operation, outcome });
     log.write("engine order", {
@@ -262,6 +310,33 @@
     return outcome;
   }
 
+  /** Puts off plans for an engine that refuses orders or doesn't answer them. */
+  #learnFromOrder(
+    state: EngineState,
+    outcome: OrderOutcome | "lease lost",
+  ): void {
+    const { clock, log, metrics } = this.#options;
+    if (outcome === "lease lost") return;
+    if (isAccepted(outcome)) {
+      state.refusals = 0;
+      state.refusedUntil = -Infinity;
+      return;
+    }
+    const pauseMs = Math.min(
+      MAX_REFUSAL_PAUSE_MS,
+      REFUSAL_PAUSE_MS * 2 ** state.refusals,
+    );
+    state.refusals += 1;
+    state.refusedUntil = clock.now() + pauseMs;
+    metrics.enginePauses.inc({ outcome });
+    log.write("engine put off", {
+      replica: state.server.id,
+      outcome,
+      refusals: state.refusals,
+      pause_ms: pauseMs,
+    });
+  }
+
   /** Reads the report after a delay, so that it includes earlier orders. */
   async resync(state: EngineState): Promise<void> {
     await this.#options.sleep(REPORT_LAG_MS);
@@ -329,6 +404,12 @@
     let missing = 0;
     let outdated = 0;
     while (this.holdsLease && this.#isCurrent(state)) {
+      const orderedAt = this.#orderedAt.get(state.server.id) ?? -Infinity;
+      const waitMs = orderedAt + REPORT_LAG_MS - clock.now();
+      if (waitMs > 0) {
+        await sleep(waitMs);
+        continue;
+      }
       state.reportRequestedAt = clock.now();
       const read = await this.#readReport(state);
       if (read.ok) {
@@ -380,3 +461,7 @@
   return report.startedAt === state.server.startedAt &&
     report.acceptedOrderCount < state.acceptedOrderCount;
 }
+
+function isAccepted(outcome: OrderOutcome): boolean {
+  return outcome === "accepted" || outcome === "done";
+}
--- a/packages/gateway/src/engine_controller_test.ts
+++ b/packages/gateway/src/engine_controller_test.ts
@@ -8,11 +8,15 @@
 
 const LOG = { write: () => {}, dropped: () => 0, flush: () => {} };
 
-async function startController(t: ExecutionContext) {
+async function startController(
+  t: ExecutionContext,
+  options: { loadMs?: number; countsOrdersThatHold?: boolean } = {},
+) {
   const replica = await ReplicaStandin.create({
     id: "i-1",
     service: "pool",
     holds: ["m1"],
+    ...options,
   });
   const pools = ConnectionPools.create({ maxConnectionsFor: () => 4 });
   t.teardown(() => {
@@ -25,6 +29,7 @@
     permit = new Promise((resolve) => grant = resolve);
     return grant;
   };
+  const outcomes: unknown[] = [];
   const lease = { held: true, fencingToken: 1, term: 1 };
   let onAvailable = () => {};
   const isAvailable = new Promise<void>((resolve) => onAvailable = resolve);
@@ -37,7 +42,12 @@
     awaitPermit: () => permit,
     onNotices: () => {},
     onAvailableModelsChange: () => onAvailable(),
-    log: LOG,
+    log: {
+      ...LOG,
+      write: (event: string, fields?: Record<string, unknown>) => {
+        if (event === "engine order") outcomes.push(fields?.["outcome"]);
+      },
+    },
     metrics: GatewayMetrics.create(),
   });
   const server = {
@@ -55,7 +65,7 @@
   const follow = () => controller.follow(new Map([["i-1", server]]));
   follow();
   await isAvailable;
-  return { replica, lease, controller, follow, withholdPermit };
+  return { replica, lease, controller, follow, withholdPermit, outcomes };
 }
 
 test("an unanswered order is repeated at once with the same order count, before a report is read", async (t) => {
@@ -157,3 +167,110 @@
   grant();
   t.is(await late, "lease lost", "the lease is checked after the wait");
 });
+
+function countOrders(calls: readonly string[]): number {
+  return calls.filter((call) => call !== "report").length;
+}
+
+/** Orders a second load during the first one; returns what came of them. */
+async function orderDuringLoad(t: ExecutionContext) {
+  const { replica, controller, outcomes } = await startController(t, {
+    loadMs: 700,
+  });
+  const state = controller.get("i-1")!;
+  await controller.order(state, { operation: "load", model: "m2" });
+  replica.engineCalls.length = 0;
+  await controller.orderWhenIdle(state, { operation: "load", model: "m3" });
+  return { outcomes, orders: countOrders(replica.engineCalls) };
+}
+
+// The order was tried again at short intervals, and refused each time.
+test("an order for an engine that still carries out another one is refused once", async (t) => {
+  let played = await orderDuringLoad(t);
+  // On a busy machine an answer may come after the order's time-out.
+  for (let i = 0; i < 5 && played.outcomes.includes("unknown"); i += 1) {
+    played = await orderDuringLoad(t);
+  }
+  t.deepEqual(played.outcomes, ["accepted", "conflict", "accepted"]);
+  t.is(played.orders, 2);
+});
+
+test("an engine that has accepted other orders is tried once more at most, and nothing is planned for it for a while", async (t) => {
+  const { replica, controller } = await startController(t);
+  const state = controller.get("i-1")!;
+  await controller.order(state, { operation: "load", model: "m2" });
+  state.acceptedOrderCount = 0;
+  replica.engineCalls.length = 0;
+  const order = { operation: "load", model: "m3" } as const;
+  t.is(await controller.orderWhenIdle(state, order), "conflict");
+  // The first report may be from before the other order.
+  t.true(countOrders(replica.engineCalls) <= 2);
+  const { refusedUntil } = state;
+  t.true(refusedUntil > -Infinity);
+  t.is(await controller.orderWhenIdle(state, order), "conflict");
+  t.true(state.refusedUntil > refusedUntil);
+  state.acceptedOrderCount = 1;
+  t.is(await controller.orderWhenIdle(state, order), "accepted");
+  t.is(state.refusals, 0);
+});
+
+// A report whose count was lower was taken for an old one until the time-out.
+test("an order isn't held back for long if the count of accepted orders here is too high", async (t) => {
+  const { replica, controller } = await startController(t, {
+    countsOrdersThatHold: false,
+  });
+  const state = controller.get("i-1")!;
+  const held = { operation: "load", model: "m1" } as const;
+  t.is(await controller.order(state, held), "done");
+  t.is(state.acceptedOrderCount, 1);
+  replica.engineCalls.length = 0;
+  const order = { operation: "load", model: "m2" } as const;
+  t.is(await controller.orderWhenIdle(state, order), "conflict");
+  t.is(countOrders(replica.engineCalls), 1);
+  // The reports of 350 ms may be old, and three more are read.
+  t.true(replica.engineCalls.length <= 1 + 4 + 3);
+});
+
+test("an order for an engine that has started again isn't held back", async (t) => {
+  const { replica, controller } = await startController(t);
+  const state = controller.get("i-1")!;
+  state.acceptedOrderCount = 1;
+  state.server = { ...state.server, startedAt: replica.startedAt - 1 };
+  replica.engineCalls.length = 0;
+  const order = { operation: "load", model: "m2" } as const;
+  t.is(await controller.orderWhenIdle(state, order), "conflict");
+  t.deepEqual(replica.engineCalls.slice(1), ["report"]);
+});
+
+test("a wait for an idle engine counts as one refusal, and an accepted order ends the pause", async (t) => {
+  const { replica, controller } = await startController(t);
+  const state = controller.get("i-1")!;
+  await controller.order(state, { operation: "load", model: "m2" });
+  state.acceptedOrderCount = 0;
+  replica.engineCalls.length = 0;
+  const order = { operation: "load", model: "m3" } as const;
+  t.is(await controller.orderWhenIdle(state, order), "conflict");
+  t.is(state.refusals, 1);
+  t.true(state.refusedUntil > -Infinity);
+  for (let i = 0; i < 100 && state.isBusy; i += 1) {
+    await controller.resync(state);
+  }
+  state.acceptedOrderCount = 1;
+  t.is(await controller.orderWhenIdle(state, order), "accepted");
+  t.is(state.refusals, 0);
+  t.is(state.refusedUntil, -Infinity);
+});
+
+// The state was rebuilt from a report that didn't show the order yet.
+test("after an order and a new term of the lease, no report from before the order is trusted", async (t) => {
+  const { replica, controller, follow } = await startController(t);
+  const order = { operation: "load", model: "m2" } as const;
+  await controller.order(controller.get("i-1")!, order);
+  t.deepEqual(replica.orders, ["load m2"]);
+  controller.clear();
+  follow();
+  const state = controller.get("i-1")!;
+  await state.lastTask;
+  t.true(state.isSynced);
+  t.true(state.isBusy || state.models.has("m2"));
+});
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -44,6 +44,8 @@
   readonly storeCalls: Counter;
   /** Load and unload orders to engines by operation and outcome. */
   readonly orders: Counter;
+  /** Pauses of the placement for an engine, by the outcome of the order before. */
+  readonly enginePauses: Counter;
   /** Reads of engines' reports by outcome. */
   readonly reportReads: Counter;
   /** Datagrams exchanged with other gateways, by direction. */
@@ -139,6 +141,11 @@
       "call",
       "outcome",
     ]);
+    this.enginePauses = counter(
+      "engine_pauses_total",
+      "Pauses of the placement for an engine after an order that failed",
+      ["outcome"],
+    );
     this.orders = counter("engine_orders_total", "Orders to engines", [
       "operation",
       "outcome",
