Placement: urgent models change the order of loads alone

Each model with demand that only an evacuated data centre held became a need of a group, which is met without regard to minReplicas or to displaced demand. So a model in little demand took the last copy of another one, which became urgent itself, without end.

Urgent models now come first among the replicas that are missing anyway, in their order of demand, and take no needs of groups. The scheduler gets them as an argument of plan instead of through a field between two calls.

The new test with nine models for six places fails without the change: "u0" is loaded where no move was expected (npx ava packages/gateway/src/evacuation/models_held_only_test.ts). The test of the order by demand compares names instead of needs, as strictly as before.

--- a/packages/gateway/src/evacuation/models_held_only.ts
+++ b/packages/gateway/src/evacuation/models_held_only.ts
@@ -1,7 +1,6 @@
 import type { ReplicaTracker } from "@banyanspool/routing";
 import type { BackendServer } from "@banyanspool/types";
 import type { FleetDemand } from "../placement_models.ts";
-import type { StreamNeed } from "../waiting_request_counts.ts";
 
 /** Demand that a waiting request stands for, in replicas kept busy. */
 const REPLICAS_PER_WAITING_REQUEST = 0.05;
@@ -40,14 +39,11 @@
   return held;
 }
 
-/**
- * What placement loads before all copies: of models that no replica has left
- * those that callers ask for, the most wanted first.
- */
-export function listUrgentNeeds(
+/** The models that callers ask for, the most wanted first. */
+export function listWantedModels(
   models: Iterable<string>,
   demand: ReadonlyMap<string, FleetDemand>,
-): StreamNeed[] {
+): string[] {
   const wanted = new Map([...models].map((model) => [model, 0]));
   for (const [name, entry] of demand) {
     const model = name.split("/")[0]!;
@@ -57,7 +53,7 @@
   return [...wanted]
     .filter(([, value]) => value > 0)
     .sort(([, a], [, b]) => b - a)
-    .map(([name]) => ({ name }));
+    .map(([name]) => name);
 }
 
 function valueOf({ fastReplicas, slowReplicas, waiting }: FleetDemand): number {
--- a/packages/gateway/src/evacuation/models_held_only_test.ts
+++ b/packages/gateway/src/evacuation/models_held_only_test.ts
@@ -5,7 +5,7 @@
 import { createEngineState, type EngineState } from "../engine_state.ts";
 import { FleetState } from "../fleet_state.ts";
 import { PlacementController } from "../placement_controller.ts";
-import { findModelsHeldOnly, listUrgentNeeds } from "./models_held_only.ts";
+import { findModelsHeldOnly, listWantedModels } from "./models_held_only.ts";
 
 const EVACUATED = "south";
 const clock = { now: () => 0, wall: () => 0 };
@@ -78,8 +78,8 @@
     demandFor("elsewhere", 5),
   ]);
   t.deepEqual(
-    listUrgentNeeds(["idle", "much", "little", "awaited"], demand),
-    [{ name: "awaited" }, { name: "little" }, { name: "much" }],
+    listWantedModels(["idle", "much", "little", "awaited"], demand),
+    ["awaited", "little", "much"],
   );
 });
 
@@ -90,17 +90,35 @@
     serverOf("i-2", "north", ["busy"]),
     serverOf("i-3", "north", []),
   ];
-  const moves = await planOnce(servers, [
+  const moves = await plan(servers, [
     demandFor("busy", 3),
     demandFor("rare", 0.01),
   ]);
   t.deepEqual(moves, ["rare"]);
 });
 
-/** The models whose loads the first planning round starts. */
-async function planOnce(
+// Each took the last copy of another model, which became urgent itself.
+test("models in little demand that only an evacuated data centre holds displace none in more demand", async (t) => {
+  const servers = [
+    serverOf("i-1", EVACUATED, ["u0", "u1", "u2"]),
+    serverOf("i-2", "north", ["w0", "w1", "w2"]),
+    serverOf("i-3", "north", ["w3", "w4", "w5"]),
+  ];
+  const demand = [0.003, 0.002, 0.001].map((replicas, i) =>
+    demandFor(`u${i}`, replicas)
+  );
+  const moves = await plan(servers, [
+    ...demand,
+    ...[0, 1, 2, 3, 4, 5].map((i) => demandFor(`w${i}`, 0.18)),
+  ], { rounds: 6 });
+  t.deepEqual(moves, []);
+});
+
+/** The models whose loads the first planning rounds start. */
+async function plan(
   servers: readonly BackendServer[],
   demand: readonly (ReturnType<typeof demandFor>)[],
+  { rounds = 1 } = {},
 ): Promise<string[]> {
   const states = new Map<string, EngineState>(
     servers.map((server) => {
@@ -120,7 +138,7 @@
     adapterSlots: 0,
     modelLoadsPerS: 10,
     models: new Map(
-      ["busy", "rare"].map((name) => [
+      demand.map(([name]) => [
         name,
         { name, weightsMb: 70, modelLoadMs: 1000, adapterMb: 0 },
       ]),
@@ -142,7 +160,8 @@
     } as unknown as EngineController,
     clock,
     sleep: () => {
-      stop.abort();
+      rounds -= 1;
+      if (rounds === 0) stop.abort();
       return Promise.resolve();
     },
     fleet,
--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -119,8 +119,15 @@
     return expected;
   }
 
-  /** Plans and starts the next moves of one service with the given replicas. */
-  plan(engine: EngineSpec, servers: readonly BackendServer[]): void {
+  /**
+   * Plans and starts the next moves of one service with the given replicas.
+   * Urgent models come first while none of these has them.
+   */
+  plan(
+    engine: EngineSpec,
+    servers: readonly BackendServer[],
+    urgentModels: readonly string[] = [],
+  ): void {
     if (this.#isReportMissing(servers)) return;
     const { engineController } = this.#options;
     const reports = servers.flatMap((server) => {
@@ -158,6 +165,7 @@
       inUse: this.#countRequestsInFlight(reports),
       localCopies: this.#listLocalCopies(reports),
       groupNeeds: this.#listGroupNeeds(engine, servers),
+      urgentModels,
     }, {
       maxMoves: pendingMoves.length + MAX_NEW_MOVES,
       busyShare: BUSY_SHARE,
--- a/packages/gateway/src/placement_controller.ts
+++ b/packages/gateway/src/placement_controller.ts
@@ -6,7 +6,7 @@
 import type { FleetState } from "./fleet_state.ts";
 import {
   findModelsHeldOnly,
-  listUrgentNeeds,
+  listWantedModels,
 } from "./evacuation/models_held_only.ts";
 import { ModelScheduler } from "./model_scheduler.ts";
 import type { FleetDemand } from "./placement_models.ts";
@@ -50,15 +50,10 @@
   readonly #options: PlacementControllerOptions;
   readonly #modelScheduler: ModelScheduler;
   readonly #adapterScheduler: AdapterScheduler;
-  /** Models of the service in hand that only evacuated replicas hold. */
-  #urgentNeeds: readonly StreamNeed[] = [];
 
   private constructor(options: PlacementControllerOptions) {
     this.#options = options;
-    this.#modelScheduler = ModelScheduler.create({
-      ...options,
-      streamNeeds: () => [...options.streamNeeds(), ...this.#urgentNeeds],
-    });
+    this.#modelScheduler = ModelScheduler.create(options);
     this.#adapterScheduler = AdapterScheduler.create({
       ...options,
       hasMoveInProgress: (replica) =>
@@ -125,11 +120,11 @@
         isEvacuated,
         replicaTracker,
       });
-      this.#urgentNeeds = listUrgentNeeds(heldOnly.keys(), demand());
+      const urgentModels = listWantedModels(heldOnly.keys(), demand());
       // An engine accepts no adapter while it loads a model, which takes
       // seconds, so adapters go first.
       this.#adapterScheduler.plan(engine, servers);
-      this.#modelScheduler.plan(engine, servers);
+      this.#modelScheduler.plan(engine, servers, urgentModels);
     }
   }
 }
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -44,6 +44,8 @@
   readonly localCopies?: ReadonlySet<string>;
   /** Models that at least one replica of a group must have. */
   readonly groupNeeds?: readonly GroupNeed[];
+  /** Models that come first, in this order, while no replica has them. */
+  readonly urgentModels?: readonly string[];
 }
 
 /** A model that at least one replica of a group must have. */
@@ -128,7 +130,7 @@
       addMove(moves, { working, target: found, load: model, reason: "group" });
     }
   }
-  for (const { model, reason } of findMissingReplicas(working)) {
+  for (const { model, reason } of findMissingReplicas(working, input)) {
     if (remainingMoves() <= 0) return moves;
     const local = [...working.replicas.values()]
       .filter((report) => mayChange(report, input));
@@ -197,9 +199,16 @@
 /**
  * Lists the replicas that models lack, ranked by the demand that each would
  * serve: the n-th replica of a model ranks by an n-th of the model's demand.
+ * Urgent models without a replica come first.
  */
-function findMissingReplicas(working: WorkingState): readonly MissingReplica[] {
+function findMissingReplicas(
+  working: WorkingState,
+  { urgentModels = [] }: PlacementInput,
+): readonly MissingReplica[] {
   const { counts } = working;
+  const ranks = new Map(urgentModels.map((model, rank) => [model, rank]));
+  const rankOf = ({ model, reason }: MissingReplica) =>
+    (reason === "reach" ? ranks.get(model) : undefined) ?? urgentModels.length;
   const missing: (MissingReplica & { servedDemand: number })[] = [];
   for (const model of working.models.values()) {
     const demand = demandOf(model) +
@@ -216,6 +225,7 @@
     }
   }
   return missing.sort((a, b) =>
+    rankOf(a) - rankOf(b) ||
     b.servedDemand - a.servedDemand ||
     Number(a.reason === "copies") - Number(b.reason === "copies")
   );
