Evacuations: the report can't hold the event loop for long

The report ranked all gateways for each of up to 256 cold replicas, once a second, for anyone who asks at the metrics port. It names the issuer of the first 16 cold replicas, and is built again only after the longer of a second and 50 times the time that it took.

--- a/packages/cli/src/commands/evacuations.ts
+++ b/packages/cli/src/commands/evacuations.ts
@@ -92,7 +92,7 @@
     formatSeconds(cold.left_ms),
     `${Number(cold.limit_per_s.toFixed(1))}/s`,
     cold.issued_last_s === undefined ? "-" : `${cold.issued_last_s}/s`,
-    cold.issuer,
+    cold.issuer ?? "-",
     String(cold.in_flight),
   ]);
   return formatTable(header, rows) + formatRest(cold_replicas);
--- a/packages/cli/src/evacuation_report.ts
+++ b/packages/cli/src/evacuation_report.ts
@@ -34,7 +34,7 @@
     data_centre: nameSchema,
     left_ms: z.number(),
     limit_per_s: z.number(),
-    issuer: nameSchema,
+    issuer: nameSchema.optional(),
     issued_last_s: z.number().optional(),
     in_flight: z.number(),
   })),
--- a/packages/gateway/src/evacuation/evacuation_status.ts
+++ b/packages/gateway/src/evacuation/evacuation_status.ts
@@ -37,9 +37,9 @@
   readonly left_ms: number;
   /** Requests a second for which permits are issued. */
   readonly limit_per_s: number;
-  /** Gateway that issues them. */
-  readonly issuer: string;
-  /** Permits issued in the last second; absent if another gateway issues them. */
+  /** Gateway that issues them; absent if the report names enough of them. */
+  readonly issuer?: string;
+  /** Permits issued in the last second; absent if not named as the issuer. */
   readonly issued_last_s?: number;
   /** Requests of all gateways in flight there. */
   readonly in_flight: number;
@@ -63,6 +63,8 @@
 
 const MAX_EVACUATIONS = 64;
 const MAX_COLD_REPLICAS = 256;
+/** Each issuer is found by ranking all gateways. */
+const MAX_ISSUERS = 16;
 const MAX_NAMES = 32;
 
 /** Builds the report of evacuations and cold replicas, of bounded length. */
@@ -142,9 +144,11 @@
 ): BoundedList<ColdReplicaStatus> {
   const cold = [...replicaTracker.servers.values()]
     .filter((server) => coldReplicas.leftMs(incarnationOf(server)) > 0);
-  return mapFirst(cold, MAX_COLD_REPLICAS, (server) => {
+  return mapFirst(cold, MAX_COLD_REPLICAS, (server, index) => {
     const replica = incarnationOf(server);
-    const issuer = replicaPermits.issuerOf(replica);
+    const issuer = index < MAX_ISSUERS
+      ? replicaPermits.issuerOf(replica)
+      : undefined;
     return {
       replica: server.id,
       service: server.service,
@@ -167,7 +171,7 @@
 function mapFirst<T, U>(
   items: readonly T[],
   max: number,
-  map: (item: T) => U,
+  map: (item: T, index: number) => U,
 ): BoundedList<U> {
   return { total: items.length, first: items.slice(0, max).map(map) };
 }
--- /dev/null
+++ b/packages/gateway/src/evacuation/report_cache.ts
@@ -0,0 +1,31 @@
+import type { Clock } from "@banyanspool/types";
+
+/** Options of {@link cacheReport}. */
+export interface ReportCacheOptions {
+  /** Makes the report, which takes time of the event loop. */
+  readonly build: () => unknown;
+  /** Time source. */
+  readonly clock: Pick<Clock, "now">;
+}
+
+/** Shortest time for which a report is served again, in ms. */
+const MIN_AGE_MS = 1000;
+/** Multiple of the time that a report took for which it is served again. */
+const AGE_PER_BUILD = 50;
+
+/** Returns the report as JSON, made again only after a pause. */
+export function cacheReport(
+  { build, clock }: ReportCacheOptions,
+): () => string {
+  let report = "";
+  let nextAt = -Infinity;
+  return () => {
+    const startedAt = clock.now();
+    if (startedAt < nextAt) return report;
+    report = JSON.stringify(build());
+    const endedAt = clock.now();
+    const tookMs = endedAt - startedAt;
+    nextAt = endedAt + Math.max(MIN_AGE_MS, AGE_PER_BUILD * tookMs);
+    return report;
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/evacuation/report_cache_test.ts
@@ -0,0 +1,26 @@
+import test from "ava";
+import { cacheReport } from "./report_cache.ts";
+
+test("a report is made again after a second, or after fifty times the time that it took", (t) => {
+  let now = 0;
+  let builds = 0;
+  let buildMs = 1;
+  const read = cacheReport({
+    clock: { now: () => now },
+    build: () => {
+      now += buildMs;
+      builds += 1;
+      return { builds };
+    },
+  });
+  t.is(read(), '{"builds":1}');
+  now += 999;
+  t.is(read(), '{"builds":1}');
+  now += 1;
+  buildMs = 450;
+  t.is(read(), '{"builds":2}');
+  now += 22_499;
+  t.is(read(), '{"builds":2}');
+  now += 1;
+  t.is(read(), '{"builds":3}');
+});
--- a/packages/gateway/src/status_servers.ts
+++ b/packages/gateway/src/status_servers.ts
@@ -10,6 +10,7 @@
 import { splitAddress } from "@banyanspool/settings";
 import type { Clock } from "@banyanspool/types";
 import type { EvacuationReport } from "./evacuation/evacuation_status.ts";
+import { cacheReport } from "./evacuation/report_cache.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 
 /** A running server of readiness or metrics. */
@@ -48,7 +49,7 @@
 const MAX_CONNECTION_AGE_MS = 5000;
 /** Path of the report of evacuations and cold replicas at the metrics port. */
 const EVACUATION_REPORT_PATH = "/evacuations";
-/** Time for which the metrics, or the report, are served again, in ms. */
+/** Time for which the metrics are served again, in ms. */
 const METRICS_AGE_MS = 1000;
 
 /**
@@ -80,15 +81,11 @@
   const { metrics, log, clock, evacuationReport } = options;
   let text = Promise.resolve("");
   let textAt = -Infinity;
-  let report = "";
-  let reportAt = -Infinity;
+  const readReport = cacheReport({ build: evacuationReport, clock });
   return await startStatusServer(address, options, async (req, res) => {
     if (req.url === EVACUATION_REPORT_PATH) {
-      if (clock.now() - reportAt >= METRICS_AGE_MS) {
-        reportAt = clock.now();
-        report = JSON.stringify(evacuationReport());
-      }
-      res.writeHead(200, { "content-type": "application/json" }).end(report);
+      res.writeHead(200, { "content-type": "application/json" })
+        .end(readReport());
       return;
     }
     if (clock.now() - textAt >= METRICS_AGE_MS) {
