Evacuations: a gateway that doesn't answer is told as such

The client printed "Cannot reach a gateway at ...: 23", the number in the code of the DOMException of a timeout. It uses a code only if that is a string, and tells a timeout as "no answer within 3 s". The tests with a server that never answers and with one that stops inside the body saw the 23 before (npx ava packages/cli/src/evacuation_report_test.ts). The servers of the tests close their open connections at the end.

--- a/packages/cli/src/evacuation_report.ts
+++ b/packages/cli/src/evacuation_report.ts
@@ -76,8 +76,9 @@
   try {
     text = await fetchText(`http://${address}${REPORT_PATH}`);
   } catch (error) {
-    const { code, message } = error as NodeJS.ErrnoException;
-    return fail(`Cannot reach a gateway at ${address}: ${code ?? message}`);
+    return fail(
+      `Cannot reach a gateway at ${address}: ${describeFailure(error)}`,
+    );
   }
   try {
     return ok(reportSchema.parse(JSON.parse(text)));
@@ -94,6 +95,13 @@
   return port > 0 && port <= MAX_PORT && octets.every((octet) => octet <= 255);
 }
 
+function describeFailure(error: unknown): string {
+  const { name, code, message } = error as NodeJS.ErrnoException;
+  if (name === "TimeoutError") return `no answer within ${TIMEOUT_MS / 1000} s`;
+  // The code of a DOMException is a number.
+  return typeof code === "string" ? code : message;
+}
+
 async function fetchText(url: string): Promise<string> {
   const signal = AbortSignal.timeout(TIMEOUT_MS);
   const { statusCode, body } = await request(url, { signal });
--- a/packages/cli/src/evacuation_report_test.ts
+++ b/packages/cli/src/evacuation_report_test.ts
@@ -8,7 +8,10 @@
   listener: RequestListener,
 ): Promise<string> {
   const server = createServer(listener);
-  t.teardown(() => server.close());
+  t.teardown(() => {
+    server.close();
+    server.closeAllConnections();
+  });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
@@ -56,3 +59,23 @@
     },
   });
 });
+
+const SILENT: Record<string, RequestListener> = {
+  "never answers": () => {},
+  "stops inside the body": (_req, res) => {
+    res.writeHead(200).write('{"gateway":');
+  },
+};
+
+for (const [name, listener] of Object.entries(SILENT)) {
+  test(`a server that ${name} gives an error that tells the time`, async (t) => {
+    const address = await startServer(t, listener);
+    t.deepEqual(await fetchEvacuationReport(address), {
+      ok: false,
+      error: {
+        isUsage: false,
+        message: `Cannot reach a gateway at ${address}: no answer within 3 s`,
+      },
+    });
+  });
+}
