Cold replicas: members of all reads count, and rows that can't be read

A gateway that returns issues permits early once it has heard all members. A read of a restored table that lacks young rows shrank that list, and a row whose host can't be read was left out of it, so that two gateways could issue. The union of all reads counts now, and a row that can't be read is a member not heard until a read tells its host. The two new tests of known members fail without the change (npx ava packages/gateway/src/known_members_test.ts).

--- a/packages/gateway/src/known_members.ts
+++ b/packages/gateway/src/known_members.ts
@@ -1,3 +1,5 @@
+import type { MemberHosts } from "./member_table.ts";
+
 /** Options of {@link KnownMembers.create}. */
 export interface KnownMembersOptions {
   /** Instance name of this gateway. */
@@ -17,7 +19,8 @@
 export class KnownMembers {
   readonly #options: KnownMembersOptions;
   #isReturning: boolean | undefined;
-  #others: readonly string[] = [];
+  /** Whether the row can be read, by other instance that any read returned. */
+  readonly #others: Map<string, boolean> = new Map();
 
   private constructor(options: KnownMembersOptions) {
     this.#options = options;
@@ -28,16 +31,23 @@
     return new KnownMembers(options);
   }
 
-  /** Records the hosts by instance that a read of the member table returned. */
-  recordRead(hosts: ReadonlyMap<string, string>): void {
+  /**
+   * Records what a read of the member table returned. A restored table may lack
+   * rows of earlier reads, whose gateways still run.
+   */
+  recordRead(hosts: MemberHosts): void {
     const { instance, host } = this.#options;
     this.#isReturning ??= hosts.get(instance) === host;
-    this.#others = [...hosts.keys()].filter((name) => name !== instance);
+    for (const [name, other] of hosts) {
+      if (name !== instance) this.#others.set(name, other !== undefined);
+    }
   }
 
   /** Whether this gateway was a member before, and each other one reports now. */
   get hasHeardAll(): boolean {
     return this.#isReturning === true &&
-      this.#others.every(this.#options.isResponsive);
+      [...this.#others].every(([name, isReadable]) =>
+        isReadable && this.#options.isResponsive(name)
+      );
   }
 }
--- a/packages/gateway/src/known_members_test.ts
+++ b/packages/gateway/src/known_members_test.ts
@@ -41,3 +41,22 @@
   moved.members.recordRead(new Map([ROWS[0]]));
   t.false(moved.members.hasHeardAll);
 });
+
+test("a gateway that a later read of a restored table lacks still counts", (t) => {
+  const { members, responsive } = create();
+  members.recordRead(new Map(ROWS));
+  members.recordRead(new Map([ROWS[0], ROWS[1]]));
+  responsive.add("b");
+  t.false(members.hasHeardAll);
+  responsive.add("c");
+  t.true(members.hasHeardAll);
+});
+
+test("a gateway whose row can't be read counts as not heard until it can", (t) => {
+  const { members, responsive } = create();
+  members.recordRead(new Map([...ROWS, ["d", undefined]]));
+  for (const name of ["b", "c", "d"]) responsive.add(name);
+  t.false(members.hasHeardAll);
+  members.recordRead(new Map([...ROWS, ["d", "10.0.0.4"]]));
+  t.true(members.hasHeardAll);
+});
--- a/packages/gateway/src/member_table.ts
+++ b/packages/gateway/src/member_table.ts
@@ -4,6 +4,9 @@
 import * as z from "zod";
 import type { ChangeSignal } from "./change_signal.ts";
 
+/** The hosts by instance; undefined if a row's can't be read. */
+export type MemberHosts = ReadonlyMap<string, string | undefined>;
+
 /** Options of {@link maintainMembership}. */
 export interface MembershipOptions {
   /** Store that holds the member table. */
@@ -18,8 +21,8 @@
   readonly restoredSignal: ChangeSignal;
   /** Notified when a datagram comes from an address that isn't known. */
   readonly strangerSignal: ChangeSignal;
-  /** Called after each read with the hosts by instance, undefined if it failed. */
-  readonly onRead?: (hosts: ReadonlyMap<string, string> | undefined) => void;
+  /** Called after each read with what it returned, undefined if it failed. */
+  readonly onRead?: (hosts: MemberHosts | undefined) => void;
   /** Structured log. */
   readonly log: EventLog;
   /** Called with each other gateway that has a row, at every read. */
@@ -122,16 +125,15 @@
 /** Reads the hosts by instance; undefined if the store failed. */
 async function readMembers(
   { store, instance, onMember }: MembershipOptions,
-): Promise<ReadonlyMap<string, string> | undefined> {
+): Promise<MemberHosts | undefined> {
   const read = await store.readTable(MEMBER_TABLE);
   // The store client has counted the failure; the next round retries.
   if (!read.ok) return undefined;
-  const hosts = new Map<string, string>();
+  const hosts = new Map<string, string | undefined>();
   for (const row of read.value.rows) {
     const host = decodeHost(row.text);
-    if (host === undefined) continue;
     hosts.set(row.key, host);
-    if (row.key !== instance) onMember(row.key, host);
+    if (host !== undefined && row.key !== instance) onMember(row.key, host);
   }
   return hosts;
 }
--- a/packages/gateway/src/member_table_test.ts
+++ b/packages/gateway/src/member_table_test.ts
@@ -167,3 +167,26 @@
   await task;
   t.is(reads, 3);
 });
+
+test("a row whose host can't be read is passed on without a host, and is no peer", async (t) => {
+  const rows = new Map([
+    ["a", JSON.stringify({ host: "10.0.0.97" })],
+    ["b", JSON.stringify({ host: "elsewhere" })],
+    ["c", "{"],
+  ]);
+  const controller = new AbortController();
+  const reads: unknown[] = [];
+  const task = maintainMembership({
+    ...createOptions("a", {
+      store: createStore(rows),
+      onMember: (instance) => t.fail(instance),
+    }),
+    onRead: (hosts) => reads.push(hosts),
+  }, controller.signal);
+  for (let i = 0; i < ROUNDS; i += 1) await setImmediate();
+  controller.abort();
+  await task;
+  t.deepEqual(reads, [
+    new Map([["a", "10.0.0.97"], ["b", undefined], ["c", undefined]]),
+  ]);
+});
