Evacuations: one demand of waiting requests, and a report that fails is logged

- The demand of a waiting request is WAITING_REQUEST_DEMAND of the placement package, which exports it.
- Placement looks for holders only of models that callers ask for.
- The list of models by data centre is extended in place.
- A report that can't be made is logged and answered with 500.

--- a/packages/gateway/src/evacuation/evacuation_status.ts
+++ b/packages/gateway/src/evacuation/evacuation_status.ts
@@ -131,7 +131,8 @@
     for (const [model, dataCentres] of held) {
       for (const dataCentre of dataCentres) {
         const names = byDataCentre.get(dataCentre) ?? [];
-        byDataCentre.set(dataCentre, [...names, `${service}/${model}`]);
+        names.push(`${service}/${model}`);
+        byDataCentre.set(dataCentre, names);
       }
     }
   }
--- a/packages/gateway/src/evacuation/models_held_only.ts
+++ b/packages/gateway/src/evacuation/models_held_only.ts
@@ -1,10 +1,8 @@
+import { WAITING_REQUEST_DEMAND } from "@banyanspool/placement";
 import type { ReplicaTracker } from "@banyanspool/routing";
 import type { BackendServer } from "@banyanspool/types";
 import type { FleetDemand } from "../placement_models.ts";
 
-/** Demand that a waiting request stands for, in replicas kept busy. */
-const REPLICAS_PER_WAITING_REQUEST = 0.05;
-
 /** Options of {@link findModelsHeldOnly}. */
 export interface HeldOnlyOptions {
   /** Replicas of a service. */
@@ -17,7 +15,7 @@
 
 /**
  * Finds the models that only evacuated data centres hold. Returns the data
- * centres that hold each.
+ * centres that hold each, in the order of the models.
  */
 export function findModelsHeldOnly(
   models: Iterable<string>,
@@ -58,5 +56,5 @@
 
 function valueOf({ fastReplicas, slowReplicas, waiting }: FleetDemand): number {
   return Math.max(fastReplicas, slowReplicas) +
-    waiting * REPLICAS_PER_WAITING_REQUEST;
+    waiting * WAITING_REQUEST_DEMAND;
 }
--- a/packages/gateway/src/evacuation/report_cache_test.ts
+++ b/packages/gateway/src/evacuation/report_cache_test.ts
@@ -7,6 +7,7 @@
   let buildMs = 1;
   const read = cacheReport({
     clock: { now: () => now },
+    log: { write: () => t.fail() },
     build: () => {
       now += buildMs;
       builds += 1;
@@ -24,3 +25,25 @@
   now += 1;
   t.is(read(), '{"builds":3}');
 });
+
+test("a report that can't be made is logged, and made again after the pause", (t) => {
+  let now = 0;
+  let isBroken = true;
+  const logged: unknown[] = [];
+  const read = cacheReport({
+    clock: { now: () => now },
+    log: { write: (event, fields) => logged.push([event, fields]) },
+    build: () => {
+      if (isBroken) throw new Error("no list");
+      return {};
+    },
+  });
+  t.is(read(), undefined);
+  t.is(read(), undefined);
+  t.deepEqual(logged, [["evacuation report failed", {
+    error: "Error: no list",
+  }]]);
+  isBroken = false;
+  now += 1000;
+  t.is(read(), "{}");
+});
--- a/packages/gateway/src/placement_controller.ts
+++ b/packages/gateway/src/placement_controller.ts
@@ -115,16 +115,16 @@
         .filter(({ service }) => service === name);
       const servers = listed
         .filter(({ dataCentre }) => !isEvacuated(dataCentre));
-      const heldOnly = findModelsHeldOnly(engine.models.keys(), {
+      const wantedModels = listWantedModels(engine.models.keys(), demand());
+      const heldOnly = findModelsHeldOnly(wantedModels, {
         servers: listed,
         isEvacuated,
         replicaTracker,
       });
-      const urgentModels = listWantedModels(heldOnly.keys(), demand());
       // An engine accepts no adapter while it loads a model, which takes
       // seconds, so adapters go first.
       this.#adapterScheduler.plan(engine, servers);
-      this.#modelScheduler.plan(engine, servers, urgentModels);
+      this.#modelScheduler.plan(engine, servers, [...heldOnly.keys()]);
     }
   }
 }
--- a/packages/gateway/src/status_servers.ts
+++ b/packages/gateway/src/status_servers.ts
@@ -81,11 +81,15 @@
   const { metrics, log, clock, evacuationReport } = options;
   let text = Promise.resolve("");
   let textAt = -Infinity;
-  const readReport = cacheReport({ build: evacuationReport, clock });
+  const readReport = cacheReport({ build: evacuationReport, clock, log });
   return await startStatusServer(address, options, async (req, res) => {
     if (req.url === EVACUATION_REPORT_PATH) {
-      res.writeHead(200, { "content-type": "application/json" })
-        .end(readReport());
+      const report = readReport();
+      if (report === undefined) {
+        res.writeHead(500, { "content-length": "0" }).end();
+        return;
+      }
+      res.writeHead(200, { "content-type": "application/json" }).end(report);
       return;
     }
     if (clock.now() - textAt >= METRICS_AGE_MS) {
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-export { assemblePlacementPlan } from "./plan.ts";
+export { assemblePlacementPlan, WAITING_REQUEST_DEMAND } from "./plan.ts";
 export type {
   GroupNeed,
   PlacementInput,
