--- a/packages/gateway/src/evacuation/models_held_only.ts
+++ b/packages/gateway/src/evacuation/models_held_only.ts
@@ -1,10 +1,7 @@
+import { WAITING_REQUEST_DEMAND } from "@banyanspool/placement";
 import type { ReplicaTracker } from "@banyanspool/routing";
 import type { BackendServer } from "@banyanspool/types";
 import type { FleetDemand } from "../placement_models.ts";
-import type { StreamNeed } from "../waiting_request_counts.ts";
-
-/** Demand that a waiting request stands for, in replicas kept busy. */
-const REPLICAS_PER_WAITING_REQUEST = 0.05;
 
 /** Options of {@link findModelsHeldOnly}. */
 export interface HeldOnlyOptions {
@@ -18,7 +15,7 @@
 
 /**
  * Finds the models that only evacuated data centres hold. Returns the data
- * centres that hold each.
+ * centres that hold each, in the order of the models.
  */
 export function findModelsHeldOnly(
   models: Iterable<string>,
@@ -40,14 +37,11 @@
   return held;
 }
 
-/**
- * What placement loads before all copies: of models that no replica has left
- * those that callers ask for, the most wanted first.
- */
-export function listUrgentNeeds(
+/** The models that callers ask for, the most wanted first. */
+export function listWantedModels(
   models: Iterable<string>,
   demand: ReadonlyMap<string, FleetDemand>,
-): StreamNeed[] {
+): string[] {
   const wanted = new Map([...models].map((model) => [model, 0]));
   for (const [name, entry] of demand) {
     const model = name.split("/")[0]!;
@@ -57,10 +51,10 @@
   return [...wanted]
     .filter(([, value]) => value > 0)
     .sort(([, a], [, b]) => b - a)
-    .map(([name]) => ({ name }));
+    .map(([name]) => name);
 }
 
 function valueOf({ fastReplicas, slowReplicas, waiting }: FleetDemand): number {
   return Math.max(fastReplicas, slowReplicas) +
-    waiting * REPLICAS_PER_WAITING_REQUEST;
+    waiting * WAITING_REQUEST_DEMAND;
 }
