Gateway: answers to callers that have left aren't counted for ever

Cause: with two requests ahead, the second answer may end after its connection has closed; what it held was opened after the request's close, and was never given back. Change: a closed request holds no unread bytes.

--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -59,6 +59,8 @@
 /** Share of the memory that one request may take when it is short. */
 const RESERVE_SHARE = 0.25;
 const SWEEP_MS = 250;
+/** Of a request that is closed already. */
+const NOTHING_UNREAD: UnreadBytes = { count: () => false, close: () => {} };
 /**
  * The time without progress of a response, in those of a body. A slow reader's
  * progress is seen only when the system has sent much of its buffer.
@@ -132,6 +134,7 @@
       onEvict: () => this.#end(state, "memory"),
     });
     let unread: UnreadBytes | undefined;
+    let isClosed = false;
     const request: MutableRequest = {
       holding,
       state,
@@ -149,6 +152,7 @@
         holding.keep();
       },
       holdUnread: (bytes) => {
+        if (isClosed) return NOTHING_UNREAD;
         unread = this.#openUnread({ req, group, bytes });
         return unread;
       },
@@ -157,6 +161,7 @@
     this.#watched.add(watched);
     this.#timer ??= setInterval(() => this.#sweep(), SWEEP_MS).unref();
     onClosed(() => {
+      isClosed = true;
       this.#watched.delete(watched);
       unread?.close();
       holding.close();
