Gateway: callers that read at once keep their answers when memory is near full

Cause: Node corks a connection until the next tick, so that each write of more than 16 KiB looked unread and opened a holding; with the rest of the budget in complete bodies, this one was evicted.

--- a/packages/caller-memory/src/caller_memory.ts
+++ b/packages/caller-memory/src/caller_memory.ts
@@ -80,6 +80,7 @@
         count: (bytes) => this.#countOnly(holding, bytes),
         remove: (bytes) => this.#remove(holding, bytes),
         keep: () => this.#protect(holding),
+        unkeep: () => this.#unprotect(holding),
         close: () => this.#close(holding),
       },
     );
@@ -176,6 +177,16 @@
     if (!group.evictable.first) this.#evictable.delete(group);
   }
 
+  #unprotect(holding: OpenHolding): void {
+    if (!holding.isProtected || this.#reserveHolder === holding) return;
+    const { group, connection } = holding;
+    holding.isProtected = false;
+    connection.holdings.rank(holding, holding.bytes);
+    group.evictable.rank(connection, connection.bytes + holding.bytes);
+    this.#evictable.rank(group, group.bytes);
+    this.#evictExcess();
+  }
+
   #groupOf(name: string): Group {
     const known = this.#groups.get(name);
     if (known) return known;
--- a/packages/caller-memory/src/caller_memory_test.ts
+++ b/packages/caller-memory/src/caller_memory_test.ts
@@ -287,3 +287,28 @@
     },
   ));
 });
+
+test("a kept holding is evicted only when its protection has ended", (t) => {
+  const memory = CallerMemory.create({
+    totalBytes: TOTAL_BYTES,
+    reserveBytes: 0,
+  });
+  const options = { group: "acme", connection: 1, onRoom: () => {} };
+  const evicted: string[] = [];
+  const kept = memory.open({
+    ...options,
+    bytes: TOTAL_BYTES,
+    isKept: true,
+    onEvict: () => evicted.push("kept"),
+  });
+  const other = memory.open({
+    ...options,
+    onEvict: () => evicted.push("other"),
+  });
+  other.count(1);
+  t.deepEqual(evicted, ["other"]);
+  t.false(kept.count(1));
+  kept.unkeep();
+  t.deepEqual(evicted, ["other", "kept"]);
+  t.is(memory.usedBytes, 0);
+});
--- a/packages/caller-memory/src/open_holding.ts
+++ b/packages/caller-memory/src/open_holding.ts
@@ -8,6 +8,8 @@
   readonly connection: unknown;
   /** Bytes that are held from the start, which neither wait nor use the reserve. */
   readonly bytes?: number;
+  /** Whether it is protected as by `keep` from the start. */
+  readonly isKept?: boolean;
   /** Called when a holding that had to wait may grow again. */
   readonly onRoom: () => void;
   /** Called when the holding is evicted. It is closed then. */
@@ -34,6 +36,8 @@
   remove(bytes: number): void;
   /** Protects the holding from being evicted, as its request may be running. */
   keep(): void;
+  /** Ends the protection; it may be evicted at once if memory is short. */
+  unkeep(): void;
   /** Frees all bytes. Has no effect the second time. */
   close(): void;
 }
@@ -60,6 +64,7 @@
   readonly count: (bytes: number) => boolean;
   readonly remove: (bytes: number) => void;
   readonly keep: () => void;
+  readonly unkeep: () => void;
   readonly close: () => void;
 }
 
@@ -82,7 +87,7 @@
   place = -1;
   isClosed = false;
   /** Whether it may not be evicted. */
-  isProtected = false;
+  isProtected: boolean;
 
   constructor(
     { options, group, connection, order }: HoldingPlace,
@@ -93,6 +98,7 @@
     this.connection = connection;
     this.order = order;
     this.#actions = actions;
+    this.isProtected = options.isKept ?? false;
   }
 
   add(bytes: number): boolean {
@@ -111,6 +117,10 @@
     this.#actions.keep();
   }
 
+  unkeep(): void {
+    if (!this.isClosed) this.#actions.unkeep();
+  }
+
   close(): void {
     this.#actions.close();
   }
--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { CallerMemory, type Holding } from "@banyanspool/caller-memory";
 import type { OnClosed } from "./caller_connections.ts";
 
@@ -75,6 +76,13 @@
   stalledSweeps: number;
 }
 
+interface Unread {
+  readonly socket: Socket;
+  readonly holding: Holding;
+  /** Of its connection at the last sweep. */
+  progress: number | undefined;
+}
+
 interface EndState {
   readonly controller: AbortController;
   cause: EndCause | undefined;
@@ -91,6 +99,8 @@
   readonly #options: OpenRequestsOptions;
   readonly #memory: CallerMemory;
   readonly #watched: Set<Watched> = new Set();
+  /** Those that may not be evicted yet, as their callers may read on at once. */
+  readonly #fresh: Set<Unread> = new Set();
   #timer: NodeJS.Timeout | undefined;
   #hadWaiting = false;
   #unreadBytes = 0;
@@ -179,12 +189,14 @@
     const { socket } = req;
     let held = 0;
     const free = () => {
+      this.#fresh.delete(fresh);
       this.#unreadBytes -= held;
       held = 0;
     };
     const holding = this.#memory.open({
       group,
       connection: socket,
+      isKept: true,
       onRoom: () => {},
       onEvict: () => {
         free();
@@ -193,6 +205,8 @@
         socket.resetAndDestroy();
       },
     });
+    const fresh: Unread = { socket, holding, progress: undefined };
+    this.#fresh.add(fresh);
     const unread: UnreadBytes = {
       count: (bytes) => {
         if (holding.isClosed) return false;
@@ -216,6 +230,18 @@
     state.controller.abort();
   }
 
+  /** Lets answers be evicted whose callers have read nothing for a sweep. */
+  #unkeepUnread(): void {
+    for (const fresh of this.#fresh) {
+      const progress = progressOf(fresh.socket);
+      if (progress === fresh.progress) {
+        this.#fresh.delete(fresh);
+        fresh.holding.unkeep();
+      }
+      fresh.progress = progress;
+    }
+  }
+
   /** Ends requests without progress, and one if others wait for memory. */
   #sweep(): void {
     const maxSweeps = this.#options.stallMs / SWEEP_MS;
@@ -226,9 +252,7 @@
       const isArriving = request.isServed && !request.isComplete &&
         !req.isPaused() && !socket.isPaused();
       const isUnread = res.headersSent && socket.writableLength > 0;
-      const progress = isUnread
-        ? socket.bytesWritten - socket.writableLength
-        : socket.bytesRead;
+      const progress = isUnread ? progressOf(socket) : socket.bytesRead;
       const hasMoved = progress !== watched.progress;
       watched.progress = progress;
       if (hasMoved || (!isArriving && !isUnread)) {
@@ -246,6 +270,7 @@
         this.#end(request.state, "stalled");
       }
     }
+    this.#unkeepUnread();
     const hasWaiting = this.#memory.waitingCount > 0;
     if (hasWaiting && this.#hadWaiting) this.#memory.evictOne();
     this.#hadWaiting = hasWaiting;
@@ -258,3 +283,8 @@
     this.#timer = undefined;
   }
 }
+
+/** Bytes that the system has taken. */
+function progressOf({ bytesWritten, writableLength }: Socket): number {
+  return bytesWritten - writableLength;
+}
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -179,6 +179,10 @@
   bytes: Buffer,
 ): Promise<void> {
   if (res.destroyed || res.write(bytes) || signal.aborted) return;
+  // Until then the connection is corked, also if its caller reads at once.
+  await new Promise<void>((resolve) => process.nextTick(resolve));
+  if (!res.writableNeedDrain || res.writableLength < MIN_HELD_BYTES) return;
+  if (signal.aborted) return;
   const unread = holdUnread(res.writableLength);
   unread.count(call.countUnread((arrived) => unread.count(arrived)));
   await new Promise<void>((resolve) => {
