--- a/packages/crowds/src/many_unread_answers_test.ts
+++ b/packages/crowds/src/many_unread_answers_test.ts
@@ -11,6 +11,7 @@
   },
 };
 
+// Also green while each connection was bounded alone: it guards the process.
 for (const [what, { answer, ahead }] of Object.entries(SHAPES)) {
   test(`${what} that very many don't read stay within the memory`, async (t) => {
     await checkCrowd(t, {
--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -265,7 +265,8 @@
       watched.stalledSweeps = 0;
       if (isUnread) {
         this.#options.onEnd("stalled");
-        socket.destroy();
+        // An answer without a length must not look complete.
+        socket.resetAndDestroy();
       } else {
         this.#end(request.state, "stalled");
       }
--- a/packages/gateway/src/refuse_and_close.ts
+++ b/packages/gateway/src/refuse_and_close.ts
@@ -5,6 +5,7 @@
 
 /** Rest of a body that is discarded on a connection that stays open. */
 const MAX_SHORT_REST_BYTES = 64 * 1024;
+
 /** Where a refusal is sent. */
 export interface RefusalTarget {
   /** Response to the request. */
