--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { CallerMemory, type Holding } from "@banyanspool/caller-memory";
 import type { OnClosed } from "./caller_connections.ts";
 
@@ -59,6 +60,8 @@
 /** Share of the memory that one request may take when it is short. */
 const RESERVE_SHARE = 0.25;
 const SWEEP_MS = 250;
+/** Of a request that is closed already. */
+const NOTHING_UNREAD: UnreadBytes = { count: () => false, close: () => {} };
 /**
  * The time without progress of a response, in those of a body. A slow reader's
  * progress is seen only when the system has sent much of its buffer.
@@ -73,6 +76,13 @@
   stalledSweeps: number;
 }
 
+interface Unread {
+  readonly socket: Socket;
+  readonly holding: Holding;
+  /** Of its connection at the last sweep. */
+  progress: number | undefined;
+}
+
 interface EndState {
   readonly controller: AbortController;
   cause: EndCause | undefined;
@@ -89,6 +99,8 @@
   readonly #options: OpenRequestsOptions;
   readonly #memory: CallerMemory;
   readonly #watched: Set<Watched> = new Set();
+  /** Those that may not be evicted yet, as their callers may read on at once. */
+  readonly #fresh: Set<Unread> = new Set();
   #timer: NodeJS.Timeout | undefined;
   #hadWaiting = false;
   #unreadBytes = 0;
@@ -132,6 +144,7 @@
       onEvict: () => this.#end(state, "memory"),
     });
     let unread: UnreadBytes | undefined;
+    let isClosed = false;
     const request: MutableRequest = {
       holding,
       state,
@@ -149,6 +162,7 @@
         holding.keep();
       },
       holdUnread: (bytes) => {
+        if (isClosed) return NOTHING_UNREAD;
         unread = this.#openUnread({ req, group, bytes });
         return unread;
       },
@@ -157,6 +171,7 @@
     this.#watched.add(watched);
     this.#timer ??= setInterval(() => this.#sweep(), SWEEP_MS).unref();
     onClosed(() => {
+      isClosed = true;
       this.#watched.delete(watched);
       unread?.close();
       holding.close();
@@ -174,12 +189,14 @@
     const { socket } = req;
     let held = 0;
     const free = () => {
+      this.#fresh.delete(fresh);
       this.#unreadBytes -= held;
       held = 0;
     };
     const holding = this.#memory.open({
       group,
       connection: socket,
+      isKept: true,
       onRoom: () => {},
       onEvict: () => {
         free();
@@ -188,6 +205,8 @@
         socket.resetAndDestroy();
       },
     });
+    const fresh: Unread = { socket, holding, progress: undefined };
+    this.#fresh.add(fresh);
     const unread: UnreadBytes = {
       count: (bytes) => {
         if (holding.isClosed) return false;
@@ -211,6 +230,18 @@
     state.controller.abort();
   }
 
+  /** Lets answers be evicted whose callers have read nothing for a sweep. */
+  #unkeepUnread(): void {
+    for (const fresh of this.#fresh) {
+      const progress = progressOf(fresh.socket);
+      if (progress === fresh.progress) {
+        this.#fresh.delete(fresh);
+        fresh.holding.unkeep();
+      }
+      fresh.progress = progress;
+    }
+  }
+
   /** Ends requests without progress, and one if others wait for memory. */
   #sweep(): void {
     const maxSweeps = this.#options.stallMs / SWEEP_MS;
@@ -221,9 +252,7 @@
       const isArriving = request.isServed && !request.isComplete &&
         !req.isPaused() && !socket.isPaused();
       const isUnread = res.headersSent && socket.writableLength > 0;
-      const progress = isUnread
-        ? socket.bytesWritten - socket.writableLength
-        : socket.bytesRead;
+      const progress = isUnread ? progressOf(socket) : socket.bytesRead;
       const hasMoved = progress !== watched.progress;
       watched.progress = progress;
       if (hasMoved || (!isArriving && !isUnread)) {
@@ -236,11 +265,13 @@
       watched.stalledSweeps = 0;
       if (isUnread) {
         this.#options.onEnd("stalled");
-        socket.destroy();
+        // An answer without a length must not look complete.
+        socket.resetAndDestroy();
       } else {
         this.#end(request.state, "stalled");
       }
     }
+    this.#unkeepUnread();
     const hasWaiting = this.#memory.waitingCount > 0;
     if (hasWaiting && this.#hadWaiting) this.#memory.evictOne();
     this.#hadWaiting = hasWaiting;
@@ -253,3 +284,8 @@
     this.#timer = undefined;
   }
 }
+
+/** Bytes that the system has taken. */
+function progressOf({ bytesWritten, writableLength }: Socket): number {
+  return bytesWritten - writableLength;
+}
