--- a/packages/gateway/src/create_context.ts
+++ b/packages/gateway/src/create_context.ts
@@ -27,6 +27,7 @@
 import type { GatewayContext } from "./context.ts";
 import { CrashWatch, tryConnect } from "./crash_watch.ts";
 import { findBar } from "./evacuation/allowed_replicas.ts";
+import { EvacuationRecords } from "./evacuation/evacuation_records.ts";
 import { Evacuations } from "./evacuation/evacuations.ts";
 import { ExpectedModels } from "./expected_models.ts";
 import type { FleetState } from "./fleet_state.ts";
@@ -49,6 +50,8 @@
   readonly fleet: FleetState;
   /** Number of gateways that reported lately, including this one. */
   readonly liveCount: () => number;
+  /** Whether this gateway knows all others, though it may have just started. */
+  readonly knowsOthers: () => boolean;
   /** Live gateways, including this one. */
   readonly liveGateways: () => readonly RankedGateway[];
   /** Whether a replica is listed and not draining. */
@@ -113,6 +116,7 @@
       if (spec?.coldPerS === undefined) return undefined;
       return { coldStartMs: spec.coldStartMs ?? 0, coldPerS: spec.coldPerS };
     },
+    knowsOthers: options.knowsOthers,
     onCold: (replica, forMs) =>
       log.write("replica cold", { replica, for_ms: Math.round(forMs) }),
     onImplausible: (replica, coldForMs) =>
@@ -141,8 +145,11 @@
     onPause: (replica, forMs) =>
       log.write("replica paused", { replica, for_ms: Math.round(forMs) }),
   });
+  const regions = cfg.regions ?? {};
+  const evacuationRecords = EvacuationRecords.create({ clock });
   const evacuations = Evacuations.create({
     onChange: (dataCentre, isEvacuated) => {
+      evacuationRecords.recordChange(dataCentre, isEvacuated);
       metrics.recordEvacuation(dataCentre, isEvacuated);
       const replicas = [...replicaTracker.servers.values()]
         .filter((server) => server.dataCentre === dataCentre).length;
@@ -172,7 +179,7 @@
       replicaPauses.admits(incarnationOf(server), waiting),
     allows: (server, request) =>
       findBar(request, {
-        regions: cfg.regions ?? {},
+        regions,
         isEvacuated: (dataCentre) => evacuations.isEvacuated(dataCentre),
         server,
       }) === undefined,
@@ -184,6 +191,8 @@
     fleet,
     replicaTracker,
     evacuations,
+    evacuationRecords,
+    regions,
     coldReplicas,
     replicaLimits,
     replicaPermits,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,12 +19,14 @@
 import { watchConfiguration } from "./configuration_watch.ts";
 import type { GatewayContext } from "./context.ts";
 import { createContext } from "./create_context.ts";
+import { buildEvacuationReport } from "./evacuation/evacuation_status.ts";
 import { applyEvacuationRows } from "./evacuation/evacuation_rows.ts";
 import { EngineController } from "./engine_controller.ts";
 import { FleetState } from "./fleet_state.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { SharedReadSchedule } from "./shared_read_schedule.ts";
+import { KnownMembers } from "./known_members.ts";
 import { leaveMembership, maintainMembership } from "./member_table.ts";
 import { PlacementController } from "./placement_controller.ts";
 import { PublicServer } from "./public_server.ts";
@@ -37,6 +39,7 @@
   startReadinessServer,
   type StatusServer,
 } from "./status_servers.ts";
+import { WaitingRoom } from "./waiting_room.ts";
 
 /** Options of {@link Gateway.create}. */
 export interface GatewayOptions {
@@ -85,6 +88,7 @@
   readonly #freshness: ConfigurationFreshness;
   readonly #restoredSignal: ChangeSignal = ChangeSignal.create();
   readonly #strangerSignal: ChangeSignal = ChangeSignal.create();
+  readonly #knownMembers: KnownMembers;
   #isMembershipKnown = false;
   readonly #servers: StatusServer[] = [];
   #isClosed = false;
@@ -125,7 +129,13 @@
       rivalClock: clock,
       isFirstStart: cfg.first_start,
     });
+    this.#knownMembers = KnownMembers.create({
+      instance: cfg.instance,
+      host,
+      isResponsive: (instance) => this.#exchange.isResponsive(instance),
+    });
     this.#ctx = createContext({
+      knowsOthers: () => this.#knownMembers.hasHeardAll,
       cfg,
       clock,
       log,
@@ -152,6 +162,8 @@
       recalled: () => this.#recoveryTable.recalled,
       onNews: () => this.#exchange.announceSoon(),
     });
+    const waitingRoom = WaitingRoom.of(this.#ctx);
+    metrics.countWaitingRequests(() => waitingRoom.countByService());
     this.#recoveryTable = RecoveryTable.create({
       store: this.#store,
       ctx: this.#ctx,
@@ -256,6 +268,12 @@
         metrics,
         log,
         clock: this.#ctx.clock,
+        evacuationReport: () =>
+          buildEvacuationReport(this.#ctx, {
+            instance: cfg.instance,
+            liveGateways: this.#exchange.liveGateways
+              .map(({ instance }) => instance),
+          }),
       }),
     );
     const { host, port } = splitAddress(cfg.public_listen);
@@ -383,8 +401,9 @@
           isStopping: () => fleet.isStopping,
           restoredSignal: this.#restoredSignal,
           strangerSignal: this.#strangerSignal,
-          onRead: (hasSucceeded) => {
-            this.#isMembershipKnown = hasSucceeded;
+          onRead: (hosts) => {
+            this.#isMembershipKnown = hosts !== undefined;
+            if (hosts) this.#knownMembers.recordRead(hosts);
           },
           log,
           onMember: (instance, host) => this.#exchange.addPeer(instance, host),
@@ -420,9 +439,11 @@
         // The store may be away when the stop begins.
         isReleased ||= await this.#lease.release();
       } else if (this.#exchange.mayHoldLease()) {
-        const wasHeld = this.#lease.held;
+        const { held, term } = this.#lease;
         await this.#lease.renew();
-        if (this.#lease.held !== wasHeld) fleet.changed.notify();
+        // The lease may have lapsed and been regained during the renewal.
+        const isNewTerm = this.#lease.term !== term;
+        if (isNewTerm || this.#lease.held !== held) fleet.changed.notify();
       }
       await sleep(this.#cfg.lease_ms / RENEWALS_PER_LEASE, signal)
         .catch(() => {});
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -24,18 +24,28 @@
   readonly requests: Counter;
   /** Requests and connections that met a limit for callers, by cause. */
   readonly callerLimits: Counter;
+  /** Bytes held for callers. */
+  readonly callerBytes: Gauge;
+  /** Those of responses that callers don't read. */
+  readonly unreadBytes: Gauge;
   /** Retries by the reason why the previous attempt failed. */
   readonly retries: Counter;
   /** Time to the head of a plain response or to the first event, by route. */
   readonly firstByte: Histogram;
   /** Time that requests waited for a replica. */
   readonly wait: Histogram;
+  /** Requests that wait for a replica, by service. */
+  readonly waiting: Gauge;
+  /** Waiting requests refused as too many waited, by service and priority. */
+  readonly shedRequests: Counter;
   /** Delay of a timer of the event loop, beyond its time. */
   readonly eventLoopDelay: Histogram;
   /** Store calls by call and outcome. */
   readonly storeCalls: Counter;
   /** Load and unload orders to engines by operation and outcome. */
   readonly orders: Counter;
+  /** Pauses of the placement for an engine, by the outcome of the order before. */
+  readonly enginePauses: Counter;
   /** Reads of engines' reports by outcome. */
   readonly reportReads: Counter;
   /** Datagrams exchanged with other gateways, by direction. */
@@ -68,6 +78,7 @@
   readonly droppedLines: Gauge;
 
   #countCold: () => number = () => 0;
+  #countWaiting: () => ReadonlyMap<string, number> = () => new Map();
 
   private constructor() {
     const registers = [this.registry];
@@ -92,11 +103,35 @@
       "Requests and connections that met a limit",
       ["cause"],
     );
+    this.callerBytes = gauge("gateway_caller_bytes", "Bytes held for callers");
+    this.unreadBytes = gauge(
+      "gateway_unread_bytes",
+      "Bytes of responses that callers don't read",
+    );
     this.retries = counter("gateway_retries_total", "Retries", ["reason"]);
     this.firstByte = histogram("gateway_first_byte_seconds", "First byte", [
       "route",
     ]);
-    this.wait = histogram("gateway_wait_seconds", "Wait for a replica", []);
+    this.wait = histogram("gateway_wait_seconds", "Wait for a replica", [
+      "priority",
+    ]);
+    this.waiting = new Gauge({
+      name: "banyanspool_waiting_requests",
+      help: "Requests that wait for a replica",
+      labelNames: ["service"],
+      registers,
+      collect: () => {
+        this.waiting.reset();
+        for (const [service, count] of this.#countWaiting()) {
+          this.waiting.set({ service }, count);
+        }
+      },
+    });
+    this.shedRequests = counter(
+      "shed_requests_total",
+      "Waiting requests refused as too many waited",
+      ["service", "priority", "cause"],
+    );
     this.eventLoopDelay = histogram(
       "event_loop_delay_seconds",
       "Delay of a periodic timer",
@@ -106,6 +141,11 @@
       "call",
       "outcome",
     ]);
+    this.enginePauses = counter(
+      "engine_pauses_total",
+      "Pauses of the placement for an engine after an order that failed",
+      ["outcome"],
+    );
     this.orders = counter("engine_orders_total", "Orders to engines", [
       "operation",
       "outcome",
@@ -187,6 +227,11 @@
     this.#countCold = count;
   }
 
+  /** Sets how the waiting requests of each service are counted. */
+  countWaitingRequests(count: () => ReadonlyMap<string, number>): void {
+    this.#countWaiting = count;
+  }
+
   /** Records that an evacuation began or was taken back. */
   recordEvacuation(dataCentre: string, isEvacuated: boolean): void {
     const labels = { data_centre: dataCentre };
--- a/packages/gateway/src/model_scheduler.ts
+++ b/packages/gateway/src/model_scheduler.ts
@@ -90,7 +90,10 @@
 
   private constructor(options: ModelSchedulerOptions) {
     this.#options = options;
-    this.#modelLoadLimiter = ModelLoadLimiter.create({ clock: options.clock });
+    this.#modelLoadLimiter = ModelLoadLimiter.create({
+      clock: options.clock,
+      term: options.engineController.leaseTerm,
+    });
     this.#longTermDemand = LongTermDemand.create({ clock: options.clock });
   }
 
@@ -119,10 +122,18 @@
     return expected;
   }
 
-  /** Plans and starts the next moves of one service with the given replicas. */
-  plan(engine: EngineSpec, servers: readonly BackendServer[]): void {
-    if (this.#isReportMissing(servers)) return;
+  /**
+   * Plans and starts the next moves of one service with the given replicas.
+   * Urgent models come first while none of these has them.
+   */
+  plan(
+    engine: EngineSpec,
+    servers: readonly BackendServer[],
+    urgentModels: readonly string[] = [],
+  ): void {
     const { engineController } = this.#options;
+    this.#modelLoadLimiter.followTerm(engineController.leaseTerm);
+    if (this.#isReportMissing(servers)) return;
     const reports = servers.flatMap((server) => {
       const state = engineController.get(server.id);
       return state?.isSynced ? [buildReplicaReport(state, engine)] : [];
@@ -137,14 +148,17 @@
     const mayLoad = ({ replica }: ReplicaReport) =>
       !this.hasMoveInProgress(replica) &&
       !engineController.get(replica)!.isBusy &&
+      engineController.get(replica)!.refusedUntil <=
+        this.#options.clock.now() &&
       (!limitedReplicas.has(replica) ||
         limitedReplicas.size === servers.length);
     const demand = this.#options.demand();
     this.#longTermDemand.record(demand);
+    const expected = this.#longTermDemand.expectedOf(engine.models.keys());
     const plan = assemblePlacementPlan({
       models: buildPlacementModels(engine, {
         demand,
-        longTermDemand: (model) => this.#longTermDemand.averageOf(model),
+        longTermDemand: (model) => expected.get(model) ?? 0,
         reports,
         adaptersInUse: this.#listAdaptersInUse(reports),
         limitedReplicas,
@@ -158,6 +172,7 @@
       inUse: this.#countRequestsInFlight(reports),
       localCopies: this.#listLocalCopies(reports),
       groupNeeds: this.#listGroupNeeds(engine, servers),
+      urgentModels,
     }, {
       maxMoves: pendingMoves.length + MAX_NEW_MOVES,
       busyShare: BUSY_SHARE,
@@ -272,7 +287,7 @@
     const readyAt = clock.now() + loadMs + ANNOUNCEMENT_MS;
     this.#moves.set(move.replica, { move, state, readyAt });
     engineController.notifyAvailableModelsChange();
-    log.write("model move", { ...move });
+    log.write("model move", describeMove(move));
     engineController.enqueue(state, async () => {
       try {
         await this.#executeMove(state, move, engine);
@@ -373,3 +388,14 @@
     if (isLoaded) state.loadedAt.set(model, clock.now());
   }
 }
+
+/** Fields of a move's log line; what it is worth in replica seconds. */
+function describeMove({ worth, ...move }: PlacementMove) {
+  const round = (value: number) => Math.round(value * 100) / 100;
+  return {
+    ...move,
+    earns: worth && round(worth.earns),
+    displaces: worth && round(worth.displaces),
+    price: worth && round(worth.price),
+  };
+}
--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -1,9 +1,18 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { CallerMemory, type Holding } from "@banyanspool/caller-memory";
 import type { OnClosed } from "./caller_connections.ts";
 
 /** Why a request of a caller is ended. */
-export type EndCause = "memory" | "stalled";
+export type EndCause = "memory" | "stalled" | "unread";
+
+/** Bytes of a response that its caller doesn't read at present. */
+export interface UnreadBytes {
+  /** Adds bytes. Returns false if its replica should not be read on. */
+  count(bytes: number): boolean;
+  /** Called when the caller reads on. */
+  close(): void;
+}
 
 /** A request from the arrival of its head until its response is sent. */
 export interface OpenRequest {
@@ -17,6 +26,19 @@
   markServed(): void;
   /** Called when its body is complete: it may run from now on. */
   markComplete(): void;
+  /**
+   * Holds bytes of its response that the caller doesn't read. When memory is
+   * short, the connection may be reset.
+   */
+  holdUnread(bytes: number): UnreadBytes;
+}
+
+/** Bytes that are held for callers. */
+export interface HeldBytes {
+  /** All of them. */
+  readonly all: number;
+  /** Those of responses that callers don't read. */
+  readonly unread: number;
 }
 
 /** Options of {@link OpenRequests.create}. */
@@ -27,6 +49,8 @@
   readonly stallMs: number;
   /** Called when a request is ended. */
   readonly onEnd: (cause: EndCause) => void;
+  /** Called with what is held, as long as requests are open. */
+  readonly onHeld: (held: HeldBytes) => void;
 }
 
 /** Bytes that a request takes without its fields and its body. */
@@ -36,6 +60,8 @@
 /** Share of the memory that one request may take when it is short. */
 const RESERVE_SHARE = 0.25;
 const SWEEP_MS = 250;
+/** Of a request that is closed already. */
+const NOTHING_UNREAD: UnreadBytes = { count: () => false, close: () => {} };
 /**
  * The time without progress of a response, in those of a body. A slow reader's
  * progress is seen only when the system has sent much of its buffer.
@@ -50,6 +76,13 @@
   stalledSweeps: number;
 }
 
+interface Unread {
+  readonly socket: Socket;
+  readonly holding: Holding;
+  /** Of its connection at the last sweep. */
+  progress: number | undefined;
+}
+
 interface EndState {
   readonly controller: AbortController;
   cause: EndCause | undefined;
@@ -66,8 +99,11 @@
   readonly #options: OpenRequestsOptions;
   readonly #memory: CallerMemory;
   readonly #watched: Set<Watched> = new Set();
+  /** Those that may not be evicted yet, as their callers may read on at once. */
+  readonly #fresh: Set<Unread> = new Set();
   #timer: NodeJS.Timeout | undefined;
   #hadWaiting = false;
+  #unreadBytes = 0;
 
   private constructor(options: OpenRequestsOptions) {
     this.#options = options;
@@ -107,6 +143,8 @@
       },
       onEvict: () => this.#end(state, "memory"),
     });
+    let unread: UnreadBytes | undefined;
+    let isClosed = false;
     const request: MutableRequest = {
       holding,
       state,
@@ -123,17 +161,68 @@
         request.isComplete = true;
         holding.keep();
       },
+      holdUnread: (bytes) => {
+        if (isClosed) return NOTHING_UNREAD;
+        unread = this.#openUnread({ req, group, bytes });
+        return unread;
+      },
     };
     const watched = { req, res, request, progress: 0, stalledSweeps: 0 };
     this.#watched.add(watched);
     this.#timer ??= setInterval(() => this.#sweep(), SWEEP_MS).unref();
     onClosed(() => {
+      isClosed = true;
       this.#watched.delete(watched);
+      unread?.close();
       holding.close();
     });
     return request;
   }
 
+  #openUnread(
+    { req, group, bytes }: {
+      req: IncomingMessage;
+      group: string;
+      bytes: number;
+    },
+  ): UnreadBytes {
+    const { socket } = req;
+    let held = 0;
+    const free = () => {
+      this.#fresh.delete(fresh);
+      this.#unreadBytes -= held;
+      held = 0;
+    };
+    const holding = this.#memory.open({
+      group,
+      connection: socket,
+      isKept: true,
+      onRoom: () => {},
+      onEvict: () => {
+        free();
+        this.#options.onEnd("unread");
+        // A response that is cut off must not look complete.
+        socket.resetAndDestroy();
+      },
+    });
+    const fresh: Unread = { socket, holding, progress: undefined };
+    this.#fresh.add(fresh);
+    const unread: UnreadBytes = {
+      count: (bytes) => {
+        if (holding.isClosed) return false;
+        held += bytes;
+        this.#unreadBytes += bytes;
+        return holding.count(bytes);
+      },
+      close: () => {
+        free();
+        holding.close();
+      },
+    };
+    unread.count(bytes);
+    return unread;
+  }
+
   #end(state: EndState, cause: EndCause): void {
     if (state.controller.signal.aborted) return;
     state.cause = cause;
@@ -141,6 +230,18 @@
     state.controller.abort();
   }
 
+  /** Lets answers be evicted whose callers have read nothing for a sweep. */
+  #unkeepUnread(): void {
+    for (const fresh of this.#fresh) {
+      const progress = progressOf(fresh.socket);
+      if (progress === fresh.progress) {
+        this.#fresh.delete(fresh);
+        fresh.holding.unkeep();
+      }
+      fresh.progress = progress;
+    }
+  }
+
   /** Ends requests without progress, and one if others wait for memory. */
   #sweep(): void {
     const maxSweeps = this.#options.stallMs / SWEEP_MS;
@@ -151,9 +252,7 @@
       const isArriving = request.isServed && !request.isComplete &&
         !req.isPaused() && !socket.isPaused();
       const isUnread = res.headersSent && socket.writableLength > 0;
-      const progress = isUnread
-        ? socket.bytesWritten - socket.writableLength
-        : socket.bytesRead;
+      const progress = isUnread ? progressOf(socket) : socket.bytesRead;
       const hasMoved = progress !== watched.progress;
       watched.progress = progress;
       if (hasMoved || (!isArriving && !isUnread)) {
@@ -166,16 +265,27 @@
       watched.stalledSweeps = 0;
       if (isUnread) {
         this.#options.onEnd("stalled");
-        socket.destroy();
+        // An answer without a length must not look complete.
+        socket.resetAndDestroy();
       } else {
         this.#end(request.state, "stalled");
       }
     }
+    this.#unkeepUnread();
     const hasWaiting = this.#memory.waitingCount > 0;
     if (hasWaiting && this.#hadWaiting) this.#memory.evictOne();
     this.#hadWaiting = hasWaiting;
+    this.#options.onHeld({
+      all: this.#memory.usedBytes,
+      unread: this.#unreadBytes,
+    });
     if (this.#watched.size > 0) return;
     clearInterval(this.#timer);
     this.#timer = undefined;
   }
 }
+
+/** Bytes that the system has taken. */
+function progressOf({ bytesWritten, writableLength }: Socket): number {
+  return bytesWritten - writableLength;
+}
--- a/packages/gateway/src/placement_controller.ts
+++ b/packages/gateway/src/placement_controller.ts
@@ -4,6 +4,10 @@
 import { AdapterScheduler } from "./adapter_scheduler.ts";
 import type { EngineController } from "./engine_controller.ts";
 import type { FleetState } from "./fleet_state.ts";
+import {
+  findModelsHeldOnly,
+  listWantedModels,
+} from "./evacuation/models_held_only.ts";
 import { ModelScheduler } from "./model_scheduler.ts";
 import type { FleetDemand } from "./placement_models.ts";
 import type { StreamNeed } from "./waiting_request_counts.ts";
@@ -106,14 +110,21 @@
     if (!this.#options.hasFleetDemand()) return;
     for (const [name, { engine }] of services) {
       if (!engine) continue;
-      const servers = [...replicas.values()]
-        .filter(({ service, dataCentre }) =>
-          service === name && !this.#options.isEvacuated(dataCentre)
-        );
+      const { isEvacuated, demand } = this.#options;
+      const listed = [...replicas.values()]
+        .filter(({ service }) => service === name);
+      const servers = listed
+        .filter(({ dataCentre }) => !isEvacuated(dataCentre));
+      const wantedModels = listWantedModels(engine.models.keys(), demand());
+      const heldOnly = findModelsHeldOnly(wantedModels, {
+        servers: listed,
+        isEvacuated,
+        replicaTracker,
+      });
       // An engine accepts no adapter while it loads a model, which takes
       // seconds, so adapters go first.
       this.#adapterScheduler.plan(engine, servers);
-      this.#modelScheduler.plan(engine, servers);
+      this.#modelScheduler.plan(engine, servers, [...heldOnly.keys()]);
     }
   }
 }
--- a/packages/gateway/src/public_server.ts
+++ b/packages/gateway/src/public_server.ts
@@ -14,12 +14,17 @@
 import { CallerConnections, type OnClosed } from "./caller_connections.ts";
 import type { CallerLimits } from "./caller_limits.ts";
 import type { GatewayContext } from "./context.ts";
+import { Discards } from "./discards.ts";
 import type { ActiveConfiguration } from "./fleet_state.ts";
 import { type OpenRequest, OpenRequests } from "./open_requests.ts";
 import { type BodyFailure, readBody } from "./read_body.ts";
 import { refuseAndClose } from "./refuse_and_close.ts";
 import { sendRefusal } from "./refusals.ts";
-import type { RequestOutcome, RequestScope } from "./request_scope.ts";
+import {
+  priorityOf,
+  type RequestOutcome,
+  type RequestScope,
+} from "./request_scope.ts";
 import { serveRequest } from "./serve_request.ts";
 
 /** Maximum size of a request's head. */
@@ -53,6 +58,7 @@
   readonly #abortControllers: Set<AbortController> = new Set();
   readonly #connections: CallerConnections;
   readonly #openRequests: OpenRequests;
+  readonly #discards: Discards = Discards.create();
 
   private constructor(ctx: GatewayContext, limits: CallerLimits) {
     this.#ctx = ctx;
@@ -67,6 +73,10 @@
       memoryBytes: limits.memoryBytes,
       stallMs: limits.stallMs,
       onEnd: count,
+      onHeld: ({ all, unread }) => {
+        ctx.metrics.callerBytes.set(all);
+        ctx.metrics.unreadBytes.set(unread);
+      },
     });
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -153,7 +163,7 @@
       });
       const closeIfWaiting = () => {
         // It waits behind others whose responses aren't read.
-        if (!isServed) req.socket.destroy();
+        if (!isServed) this.#connections.drop(req.socket);
       };
       request.ended.addEventListener("abort", closeIfWaiting);
       if (request.ended.aborted) queueMicrotask(closeIfWaiting);
@@ -204,20 +214,20 @@
       );
       return;
     }
+    const refuseUnread = (refusal: Refusal) =>
+      refuseAndClose(req, refusal, { res, discards: this.#discards });
     const activeConfiguration = await this.#awaitConfiguration(caller, res);
     if (res.destroyed) return;
     if (hasTooManyFields(req, activeConfiguration)) {
       ctx.metrics.callerLimits.inc({ cause: "fields" });
-      refuseAndClose(
-        req,
-        res,
+      refuseUnread(
         refuse("too_many_fields", "The head has too many fields"),
       );
       return;
     }
     const authenticated = authenticateRequest(activeConfiguration, caller);
     if (!authenticated.ok) {
-      refuseAndClose(req, res, authenticated.error);
+      refuseUnread(authenticated.error);
       ctx.metrics.requests.inc({
         route: "",
         outcome: authenticated.error.code,
@@ -230,7 +240,7 @@
       return;
     }
     if (request.ended.aborted) {
-      refuseAndClose(req, res, refusalOf("aborted", request));
+      refuseUnread(refusalOf("aborted", request));
       return;
     }
     const { route, organisation } = authenticated.value;
@@ -253,7 +263,7 @@
     });
     if (typeof body === "string") {
       clearTimeout(timer);
-      if (body !== "broken") refuseAndClose(req, res, refusalOf(body, request));
+      if (body !== "broken") refuseUnread(refusalOf(body, request));
       return;
     }
     request.markComplete();
@@ -268,6 +278,7 @@
       cost: rateLimitCost(caller, organisation),
       arrivedAt,
       deadlineAt,
+      holdUnread: request.holdUnread,
       signal: abortController.signal,
     };
     try {
@@ -301,11 +312,13 @@
     const { log, metrics, clock, fleet } = this.#ctx;
     const { caller, route, organisation, arrivedAt } = scope;
     metrics.requests.inc({ route: route.name, outcome: outcome.result });
-    metrics.wait.observe(outcome.waitedMs / 1000);
+    const priority = priorityOf(scope);
+    metrics.wait.observe({ priority }, outcome.waitedMs / 1000);
     log.write("request", {
       id: caller.id,
       route: route.name,
       organisation: organisation?.name,
+      priority,
       cost: scope.cost,
       model: caller.model,
       adapter: caller.adapter,
--- a/packages/placement/src/plan_test.ts
+++ b/packages/placement/src/plan_test.ts
@@ -259,3 +259,58 @@
   ]);
   t.is(elsewhere?.replica, "r2");
 });
+
+test("a configured minimum of copies is loaded whatever the demand", (t) => {
+  const empty = [createReport("r1", []), createReport("r2", [])];
+  for (const fastReplicas of [0, 0.05]) {
+    const models = [createModel("a", { minReplicas: 2, fastReplicas })];
+    t.deepEqual(
+      plan(models, empty).map((move) => `${move.replica} ${move.reason}`),
+      ["r1 reach", "r2 copies"],
+    );
+  }
+});
+
+// The spare copy of the busy model was displaced and loaded again at once.
+test("a rare model gives way before a spare copy of a busy one", (t) => {
+  const demand = (replicas: number) => ({
+    fastReplicas: replicas,
+    slowReplicas: replicas,
+  });
+  const models = [
+    createModel("hot", demand(1.6)),
+    createModel("rare", { minReplicas: 0, ...demand(0.02) }),
+    createModel("want", { waitingRequests: 1 }),
+  ];
+  const replicas = [["hot"], ["hot"], ["rare"]].map((names, index) => ({
+    ...createReport(`r${index}`, names),
+    memoryMib: 45,
+  }));
+  t.deepEqual(
+    plan(models, replicas).map(({ load, unload }) => `${load} for ${unload}`),
+    ["want for rare"],
+  );
+});
+
+test("a saturated model gets copies however slowly it loads", (t) => {
+  const replicas = [["a"], [], []].map((names, index) =>
+    createReport(`r${index}`, names)
+  );
+  const copiesFor = (demand: number, loadS: number) => {
+    const fields = { fastReplicas: demand, slowReplicas: demand, loadS };
+    return plan([createModel("a", fields)], replicas).length;
+  };
+  t.is(copiesFor(1, 30), copiesFor(1, 3));
+  t.true(copiesFor(1, 30) > 0);
+  t.is(copiesFor(3, 60), 2);
+});
+
+test("a model whose stated load takes less than no time is weighed as one that loads at once", (t) => {
+  const planWith = (loadS: number) =>
+    plan([
+      createModel("a", { loadS, longTermReplicas: 0.05, requiredReplicas: 1 }),
+      createModel("b", { minReplicas: 0, longTermReplicas: 0.001 }),
+    ], [{ ...createReport("r1", ["b"]), memoryMib: 45 }]);
+  t.is(planWith(0).length, 1);
+  t.deepEqual(planWith(-2), planWith(0));
+});
--- a/packages/routing/src/first_byte_prediction.ts
+++ b/packages/routing/src/first_byte_prediction.ts
@@ -2,6 +2,7 @@
 import { PrefixHistory } from "./prefix_history.ts";
 import { ReplicaSpeeds } from "./replica_speed.ts";
 import type { InFlightLoad } from "./replica_loads.ts";
+import { type MovingMean, ServiceEstimate } from "./service_estimate.ts";
 import {
   formatModelName,
   type ReplicaSelection,
@@ -29,15 +30,8 @@
   readonly preference: number;
 }
 
-/** Assumed prefill speed before a measurement, in tokens per ms. */
-const INITIAL_PREFILL_TOKENS_PER_MS = 30;
-/** Weight of the newest measurement in the moving averages. */
-const SMOOTHING = 0.05;
 /** A prefill of fewer tokens is too short to measure the prefill speed. */
 const MIN_MEASURED_TOKENS = 1000;
-/** Assumed time of a request before a measurement, in ms. */
-const INITIAL_SERVICE_TIME_MS = 30;
-const INITIAL_GENERATION_TIME_MS = 1000;
 /** Round trip and first decode step, in ms. */
 const BASE_LATENCY_MS = 8;
 /** Delay that each request in flight adds to another one, in ms. */
@@ -46,6 +40,8 @@
 const KV_PRESSURE_SHARE = 0.85;
 /** Added to the expected wait at a replica above that share, in ms. */
 const KV_PRESSURE_WAIT_MS = 1000;
+/** Time without a measurement after which an idle replica is tried, in ms. */
+const RETRY_AFTER_MS = 1000;
 const MAX_PREFIXES = 20_000;
 /**
  * Share of the known prompt parts assumed cached at the replicas that all
@@ -56,6 +52,15 @@
 /** Number of replicas that all entries prefer for a session. */
 export const PREFERRED_REPLICAS = PREFERRED_CACHED_SHARES.length;
 
+/** A request that was sent to the selected replica. */
+interface SentRequest {
+  readonly selection: ReplicaSelection;
+  /** When it was sent, in ms. */
+  readonly sentAt: number;
+  /** Whether the replica is gone or has restarted since. */
+  readonly isGone?: boolean;
+}
+
 /** Predicts the time to the first byte from the times measured so far. */
 export class FirstBytePredictor {
   /** Present speeds of the replicas. */
@@ -65,10 +70,7 @@
   readonly #prefixes: PrefixHistory = PrefixHistory.create({
     maxBlocks: MAX_PREFIXES,
   });
-  /** Measured prefill speed, by model. */
-  readonly #prefillTokensPerMs: Map<string, number> = new Map();
-  /** Measured time of a request, by service. */
-  readonly #serviceTimeMs: Map<string, number> = new Map();
+  readonly #estimates: Map<string, ServiceEstimate> = new Map();
 
   private constructor({ clock, kvCapacityOf }: FirstBytePredictorOptions) {
     this.#clock = clock;
@@ -95,7 +97,8 @@
     { server, load, preference }: PredictionContext,
   ): ReplicaSelection {
     const inFlight = load.requests;
-    const serviceTimeMs = this.#serviceTimeMsOf(request);
+    const estimate = this.#estimateOf(request);
+    const serviceTimeMs = estimate.requestMs.value;
     const queuedRequests = Math.max(0, inFlight + 1 - server.slots);
     const slotWaitMs = queuedRequests * serviceTimeMs / server.slots;
     if (request.model === undefined) {
@@ -108,20 +111,25 @@
         waitMs: slotWaitMs * slowdown,
         uncachedTokens: 0,
         slowdown,
+        unitMs: serviceTimeMs,
+        assumedMs: this.#isToRetry(estimate.requestMs, inFlight)
+          ? estimate.requestMs.initial
+          : undefined,
         inFlight,
       };
     }
-    const tokensPerMs = this.#prefillTokensPerMsOf(request.model);
+    const unit = estimate.prefillMsOf(request.model);
+    const prefillMs = unit.value;
     const uncachedTokens = Math.max(
       0,
       request.promptTokens - this.#cachedTokens(server, request, preference),
     );
-    let waitMs = load.prefillTokens / tokensPerMs +
+    let waitMs = load.prefillTokens * prefillMs +
       inFlight * DELAY_PER_REQUEST_MS + slotWaitMs;
     const capacity = this.#kvCapacityOf(server.service) ?? Infinity;
     const kvTokens = load.kvTokens + request.promptTokens;
     if (kvTokens > capacity * KV_PRESSURE_SHARE) waitMs += KV_PRESSURE_WAIT_MS;
-    const averageMs = waitMs + uncachedTokens / tokensPerMs;
+    const averageMs = waitMs + uncachedTokens * prefillMs;
     const slowdown = this.speeds.forecast(server, averageMs);
     return {
       server,
@@ -129,12 +137,17 @@
       waitMs: waitMs * slowdown,
       uncachedTokens,
       slowdown,
+      unitMs: prefillMs,
+      assumedMs: this.#isToRetry(unit, inFlight)
+        ? BASE_LATENCY_MS + uncachedTokens * unit.initial
+        : undefined,
       inFlight,
     };
   }
 
-  #prefillTokensPerMsOf(model: string): number {
-    return this.#prefillTokensPerMs.get(model) ?? INITIAL_PREFILL_TOKENS_PER_MS;
+  /** Whether an idle replica is to be tried as if nothing were known. */
+  #isToRetry({ measuredAt }: MovingMean, inFlight: number): boolean {
+    return inFlight < 1 && this.#clock.now() - measuredAt >= RETRY_AFTER_MS;
   }
 
   /** Leading prompt tokens that are probably cached at a replica. */
@@ -159,74 +172,109 @@
    * Measures the prefill speed, or the time of a request without a model, by a
    * response that begins now.
    */
-  recordStart(
-    request: SelectionRequest,
-    { selection, sentAt }: { selection: ReplicaSelection; sentAt: number },
-  ): void {
+  recordStart(request: SelectionRequest, sent: SentRequest): void {
     const { model } = request;
+    const { selection, sentAt } = sent;
+    const estimate = this.#estimateOf(request);
     if (model === undefined) {
-      this.#recordWork(selection, { sentAt, latencyMs: 0 });
-      const before = this.#serviceTimeMsOf(request);
       // What was predicted has the wait and the slowdown in it as well.
       const error = (this.#clock.now() - sentAt) / selection.predictedMs;
-      this.#recordServiceTime(request, before * error);
+      estimate.requestMs.add(selection.unitMs * error, this.#clock.now());
+      const unit = estimate.requestMs;
+      const { certainty } = unit;
+      this.#recordWork(sent, { unit, certainty, latencyMs: 0 });
+      this.#shareSlowdown(request);
       return;
     }
-    this.#recordWork(selection, { sentAt, latencyMs: BASE_LATENCY_MS });
+    const unit = estimate.prefillMsOf(model);
     const tokens = selection.uncachedTokens +
-      selection.waitMs / selection.slowdown * this.#prefillTokensPerMsOf(model);
-    if (tokens < MIN_MEASURED_TOKENS) return;
-    const elapsedMs = Math.max(
-      1,
-      (this.#clock.now() - sentAt - BASE_LATENCY_MS) / selection.slowdown,
-    );
-    const before = this.#prefillTokensPerMsOf(model);
-    const measured = Math.min(tokens / elapsedMs, before * 4);
-    this.#prefillTokensPerMs.set(
-      model,
-      before + SMOOTHING * (measured - before),
-    );
+      selection.waitMs / selection.slowdown / selection.unitMs;
+    if (tokens < MIN_MEASURED_TOKENS) {
+      this.#recordShort(model, request, sent);
+      return;
+    }
+    const elapsedMs = this.#clock.now() - sentAt - BASE_LATENCY_MS;
+    const prefillMs = Math.max(1, elapsedMs) / selection.slowdown / tokens;
+    unit.add(prefillMs, this.#clock.now());
+    const { certainty } = unit;
+    this.#recordWork(sent, { unit, certainty, latencyMs: BASE_LATENCY_MS });
+    this.#shareSlowdown(request);
   }
 
-  #serviceTimeMsOf(
-    { service, model }: { service: string; model?: string },
-  ): number {
-    return this.#serviceTimeMs.get(service) ??
-      (model === undefined
-        ? INITIAL_SERVICE_TIME_MS
-        : INITIAL_GENERATION_TIME_MS);
+  /**
+   * Compares the time of a short prompt, which doesn't measure the prefill speed,
+   * with what short prompts of its model take on average.
+   */
+  #recordShort(
+    model: string,
+    request: SelectionRequest,
+    sent: SentRequest,
+  ): void {
+    const { predictedMs, slowdown } = sent.selection;
+    const averageMs = (predictedMs - BASE_LATENCY_MS) / slowdown;
+    if (averageMs <= 0) return;
+    const elapsedMs = this.#clock.now() - sent.sentAt - BASE_LATENCY_MS;
+    const estimate = this.#estimateOf(request);
+    const ratio = estimate.shortRatioOf(model);
+    ratio.add(
+      Math.max(1, elapsedMs) / slowdown / averageMs,
+      this.#clock.now(),
+    );
+    this.#recordWork(sent, {
+      unit: estimate.prefillMsOf(model),
+      ratio: ratio.value,
+      certainty: ratio.certainty,
+      latencyMs: BASE_LATENCY_MS,
+    });
   }
 
   /** Measures the time of a request whose response ends now, whole. */
   recordEnd(
     request: SelectionRequest,
-    { selection, sentAt }: { selection: ReplicaSelection; sentAt: number },
+    { selection, sentAt }: SentRequest,
   ): void {
     if (request.model === undefined) return;
     const elapsedMs = this.#clock.now() - sentAt;
-    this.#recordServiceTime(request, elapsedMs / selection.slowdown);
+    const { requestMs } = this.#estimateOf(request);
+    requestMs.add(elapsedMs / selection.slowdown, this.#clock.now());
   }
 
-  #recordServiceTime(request: SelectionRequest, measuredMs: number): void {
-    const before = this.#serviceTimeMsOf(request);
-    const measured = Math.min(measuredMs, before * 4);
-    this.#serviceTimeMs.set(
-      request.service,
-      before + SMOOTHING * (measured - before),
-    );
+  #estimateOf(
+    { service, model }: Pick<SelectionRequest, "service" | "model">,
+  ): ServiceEstimate {
+    const existing = this.#estimates.get(service);
+    if (existing) return existing;
+    const created = ServiceEstimate.create({ isPlain: model === undefined });
+    this.#estimates.set(service, created);
+    return created;
   }
 
+  /** Compares the time of a request with the service's present estimate. */
   #recordWork(
-    { server, predictedMs, slowdown }: ReplicaSelection,
-    { sentAt, latencyMs }: { sentAt: number; latencyMs: number },
+    { selection, sentAt, isGone }: SentRequest,
+    { unit, ratio = 1, certainty, latencyMs }: {
+      unit: MovingMean;
+      ratio?: number;
+      certainty: number;
+      latencyMs: number;
+    },
   ): void {
+    if (isGone) return;
+    const { server, predictedMs, slowdown, unitMs } = selection;
     const elapsedMs = this.#clock.now() - sentAt - latencyMs;
-    const workMs = predictedMs - latencyMs;
+    const averageMs = (predictedMs - latencyMs) / slowdown;
     this.speeds.recordMeasured(server, {
-      averageMs: workMs / slowdown,
+      averageMs: averageMs * ratio * unit.value / unitMs,
       elapsedMs: Math.max(1, elapsedMs),
+      certainty,
     });
   }
+
+  /** Moves what all replicas share from their speeds to the estimate. */
+  #shareSlowdown(request: SelectionRequest): void {
+    const shared = this.speeds.takeShared(request.service);
+    this.#estimateOf(request).scale(shared);
+  }
 }
 
 function sumTokens(parts: readonly PromptPart[]): number {
