Peer exchange: a test waits for the last report from the old address

Cause: a new peer is answered, and answers in turn, so that two reports come from the address that the gateway then leaves. On a busy machine the second one came after the test had moved its clock on, and made the report from the new address that of a rival. Shown by moving the clock on at the first report: failed.

The test waits for both reports, and checks that there are no others.

--- a/packages/gateway/src/peer_exchange_test.ts
+++ b/packages/gateway/src/peer_exchange_test.ts
@@ -129,7 +129,10 @@
   const listener = await start("127.0.0.1", 1);
   listener.addPeer("returning", "127.0.0.2");
   (await start("127.0.0.2", 1)).announce();
-  await waitFor(() => heard.includes(1n));
+  // Its report, and its answer to the listener's; a later one would come from
+  // the address that it has left.
+  await waitFor(() => heard.length === 2);
+  t.deepEqual(heard, [1n, 1n]);
   nowMs = 600;
   (await start("127.0.0.3", 2)).announce();
   await waitFor(() => heard.includes(2n));
