Case 6: a posting that runs is answered 408

A client sends a posting in full and then an unfinished head on the same connection. When the head is over its time, the posting that is at work gets the answer 408, which promises that it has not run.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 for case in 6 7 8 9 10; do
   [ -f "review/$case/main.ts" ] || continue
-  npx --no-install esbuild "review/$case/main.ts" --bundle --platform=node \
+  node_modules/.bin/esbuild "review/$case/main.ts" --bundle --platform=node \
     --target=node20 --format=esm --conditions=source --log-level=warning \
     --outfile="target/review-2/case-$case.mjs" \
     --banner:js="import{createRequire}from'node:module';const require=createRequire(import.meta.url);"
--- a/review/standin-2/deployment.ts
+++ b/review/standin-2/deployment.ts
@@ -208,7 +208,7 @@
     prefix: `/${name}/`,
     kind,
     service,
-    timeoutMs: kind === "streaming" ? 15_000 : 1000,
+    timeoutMs: kind === "safe" ? 1000 : 15_000,
     targetLatencyMs: kind === "streaming" ? 1500 : 193,
     priority: 1,
     maxAttempts: kind === "non_idempotent" ? 1 : 2,
--- a/review/standin-2/ordinary_callers.ts
+++ b/review/standin-2/ordinary_callers.ts
@@ -10,10 +10,10 @@
   ROUTE_HOST,
 } from "./deployment.ts";
 
-const CALLERS = 10;
-/** Time that the replica works on an ordinary request. */
-const WORK_MS = 300;
-const DEADLINE_MS = 5000;
+const CALLERS = 30;
+/** Time that the replica works on an ordinary booking. */
+const WORK_MS = 2000;
+const DEADLINE_MS = 10_000;
 const WATCH_INTERVAL_MS = 250;
 /** Lost requests that the rule allows. */
 const MAX_LOST = 3;
@@ -21,17 +21,26 @@
 /** What the ordinary callers and the process's watcher have seen. */
 export interface Observations {
   answered: number;
+  refused: number;
+  /** Requests whose connection was closed before a replica ran them. */
+  unread: number;
   /** Requests that ran on a sound replica and whose kept connection was closed. */
   lost: number;
   peakMb: number;
 }
 
 /**
- * A sound replica of the plain service, and callers that send it one request
+ * A sound replica of the plain service, and callers that send it one booking
  * after the other on connections that they keep.
  */
 export class OrdinaryCallers {
-  readonly seen: Observations = { answered: 0, lost: 0, peakMb: 0 };
+  readonly seen: Observations = {
+    answered: 0,
+    refused: 0,
+    unread: 0,
+    lost: 0,
+    peakMb: 0,
+  };
   readonly #gateway: Gateway;
   readonly #record: Recorder;
   readonly #ran: Set<string> = new Set();
@@ -56,7 +65,7 @@
       answer: async (req, res) => {
         callers.#ran.add(String(req.headers["request-id"]));
         await delay(WORK_MS);
-        res.end("stock");
+        res.end("credited");
       },
     });
     while (await getStatus(gateway.readiness, "/v1/ready") !== 200) {
@@ -78,11 +87,12 @@
   async finish(): Promise<boolean> {
     this.#isOver = true;
     await Promise.all(this.#tasks);
-    const { answered, lost, peakMb } = this.seen;
+    const { answered, refused, unread, lost, peakMb } = this.seen;
     const { exit, output } = this.#gateway;
     this.#record.line(
-      `ordinary requests answered: ${answered}; run and then closed without an ` +
-        `answer on a kept connection: ${lost}; peak memory ${peakMb} MB of ` +
+      `ordinary requests answered: ${answered}, refused: ${refused}, closed ` +
+        `before they ran: ${unread}; run and then closed without an answer on ` +
+        `a kept connection: ${lost}; peak memory ${peakMb} MB of ` +
         `${MEMORY_MB} MB; process ${exit ? `ended: ${exit}` : "lives"}`,
     );
     if (exit) {
@@ -101,6 +111,8 @@
       const id = `ordinary-${caller}-${count}`;
       const outcome = await this.#send(id, agent);
       if (outcome === "answered") this.seen.answered += 1;
+      if (outcome === "refused") this.seen.refused += 1;
+      if (outcome === "closed" && !this.#ran.has(id)) this.seen.unread += 1;
       // The first request of a connection isn't one of a kept connection.
       if (outcome === "closed" && count > 0 && this.#ran.has(id)) {
         this.seen.lost += 1;
@@ -115,7 +127,8 @@
       const req = request({
         host: "127.0.0.1",
         port: this.#gateway.port,
-        path: `/stock/${id}`,
+        path: `/credit/${id}`,
+        method: "POST",
         agent,
         headers: {
           "Host": ROUTE_HOST,
@@ -132,7 +145,7 @@
         res.on("error", () => resolve("closed"));
       });
       req.on("error", () => resolve("closed"));
-      req.end();
+      req.end("{}");
     });
   }
 
