--- a/review/standin-2/ordinary_callers.ts
+++ b/review/standin-2/ordinary_callers.ts
@@ -107,6 +107,8 @@
 
   async #run(caller: number): Promise<void> {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    // So that most bookings are at the replica at any moment.
+    await delay(caller * WORK_MS / CALLERS);
     for (let count = 0; !this.#isOver && !this.hasEnded; count += 1) {
       const id = `ordinary-${caller}-${count}`;
       const outcome = await this.#send(id, agent);
