Stand-ins of cases 6 to 10: a case that couldn't run exits with 2

A gateway that ended at its start made cases 6 and 7 exit with 1, as if the rule were broken, and case 8 wait until it was ended. Now all five exit with 2, tried with a gateway that ends at its start. Gateways are ended with the script, however it ends.

--- a/review/standin-2/deployment.ts
+++ b/review/standin-2/deployment.ts
@@ -14,8 +14,24 @@
 const MAX_FDS = 4100;
 const BYTES_PER_KB = 1024;
 
+/** Exit code of a case that couldn't run. */
+export const NOT_RUN = 2;
+
 const host = "127.0.0.1";
 
+/** Processes that are ended with the script, however it ends. */
+const running: Set<ChildProcess> = new Set();
+process.on("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+process.on("SIGTERM", () => process.exit(NOT_RUN));
+for (const event of ["uncaughtException", "unhandledRejection"]) {
+  process.on(event, (error) => {
+    console.error(error);
+    process.exit(NOT_RUN);
+  });
+}
+
 /** Settings of one gateway that cases vary. */
 export interface GatewayOptions {
   readonly instance?: string;
@@ -51,7 +67,9 @@
     };
     child.stdout!.on("data", keep);
     child.stderr!.on("data", keep);
+    running.add(child);
     child.on("exit", (code, signal) => {
+      running.delete(child);
       this.exit = signal ?? `code ${code}`;
     });
   }
