Responses: a reset behind the end of a response fails it while the upload is written

Callers received a part of a response as a complete 200: a replica answered a long upload at once without a length, sent part of its body and reset the connection while the upload was still being written. Plain services behind the agent had the fault too.

Cause: if the last bytes and the reset are read at once, libuv reports an ordinary end. ResetDetector wrote an empty line then and looked for its error in the same turn. While an upload waits, the line is only queued, and undici closes the connection as the end of the response before the write can fail.

The new tests of service_call_test.ts fail before in three. Bodies that are whole pass before and after, also if they are sent before the upload is read.

Change: holdBackEnd keeps the end of a close-delimited response from undici until all writes have succeeded, an empty line last. A failed write is an error of the socket, which undici reports. The check is for one connection now, and needs no state that is shared by all connections to a replica.

--- a/packages/agent/src/engine_client.ts
+++ b/packages/agent/src/engine_client.ts
@@ -1,4 +1,8 @@
-import { framingOf, ResetDetector } from "@banyanspool/responses";
+import {
+  createReplicaConnector,
+  framingOf,
+  holdBackEnd,
+} from "@banyanspool/responses";
 import { Agent, Client, request } from "undici";
 import { err, ok, type Result } from "@banyanspool/types";
 import type { Inventory } from "@banyanspool/ledger";
@@ -226,18 +230,16 @@
   url: string,
   call: StreamCall,
 ): Promise<Result<EngineStream, EngineError>> {
-  const resetDetector = ResetDetector.create();
-  const stopTracking = resetDetector.trackCloseDelimited();
+  let releaseEnd = () => {};
   const client = new Client(url, {
-    connect: resetDetector.createConnector(CONNECT_TIMEOUT_MS),
+    connect: createReplicaConnector(CONNECT_TIMEOUT_MS, (socket) => {
+      releaseEnd = holdBackEnd(socket);
+    }),
     headersTimeout: 0,
     bodyTimeout: 0,
     pipelining: 1,
   });
-  const destroy = () => {
-    stopTracking();
-    client.destroy().catch(() => {});
-  };
+  const destroy = () => void client.destroy().catch(() => {});
   try {
     const res = await client.request({
       method: call.method as "GET",
@@ -247,14 +249,11 @@
       signal: call.signal,
       reset: true,
     });
-    const contentType = String(res.headers["content-type"] ?? "");
-    const isCloseDelimited = framingOf(res.headers) === "close";
+    if (framingOf(res.headers) !== "close") releaseEnd();
     return ok({
       status: res.statusCode,
-      contentType,
-      chunks: isCloseDelimited
-        ? throwAfterReset(res.body, resetDetector)
-        : res.body,
+      contentType: String(res.headers["content-type"] ?? ""),
+      chunks: res.body,
       destroy,
     });
   } catch (error) {
@@ -263,15 +262,6 @@
   }
 }
 
-/** Yields a body; throws after its last chunk if its connection was reset. */
-async function* throwAfterReset(
-  body: AsyncIterable<Uint8Array>,
-  resetDetector: ResetDetector,
-): AsyncGenerator<Uint8Array> {
-  yield* body;
-  if (resetDetector.hasSeenReset) throw new Error("Connection was reset");
-}
-
 const NOT_SENT_ERROR_CODES = new Set([
   "ECONNREFUSED",
   "EHOSTUNREACH",
--- a/packages/agent/src/service_call_test.ts
+++ b/packages/agent/src/service_call_test.ts
@@ -1,7 +1,12 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
-import { create } from "@bufbuild/protobuf";
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import test, { type ExecutionContext } from "ava";
+import {
+  keepEventLoopBusy,
+  startUploadServer,
+  type UploadAnswer,
+} from "@banyanspool/standins";
 import { RunRequestSchema } from "@banyanspool/wire";
 import { AttemptBuffer, type AttemptEnd } from "./attempt_buffer.ts";
 import { runServiceCall } from "./service_call.ts";
@@ -18,10 +23,19 @@
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  return await callPort(port, { method: "GET" });
+}
+
+/** Calls the service that listens on this port. */
+async function callPort(
+  port: number,
+  request: MessageInitShape<typeof RunRequestSchema>,
+): Promise<AttemptEnd["kind"] | undefined> {
   const buffer = AttemptBuffer.create({ maxUnreadBytes: 1024 });
   await runServiceCall({
-    url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
-    request: create(RunRequestSchema, { method: "GET", path: "/" }),
+    url: `http://127.0.0.1:${port}`,
+    request: create(RunRequestSchema, { path: "/", ...request }),
     buffer,
     signal: new AbortController().signal,
   });
@@ -65,3 +79,30 @@
   });
   t.is(end, "finished");
 });
+
+/** More than the buffers of a connection's sockets hold. */
+const UPLOAD = new Uint8Array(12 * 1024 * 1024);
+const TRIES = 10;
+
+const UPLOAD_ENDS: Partial<Record<UploadAnswer, AttemptEnd["kind"]>> = {
+  "part, then reset": "refused",
+  "part, then closed": "refused",
+  "part, then ended and reset": "refused",
+  "whole, then ended and upload read": "finished",
+  "upload read, then whole and ended": "finished",
+};
+
+for (const [answer, kind] of Object.entries(UPLOAD_ENDS)) {
+  // Parts were passed on as complete.
+  test.serial(`a service's answer without a length to a long upload is ${kind}: ${answer}`, async (t) => {
+    const server = await startUploadServer(answer as UploadAnswer);
+    t.teardown(server.stop);
+    t.teardown(keepEventLoopBusy());
+    const ends: (string | undefined)[] = [];
+    for (let i = 0; i < TRIES; i += 1) {
+      const request = { method: "POST", body: UPLOAD };
+      ends.push(await callPort(server.port, request));
+    }
+    t.deepEqual(ends, Array(TRIES).fill(kind));
+  });
+}
--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -1,6 +1,9 @@
 import type { Socket } from "node:net";
 import type { BackendServer } from "@banyanspool/types";
-import { ResetDetector, ResponseMatcher } from "@banyanspool/responses";
+import {
+  createReplicaConnector,
+  ResponseMatcher,
+} from "@banyanspool/responses";
 import { type Dispatcher, Pool } from "undici";
 import { ReadGuard } from "./read_guard.ts";
 
@@ -8,8 +11,6 @@
 export interface ReplicaConnections {
   /** Pool of the connections. */
   readonly pool: Pool;
-  /** Distinguishes a reset connection from one that was closed. */
-  readonly resetDetector: ResetDetector;
   /** Closes a connection with endless bytes that are no response. */
   readonly readGuard: ReadGuard;
   /** Matcher of the connection whose bytes are being parsed. */
@@ -61,12 +62,11 @@
     const key = poolKey(server);
     const existing = this.#pools.get(key);
     if (existing) return existing;
-    const resetDetector = ResetDetector.create();
     const readGuard = ReadGuard.create();
     const pool = new Pool(`http://${server.address}`, {
       connections: this.#options.maxConnectionsFor(server.service),
       pipelining: 1,
-      connect: resetDetector.createConnector(
+      connect: createReplicaConnector(
         CONNECT_TIMEOUT_MS,
         (socket) => readGuard.watch(socket),
       ),
@@ -85,7 +85,7 @@
       if (socket) matchers.set(socket, matcher);
       return matcher;
     };
-    const connections = { pool, resetDetector, readGuard, currentMatcher };
+    const connections = { pool, readGuard, currentMatcher };
     this.#pools.set(key, connections);
     return connections;
   }
--- a/packages/gateway/src/replica_call.ts
+++ b/packages/gateway/src/replica_call.ts
@@ -6,7 +6,7 @@
 import {
   ByteBuffer,
   framingOf,
-  type ResetDetector,
+  holdBackEnd,
   type ResponseMatch,
 } from "@banyanspool/responses";
 import type { Dispatcher } from "undici";
@@ -93,14 +93,13 @@
   #isAborted = false;
   #error: ReplicaCallError | undefined;
   #wakeReader: (() => void) | undefined;
-  readonly #resetDetector: ResetDetector;
   readonly #readGuard: ReadGuard;
   readonly #maySend: () => boolean;
   readonly #match: (
     facts: ReplicaResponseInfo,
     status: number,
   ) => ResponseMatch;
-  #stopTracking: (() => void) | undefined;
+  #releaseEnd: (() => void) | undefined;
   /** Bytes of the body that may still be discarded; undefined while it is read. */
   #discardableBytes: number | undefined;
   #discardTimer: NodeJS.Timeout | undefined;
@@ -108,12 +107,11 @@
   private constructor(
     { connections, maySend, requestId }: ReplicaCallOptions,
   ) {
-    const { resetDetector, readGuard, currentMatcher } = connections;
+    const { readGuard, currentMatcher } = connections;
     this.#match = (facts, status) =>
       requestId === undefined
         ? { kind: "answer" }
         : currentMatcher().match(requestId, { ...facts, status });
-    this.#resetDetector = resetDetector;
     this.#readGuard = readGuard;
     this.#maySend = maySend ?? (() => true);
     this.head = new Promise((resolve, reject) => {
@@ -221,8 +219,9 @@
   ): void {
     this.#readGuard.recordProgress();
     if (status < FIRST_FINAL_STATUS) return;
-    if (framingOf(headers) === "close") {
-      this.#stopTracking = this.#resetDetector.trackCloseDelimited();
+    const socket = this.#readGuard.lastSocket;
+    if (socket && framingOf(headers) === "close") {
+      this.#releaseEnd = holdBackEnd(socket);
     }
     const facts = decodeReplicaResponse(status, headers);
     const match = this.#match(facts, status);
@@ -255,11 +254,7 @@
   /** Called by the transport at the end of the response. */
   onResponseEnd(): void {
     this.#readGuard.recordProgress();
-    if (this.#stopTracking && this.#resetDetector.isReset) {
-      this.#fail("broken", new Error("reset"));
-      return;
-    }
-    this.#stopTracking?.();
+    this.#releaseEnd?.();
     clearTimeout(this.#discardTimer);
     this.#isComplete = true;
     this.#notifyReader();
@@ -276,7 +271,6 @@
 
   #fail(failure: CallFailure, error: Error): void {
     if (this.#error || this.#isComplete) return;
-    this.#stopTracking?.();
     clearTimeout(this.#discardTimer);
     const { code } = error as { code?: string };
     this.#error = new ReplicaCallError(failure, code ?? error.message);
--- a/packages/gateway/src/run_attempts_test.ts
+++ b/packages/gateway/src/run_attempts_test.ts
@@ -146,7 +146,6 @@
       retire: ignore,
       forReplica: ({ id }: BackendServer) => ({
         readGuard: { recordProgress: ignore, reads: 0 },
-        resetDetector: { isReset: false },
         currentMatcher: ResponseMatcher.create,
         pool: {
           dispatch: (
--- a/packages/responses/src/mod.ts
+++ b/packages/responses/src/mod.ts
@@ -4,11 +4,11 @@
  * @module
  */
 export { ByteBuffer } from "./byte_buffer.ts";
+export { createReplicaConnector, holdBackEnd } from "./connection_end.ts";
 export { EventStreamSplitter, MAX_EVENT_BYTES } from "./event_stream.ts";
 export type { CompleteEvents } from "./event_stream.ts";
 export { framingOf } from "./framing.ts";
 export type { FramingHeaders, ResponseFraming } from "./framing.ts";
-export { ResetDetector } from "./reset_detector.ts";
 export { ResponseMatcher } from "./response_matcher.ts";
 export type {
   MismatchReason,
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -22,3 +22,6 @@
 export { startBlackholeProxy } from "./blackhole_proxy.ts";
 export type { BlackholeProxy } from "./blackhole_proxy.ts";
 export { pickPorts, reservePort } from "./ports.ts";
+export { keepEventLoopBusy } from "./busy_event_loop.ts";
+export { startUploadServer, UPLOAD_ANSWER_BODY } from "./upload_server.ts";
+export type { UploadAnswer, UploadServer } from "./upload_server.ts";
