Responses: a transfer coding other than chunked ends with its connection

Callers received a part of a response as complete, or a stream without events, if its transfer coding wasn't chunked: found while the places that read answers were checked for the fault before.

Cause: framingOf took every transfer encoding for chunks, so that the end of the connection of such a response wasn't held back. The parser reads it up to that end (RFC 9112, section 6.3).

--- a/packages/gateway/src/replica_call_test.ts
+++ b/packages/gateway/src/replica_call_test.ts
@@ -93,18 +93,49 @@
   t.is(await failureOf(call(createPools(t), replica)), "broken");
 });
 
-test("a reset directly after the last bytes of a close-delimited response is detected", async (t) => {
+/**
+ * Returns how calls end that get a part of a response with these header lines
+ * and a reset directly after it.
+ */
+async function failuresAfterReset(
+  t: ExecutionContext,
+  lines: string,
+): Promise<string[]> {
   const replica = await startReplica(t, (socket) => {
     // Blocks the event loop, so that the bytes and the reset are read together.
-    socket.write("HTTP/1.1 200 OK\r\n\r\ntor");
+    socket.write(`HTTP/1.1 200 OK\r\n${lines}\r\ntor`);
     socket.resetAndDestroy();
     blockFor(30);
   });
+  const failures: string[] = [];
   for (let i = 0; i < 10; i += 1) {
-    t.is(await failureOf(call(createPools(t), replica)), "broken");
+    failures.push(await failureOf(call(createPools(t), replica)));
   }
+  return failures;
+}
+
+test("a reset directly after the last bytes of a close-delimited response is detected", async (t) => {
+  t.deepEqual(await failuresAfterReset(t, ""), Array(10).fill("broken"));
 });
 
+for (
+  const encoding of [
+    "identity",
+    "gzip",
+    "chunked, gzip",
+    "xchunked",
+    "gzip chunked",
+    "chunked\t",
+    "chunked\r\nTransfer-Encoding: gzip",
+  ]
+) {
+  // The part was a complete response.
+  test(`a reset directly after the last bytes of a response with transfer encoding ${JSON.stringify(encoding)} is detected`, async (t) => {
+    const lines = `Transfer-Encoding: ${encoding}\r\n`;
+    t.deepEqual(await failuresAfterReset(t, lines), Array(10).fill("broken"));
+  });
+}
+
 test("a response shorter than its content length is broken", async (t) => {
   const replica = await startReplica(t, (socket) => {
     socket.end("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ntorn");
--- a/packages/gateway/src/response_framing_test.ts
+++ b/packages/gateway/src/response_framing_test.ts
@@ -10,8 +10,10 @@
   startGateway,
 } from "./testing/running_gateway.ts";
 
-const FRAMINGS = ["length", "chunked", "close"] as const;
+const FRAMINGS = ["length", "chunked", "close", "gzip"] as const;
 type Framing = typeof FRAMINGS[number];
+/** Framings of responses that end with their connection. */
+const CLOSE_DELIMITED: readonly Framing[] = ["close", "gzip"];
 type Ending = "closed" | "reset";
 
 const EVENT_STREAM = "text/event-stream";
@@ -49,6 +51,7 @@
     length: `content-length: ${body.length}\r\n`,
     chunked: "transfer-encoding: chunked\r\n",
     close: "",
+    gzip: "transfer-encoding: gzip\r\n",
   }[framing];
   socket.write(`${head}${framingHeader}\r\n`);
   if (framing === "chunked" && bytes > 0) {
@@ -137,14 +140,17 @@
   for (const res of await callThroughGateway(t, answers)) assertCutOff(t, res);
 });
 
-// A stream that a crashed replica cut off before its first event ended as a
-// complete response without events.
-test("a close-delimited stream without events is not complete", async (t) => {
-  const [res] = await callThroughGateway(t, [
-    answerWith({ body: STREAM, framing: "close", bytes: 0, ending: "closed" }),
-  ]);
-  assertCutOff(t, res!);
-});
+for (const framing of CLOSE_DELIMITED) {
+  const kind = framing === "close" ? "close-delimited" : framing;
+  // A stream that a crashed replica cut off before its first event ended as a
+  // complete response without events.
+  test(`a ${kind} stream without events is not complete`, async (t) => {
+    const [res] = await callThroughGateway(t, [
+      answerWith({ body: STREAM, framing, bytes: 0, ending: "closed" }),
+    ]);
+    assertCutOff(t, res!);
+  });
+}
 
 // A resumable stream that ended inside an event was not resumed.
 test("a close-delimited stream that ends inside an event is resumed at another replica", async (t) => {
@@ -230,7 +236,7 @@
   for (const ending of ["closed", "reset"] as const) {
     // Only the end of the connection frames such a response, and nothing tells
     // an ordinary close after a part of it from one at its end.
-    const isHidden = framing === "close" && ending === "closed";
+    const isHidden = CLOSE_DELIMITED.includes(framing) && ending === "closed";
     const seen = isHidden
       ? "can't be told from a whole one"
       : "is not complete";
