Tests: malformed heads of responses never reach callers

On similar systems callers received a response with status 000, and one whose head had a blank or a control byte in the name of a field.

--- a/packages/agent/src/service_call_test.ts
+++ b/packages/agent/src/service_call_test.ts
@@ -80,6 +80,23 @@
   t.is(end, "finished");
 });
 
+const MALFORMED_HEADS = {
+  "status 000": "000 OK\r\ncontent-length: 5",
+  "a blank in a field's name": "200 OK\r\nx-no te: 1\r\ncontent-length: 5",
+  "a blank behind a field's name": "200 OK\r\ncontent-length : 2",
+  "a control byte in a field's name": "200 OK\r\ncontent\x01-length: 2",
+};
+
+for (const [what, head] of Object.entries(MALFORMED_HEADS)) {
+  // Callers of similar systems received such responses.
+  test(`a service's response with ${what} isn't passed on`, async (t) => {
+    const end = await callService(t, (socket) => {
+      socket.end(`HTTP/1.1 ${head}\r\n\r\nwhole`);
+    });
+    t.is(end, "refused");
+  });
+}
+
 /** More than the buffers of a connection's sockets hold. */
 const UPLOAD = new Uint8Array(12 * 1024 * 1024);
 const TRIES = 10;
