--- a/packages/agent/src/engine_client.ts
+++ b/packages/agent/src/engine_client.ts
@@ -233,6 +233,7 @@
   let releaseEnd = () => {};
   const client = new Client(url, {
     connect: createReplicaConnector(CONNECT_TIMEOUT_MS, (socket) => {
+      // A short response may have ended before its head is returned.
       releaseEnd = holdBackEnd(socket);
     }),
     headersTimeout: 0,
--- a/packages/responses/src/connection_end.ts
+++ b/packages/responses/src/connection_end.ts
@@ -48,6 +48,7 @@
   const release = () => {
     socket.emit = emit;
   };
+  // undici closes the connection at its end, so that no listener may see it yet.
   socket.emit = (event: string | symbol, ...args: unknown[]): boolean => {
     if (event !== "end") return Reflect.apply(emit, socket, [event, ...args]);
     release();
