--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." && exec node review/11/case.mjs
