Review case 15: after a kill of all gateways a tenant gets more than its limit

Case 15: processes that start without a report of the last window take what was used in it for evenly spread.

The stand-ins close a connection that is aborted in the middle of a call; an error in a case ends it with 2.

--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -48,6 +48,11 @@
   };
   for (const signal of ["SIGINT", "SIGTERM"]) process.on(signal, () => end(2));
   process.on("exit", () => deployment.close());
+  process.on("uncaughtException", (error) => {
+    deployment.note(`the case could not run: ${error.stack}`);
+    console.error(error);
+    end(2);
+  });
   setTimeout(() => {
     deployment.note("the case took too long");
     end(2);
@@ -116,16 +121,9 @@
         bounds: BOUNDS,
         limits: { memoryMb: 350, maxFds: 4100 },
       };
-      const { command, template } = readDeployFile();
-      writeFileSync(file, render(template, fields));
-      const args = command.split(" ").map((word) =>
-        word === SETTINGS_PATH ? file : word
-      );
-      const child = spawn(args[0], args.slice(1), {
-        cwd: ROOT,
-        stdio: ["ignore", "ignore", "ignore"],
-      });
-      this.gateways.push({ name, host, port, child });
+      const gateway = { name, host, port, file, fields };
+      this.#spawn(gateway);
+      this.gateways.push(gateway);
     }
     for (const gateway of this.gateways) {
       await waitUntil(() => isReady(gateway), "a gateway is not ready");
@@ -133,6 +131,36 @@
     this.note(`${count} gateways are ready`);
   }
 
+  /**
+   * Kills gateways as the platform does, and starts each again after a delay with
+   * settings that say that the system has run before. Resolves when all are ready.
+   */
+  async killAndRestart(gateways, delayMs) {
+    for (const { child } of gateways) child.kill("SIGKILL");
+    this.note(`killed ${gateways.map(({ name }) => name).join(", ")}`);
+    await sleep(delayMs);
+    for (const gateway of gateways) {
+      gateway.fields.bootstrap = false;
+      this.#spawn(gateway);
+    }
+    for (const gateway of gateways) {
+      await waitUntil(() => isReady(gateway), "a gateway is not ready");
+    }
+    this.note("the gateways are ready again");
+  }
+
+  #spawn(gateway) {
+    const { command, template } = readDeployFile();
+    writeFileSync(gateway.file, render(template, gateway.fields));
+    const args = command.split(" ").map((word) =>
+      word === SETTINGS_PATH ? gateway.file : word
+    );
+    gateway.child = spawn(args[0], args.slice(1), {
+      cwd: ROOT,
+      stdio: ["ignore", "ignore", "ignore"],
+    });
+  }
+
   close() {
     if (this.#closed) return;
     this.#closed = true;
--- a/review/standins-3/replica.mjs
+++ b/review/standins-3/replica.mjs
@@ -53,7 +53,10 @@
   }
 
   async #listen(port) {
-    this.#server = createServer((req, res) => void this.#handle(req, res));
+    this.#server = createServer((req, res) => {
+      // The caller may close the connection in the middle of its call.
+      this.#handle(req, res).catch(() => res.destroy());
+    });
     await new Promise((resolve, reject) => {
       this.#server.once("error", reject);
       this.#server.listen(port, "127.0.0.1", resolve);
--- a/review/standins-3/store.mjs
+++ b/review/standins-3/store.mjs
@@ -17,7 +17,10 @@
   static async start() {
     const store = new Store();
     store.#server = createServer((req, res) => {
-      setTimeout(() => void store.#handle(req, res), ANSWER_MS);
+      setTimeout(() => {
+        // The caller may close the connection in the middle of its call.
+        store.#handle(req, res).catch(() => res.destroy());
+      }, ANSWER_MS);
     });
     await new Promise((resolve) => {
       store.#server.listen(0, "127.0.0.1", resolve);
