--- a/review/standins-3/replica.mjs
+++ b/review/standins-3/replica.mjs
@@ -21,6 +21,7 @@
   #server;
   #born = Date.now();
   #seq = 0;
+  #state = "ready";
   #heartbeat;
 
   constructor(options) {
@@ -65,6 +66,13 @@
     this.#heartbeat = setInterval(() => this.#beat(), HEARTBEAT_MS);
   }
 
+  /** Reports that it is draining, and serves on. Returns when that was stored. */
+  drain() {
+    this.#state = "draining";
+    this.#beat();
+    return performance.now();
+  }
+
   /** Ends like a crash: all connections are reset, and nothing is said. */
   crash() {
     clearInterval(this.#heartbeat);
@@ -93,7 +101,7 @@
       zone,
       version: "v1",
       slots,
-      state: "ready",
+      state: this.#state,
       coldLeftMs: 0,
       born: this.#born,
       seq: this.#seq,
@@ -119,7 +127,8 @@
     if (url === "/v1/report") return this.#report(res);
     if (url === "/v1/order") return this.#order(JSON.parse(body), res);
     if (url === "/healthz") {
-      return void res.writeHead(200, { "instance-id": this.id }).end();
+      const status = this.#state === "ready" ? 200 : 503;
+      return void res.writeHead(status, { "instance-id": this.id }).end();
     }
     if (requestId === undefined) {
       return void res.writeHead(400, { "not-executed": "1" }).end();
