--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -1,41 +1,61 @@
 /**
- * Callers that send requests ahead on one connection, the head of the second one
- * slowly. Looks for bookings that are answered 408 and have run.
+ * A replica drains while a gateway has more streams for it than connections to
+ * it. Looks for requests that reach the replica too late.
  */
-import { connect } from "node:net";
-import { runCase, sleep, TROUBLE } from "../standins-3/deployment.mjs";
-import { Replica } from "../standins-3/replica.mjs";
+import { runCase, send, sleep, TROUBLE } from "../standins-3/deployment.mjs";
+import { Replica, streamAfter } from "../standins-3/replica.mjs";
 import { Store } from "../standins-3/store.mjs";
 
 const HOST = "desk.example";
 const KEY = "key-of-the-tenant";
-/** Time that a booking takes, and after which one follows the other, in ms. */
-const WORK_MS = 6000;
-const GAP_MS = 500;
-const TRAFFIC_MS = 36_000;
+const DRAIN_MS = 2000;
+const GATEWAYS = 5;
+const STREAMS = 16;
+/** Models of the replicas, of which one drains. */
+const HOLDS = [["rare", "m1"], ...Array(6).fill(["m1"])];
 
 await runCase(new URL(".", import.meta.url), async (deployment) => {
   const store = await Store.start();
+  const models = ["rare", "m1"].map((name) => ({
+    name,
+    weightsMb: 72_700,
+    loadTimeS: 4,
+    adapters: 0,
+    adapterMb: 66,
+    warmS: 0.4,
+    diskS: 0.52,
+  }));
   store.write("op", "config", {
     version: 3,
     routes: [{
-      name: "credit-post",
+      name: "crew-chat",
       host: HOST,
-      prefix: "/credit/",
-      kind: "non_idempotent",
+      prefix: "/chat/",
+      kind: "streaming",
       timeoutMs: 15_000,
-      targetLatencyMs: 8000,
-      priority: 2,
-      service: "returns-app",
+      targetLatencyMs: 500,
+      gapAimMs: 400,
+      priority: 0,
+      service: "model-pool",
       maxAttempts: 1,
       public: false,
+      sticky: true,
+      resumable: false,
     }],
     services: [{
-      name: "returns-app",
+      name: "model-pool",
       healthPath: "/healthz",
-      maxConns: 100,
+      maxConns: 50,
       protocol: "h1",
       tls: false,
+      engine: {
+        slots: 24,
+        kvCapacityTokens: 234_138,
+        weightsMb: 220_000,
+        adapterSlots: 5,
+        loadsPerS: 1.1,
+        models,
+      },
     }],
     limits: {
       maxHeaderBytes: 16_384,
@@ -53,76 +73,75 @@
       burst: 68_874,
     }],
   });
-  const completed = new Map();
-  const replica = await Replica.start({
-    store,
-    id: "i-1",
-    service: "returns-app",
-    zone: "zone-a",
-    slots: 64,
-    run: ({ requestId }, res) => {
-      setTimeout(() => {
-        completed.set(requestId, performance.now());
-        res.writeHead(200, { "content-length": "2" }).end("ok");
-      }, WORK_MS);
-    },
-  });
-  await deployment.startGateways(1, { store });
+  const replicas = [];
+  for (const [i, holds] of HOLDS.entries()) {
+    replicas.push(
+      await Replica.start({
+        store,
+        id: `i-${i + 1}`,
+        service: "model-pool",
+        zone: "zone-a",
+        slots: 24,
+        models: holds,
+        loadMs: 4000,
+        run: streamAfter(60, { events: 60, paceMs: 50 }),
+      }),
+    );
+  }
+  await deployment.startGateways(GATEWAYS, { store });
+  await sleep(2500);
+  // The gateways have heard of each other, and share the connections.
   const [gateway] = deployment.gateways;
-  const answers = new Map();
-  const sockets = [];
-  const startedAt = performance.now();
-  for (let i = 0; performance.now() - startedAt < TRAFFIC_MS; i += 1) {
-    const id = `credit-${i}`;
-    const socket = connect({ host: gateway.host, port: gateway.port });
-    sockets.push(socket);
-    let text = "";
-    socket.on("data", (piece) => {
-      text += piece;
-      if (answers.has(id)) return;
-      const [, status] = /^HTTP\/1\.1 (\d+)/.exec(text) ?? [];
-      if (status === undefined) return;
-      answers.set(id, Number(status));
-      deployment.note(`${id}: ${text.replaceAll("\r\n", " | ")}`);
-      if (!TROUBLE) socket.end();
-    });
-    socket.on("error", () => {});
-    socket.on("close", () => {
-      if (!answers.has(id)) deployment.note(`${id}: closed`);
-    });
-    socket.write(
-      `POST /credit/${i} HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: ${id}\r\n` +
-        `Deadline-Ms: 15000\r\nAuthorization: Bearer ${KEY}\r\n` +
-        "Content-Length: 2\r\n\r\nok",
+  const pending = [];
+  let served = 0;
+  for (let i = 0; i < STREAMS; i += 1) {
+    const id = `chat-${i}`;
+    pending.push(
+      send(gateway, {
+        path: `/chat/${i}`,
+        body: "{}",
+        headers: {
+          host: HOST,
+          "request-id": id,
+          "deadline-ms": "15000",
+          authorization: `Bearer ${KEY}`,
+          model: "rare",
+          "token-usage": "826,290",
+          "prompt-prefix": `a1:198,${(0x1000 + i).toString(16)}:628`,
+        },
+      }).then((answer) => {
+        const tookMs = Math.round(answer.endedAt - answer.sentAt);
+        const outcome = answer.status ?? answer.error;
+        deployment.note(`${id}: ${outcome} after ${tookMs} ms`);
+        if (outcome === 200) served += 1;
+      }),
     );
-    if (TROUBLE) {
-      socket.write(`POST /credit/next HTTP/1.1\r\nHost: ${HOST}\r\n`);
-    }
-    await sleep(GAP_MS);
+    await sleep(10);
   }
-  await sleep(WORK_MS + 1000);
-  for (const socket of sockets) socket.destroy();
-  await sleep(300);
-  const ran = new Set(replica.ran.map(({ requestId }) => requestId));
-  const counts = {};
-  for (const status of answers.values()) {
-    counts[status] = (counts[status] ?? 0) + 1;
+  const [draining] = replicas;
+  let ackAt;
+  if (TROUBLE) {
+    ackAt = draining.drain();
+    deployment.note("i-1 is draining");
   }
-  const note = `${sockets.length} sent, ${ran.size} run, ` +
-    `answers ${JSON.stringify(counts)}`;
-  deployment.note(note);
-  console.log(note);
-  const lies = [...answers].filter(([id, status]) =>
-    [408, 421, 429, 503].includes(status) && ran.has(id)
+  await Promise.all(pending);
+  const late = draining.arrived.filter(({ at, requestId }) =>
+    requestId !== undefined && ackAt !== undefined && at > ackAt + DRAIN_MS
   );
-  for (const [id, status] of lies) {
-    const end = completed.has(id) ? "to its end" : "until it was cut off";
-    deployment.note(`${id} was answered ${status} and ran ${end}`);
+  for (const { at, requestId } of draining.arrived) {
+    if (requestId === undefined || ackAt === undefined) continue;
+    const afterMs = Math.round(at - ackAt);
+    deployment.note(`${requestId} reached i-1 ${afterMs} ms after it drained`);
   }
-  replica.close();
+  const note =
+    `${STREAMS} sent, ${served} served, ${draining.ran.length} run ` +
+    `at i-1, ${late.length} of them late`;
+  deployment.note(note);
+  console.log(note);
+  for (const replica of replicas) replica.close();
   store.close();
-  if (ran.size < sockets.length / 4) throw new Error("too little was run");
-  return lies.length > 0
-    ? `REFUSED: ${lies.length} bookings were answered 408 and have run`
+  if (served < STREAMS / 4) throw new Error("too little was served");
+  return late.length > 0
+    ? `DRAIN: ${late.length} requests reached i-1 later than drainMs`
     : undefined;
 });
